--- /dev/null
+++ b/sard/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench holds workloads and the table of figures against their bounds.
+package bench
--- /dev/null
+++ b/sard/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller serves the HTTP API of callers.
+package caller
--- /dev/null
+++ b/sard/lease/doc.go
@@ -0,0 +1,2 @@
+// Package lease holds domain leases with epochs in the table service.
+package lease
--- /dev/null
+++ b/sard/oper/doc.go
@@ -0,0 +1,2 @@
+// Package oper serves the HTTP API of operators.
+package oper
--- /dev/null
+++ b/sardbench/main.go
@@ -0,0 +1,4 @@
+// Command sardbench prints the benchmark figures against their bounds.
+package main
+
+func main() {}
--- /dev/null
+++ b/sardined/main.go
@@ -0,0 +1,4 @@
+// Command sardined is the daemon of an entry instance.
+package main
+
+func main() {}
