Add the peer link, membership and TLS settings

Cause: instances need to know each other and to pass calls on. Change: CBOR calls over WebSocket; heartbeats to 8 rendezvous-chosen monitors with news of changes, refuted losses and marks of leaving servers; TLS identities from files. Ruled out on the way, each found by the mesh tests: a member wrongly counted as lost was never told (now it is corrected); news lost to all receivers stayed lost (now members are repeated in turn); a correction made its receiver a monitor that then missed heartbeats (now it is a release).

--- /dev/null
+++ b/sard/creds/tls.go
@@ -0,0 +1,79 @@
+package creds
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/sardineline/sardineline/sard/fault"
+)
+
+// Files names the PEM files of a TLS identity. All empty means no TLS.
+type Files struct {
+	// Cert and Key are the certificate chain and private key of a listener.
+	Cert string
+	Key  string
+	// Authority holds the certificates that peers are checked against.
+	Authority string
+}
+
+// Enabled tells whether TLS is wanted.
+func (f Files) Enabled() bool {
+	return f.Cert != "" || f.Key != "" || f.Authority != ""
+}
+
+// Server returns the TLS settings of a listener, or nil without TLS. With mutual, callers must show a
+// certificate of the authority.
+func (f Files) Server(mutual bool) (*tls.Config, error) {
+	if !f.Enabled() {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "load TLS key pair", "")
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}
+	if !mutual {
+		return cfg, nil
+	}
+	cfg.ClientCAs, err = f.pool()
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	return cfg, err
+}
+
+// Client returns the TLS settings of outgoing calls, or nil without TLS. The key pair, if any, is shown to servers
+// that ask for it.
+func (f Files) Client() (*tls.Config, error) {
+	if !f.Enabled() {
+		return nil, nil
+	}
+	pool, err := f.pool()
+	if err != nil {
+		return nil, err
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	if f.Cert == "" {
+		return cfg, nil
+	}
+	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "load TLS key pair", "")
+	}
+	cfg.Certificates = []tls.Certificate{pair}
+	return cfg, nil
+}
+
+func (f Files) pool() (*x509.CertPool, error) {
+	if f.Authority == "" {
+		return nil, fault.New(fault.Invalid, "load TLS authority", "", "no authority file is set")
+	}
+	pem, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "load TLS authority", "")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fault.New(fault.Invalid, "load TLS authority", "", "%s holds no certificate", f.Authority)
+	}
+	return pool, nil
+}
--- a/sard/peer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package peer is the link between instances: CBOR messages over WebSocket.
-package peer
--- /dev/null
+++ b/sard/peer/frame.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sardineline/sardineline/sard/fault"
+)
+
+// registry gives the type of each kind of message.
+var registry = map[Kind]reflect.Type{}
+
+func init() {
+	for _, m := range []Message{
+		Done{},
+		Heartbeat{},
+		Announce{},
+		Fetch{},
+		Document{},
+		Submit{},
+		Get{},
+		List{},
+		Cancel{},
+		Explain{},
+		View{},
+		Views{},
+		Explanation{},
+		StatusQuery{},
+		Status{},
+		Drain{},
+	} {
+		registry[m.kind()] = reflect.TypeOf(m)
+	}
+}
+
+// frame is one message on the wire.
+type frame struct {
+	// ID pairs a reply with its call; 0 for a message that wants no reply.
+	ID    uint64
+	Reply bool
+	Kind  Kind
+	Body  cbor.RawMessage
+	// Error is set in the reply to a failed call.
+	Error *wireError
+}
+
+// wireError is a fault on the wire.
+type wireError struct {
+	Kind       fault.Kind
+	Step       string
+	Peer       string
+	Message    string
+	RetryAfter time.Duration
+}
+
+func encode(id uint64, reply bool, m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode message", "")
+	}
+	return cbor.Marshal(frame{ID: id, Reply: reply, Kind: m.kind(), Body: body})
+}
+
+func encodeError(id uint64, err error) ([]byte, error) {
+	w := &wireError{Kind: fault.KindOf(err), Message: err.Error(), RetryAfter: fault.RetryAfterOf(err)}
+	return cbor.Marshal(frame{ID: id, Reply: true, Error: w})
+}
+
+func decode(data []byte) (frame, error) {
+	var f frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return frame{}, fault.Wrap(err, fault.Invalid, "decode frame", "")
+	}
+	return f, nil
+}
+
+// message decodes the body of a frame, or returns the error that it carries.
+func (f frame) message(peer string) (Message, error) {
+	if f.Error != nil {
+		return nil, fault.New(f.Error.Kind, "call", peer, "%s", f.Error.Message).After(f.Error.RetryAfter)
+	}
+	t, ok := registry[f.Kind]
+	if !ok {
+		return nil, fault.New(fault.Invalid, "decode message", peer, "unknown kind %d", int(f.Kind))
+	}
+	value := reflect.New(t)
+	if err := cbor.Unmarshal(f.Body, value.Interface()); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "decode message", peer)
+	}
+	return value.Elem().Interface().(Message), nil
+}
--- a/sard/roster/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package roster tracks the instances, workers and servers that are live or leaving.
-package roster
