--- a/sard/peer/link_test.go
+++ b/sard/peer/link_test.go
@@ -104,7 +104,7 @@
 	group.Go(func() error {
 		_, err := link.Call(ctx, addr, peer.Get{Job: "slow"})
 		if !fault.Is(err, fault.OutcomeUnknown) {
-			return fmt.Errorf("unexpected error %v", err)
+			return fmt.Errorf("unexpected error: %w", err)
 		}
 		return nil
 	})
