Play the platform, workers and backend servers on loopback

Cause: nothing could be run against; every client needs the other end. Change: one program serves the table service (DynamoDB API: GetItem, PutItem, Query and TransactWriteItems with the condition forms of package table), the object store (S3 API), the lagging fleet list, workers and backend servers, with faults switched over HTTP, and a ledger of what really ran. worker.Spec gets Parts (additive), so that the ledger knows the size of a gang.

--- /dev/null
+++ b/sard/table/forms.go
@@ -0,0 +1,40 @@
+package table
+
+// The attributes of a stored item.
+const (
+	AttrPartition = "Partition"
+	AttrSort      = "Sort"
+	AttrRevision  = "Revision"
+	AttrToken     = "Token"
+	AttrEpoch     = "Epoch"
+	AttrBody      = "Body"
+)
+
+// The condition, update and key expressions that the client sends. A service for tests needs to know just these.
+const (
+	IfAbsent     = "attribute_not_exists(#P)"
+	IfRevision   = "#R = :R"
+	IfEpoch      = "#E = :E"
+	UpdateItem   = "SET #R = #R + :One, #T = :T, #E = :NewE, #B = :B"
+	KeyPartition = "#P = :P"
+	KeyPrefix    = "#P = :P AND begins_with(#S, :S)"
+)
+
+// The names and values in the expressions.
+const (
+	namePartition = "#P"
+	nameSort      = "#S"
+	nameRevision  = "#R"
+	nameToken     = "#T"
+	nameEpoch     = "#E"
+	nameBody      = "#B"
+
+	ValuePartition = ":P"
+	ValueSort      = ":S"
+	ValueRevision  = ":R"
+	ValueEpoch     = ":E"
+	ValueOne       = ":One"
+	ValueToken     = ":T"
+	ValueNewEpoch  = ":NewE"
+	ValueBody      = ":B"
+)
--- a/sard/worker/wire.go
+++ b/sard/worker/wire.go
@@ -23,6 +23,8 @@
 	Checkpoint string
 	// Checkpointable tells that the task can write checkpoints.
 	Checkpointable bool
+	// Parts is the number of the gang's parts on all workers; 0 when not told.
+	Parts int
 }
 
 // FenceRequest raises the worker's epoch. The answer is a Report.
--- /dev/null
+++ b/standin/faults/calls.go
@@ -0,0 +1,36 @@
+package faults
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Hold waits while the part is frozen and as long as Slow says. A closed request does not end the wait by Slow,
+// as a service may act on a call whose caller has gone.
+func (s *Set) Hold(ctx context.Context, at Place) {
+	s.Thaw(ctx, at)
+	if f, ok := s.Draw(at, Slow); ok {
+		time.Sleep(f.Delay.Std())
+	}
+}
+
+// Thaw waits while the part is frozen. A closed request ends the wait.
+func (s *Set) Thaw(ctx context.Context, at Place) {
+	for s.Has(at, Freeze) {
+		changed := s.Changed()
+		if !s.Has(at, Freeze) {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			Abort()
+		}
+	}
+}
+
+// Abort closes the connection of the request that is being served, without an answer.
+func Abort() {
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/standin/faults/text.go
@@ -0,0 +1,31 @@
+package faults
+
+import "github.com/sardineline/sardineline/sard/fault"
+
+// MarshalText writes the name of p.
+func (p Peer) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText reads the name of a peer.
+func (p *Peer) UnmarshalText(text []byte) error {
+	for v := Table; v <= Server; v++ {
+		if v.String() == string(text) {
+			*p = v
+			return nil
+		}
+	}
+	return fault.New(fault.Invalid, "read fault", "", "unknown peer %q", text)
+}
+
+// MarshalText writes the name of k.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText reads the name of a kind.
+func (k *Kind) UnmarshalText(text []byte) error {
+	for v := Down; v <= Twice; v++ {
+		if v.String() == string(text) {
+			*k = v
+			return nil
+		}
+	}
+	return fault.New(fault.Invalid, "read fault", "", "unknown kind %q", text)
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,89 @@
 // Command standin plays the platform, the workers and the backend servers on loopback.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sardineline/sardineline/standin/setup"
+	"github.com/sardineline/sardineline/standin/world"
+)
+
+var version = "devel"
+
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+)
+
+const usage = `Plays the platform, the workers and the backend servers on loopback.
+
+The listeners start at the base port: +0 table service (DynamoDB API), +1 object store (S3 API), +2 fleet list (GET /v1/fleet),
++3 control, +100 and on the workers, +500 and on the backend servers, both in the order of the environment file.
+
+The control listener serves GET /v1/ledger (what really ran; ?totals=1 for the sums), POST /v1/expected,
+GET, POST and DELETE /v1/faults, POST /v1/instances, DELETE /v1/instances/<name> and GET /v1/counts.`
+
+type options struct {
+	Environment string `long:"environment" short:"e" env:"STANDIN_ENVIRONMENT" description:"environment file (YAML)" required:"true"`
+	Host        string `long:"host" env:"STANDIN_HOST" default:"127.0.0.1" description:"IP number of all listeners"`
+	Base        int    `long:"base" env:"STANDIN_BASE" default:"21000" description:"first port"`
+	Level       string `long:"level" env:"STANDIN_LEVEL" default:"info" description:"log level: trace, debug, info, warn or error"`
+	JSON        bool   `long:"json" env:"STANDIN_JSON" description:"write the log as JSON"`
+	Version     bool   `long:"version" description:"print the version"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var opts options
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = usage
+	_, err := parser.ParseArgs(args)
+	var failure *flags.Error
+	if errors.As(err, &failure) && failure.Type == flags.ErrHelp {
+		_, _ = os.Stdout.WriteString(failure.Message)
+		return exitOK
+	}
+	if opts.Version {
+		_, _ = os.Stdout.WriteString(version + "\n")
+		return exitOK
+	}
+	if err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		return exitUsage
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: "standin", Level: hclog.LevelFromString(opts.Level), JSONFormat: opts.JSON})
+	if err := serve(opts, log); err != nil {
+		log.Error("stopped", "Error", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func serve(opts options, log hclog.Logger) error {
+	env, err := setup.Load(opts.Environment)
+	if err != nil {
+		return err
+	}
+	ports := setup.Ports{Host: opts.Host, Base: opts.Base}
+	w, err := world.New(world.Config{Environment: env, Ports: ports, Log: log})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return w.Serve(ctx, world.ListenTCP, func() {
+		log.Info("ready", "Table", ports.Table(), "Object", ports.Object(), "Fleet", ports.Fleet(),
+			"Control", ports.Control(), "Workers", len(w.Workers), "Servers", len(w.Servers))
+	})
+}
--- /dev/null
+++ b/standin/setup/ports.go
@@ -0,0 +1,46 @@
+package setup
+
+import (
+	"net"
+	"strconv"
+)
+
+// Ports is the layout of listeners from a base port on.
+type Ports struct {
+	// Host is the IP number of all listeners.
+	Host string
+	// Base is the port of the table service.
+	Base int
+}
+
+// The offsets of the listeners from the base port.
+const (
+	tableOffset   = 0
+	objectOffset  = 1
+	fleetOffset   = 2
+	controlOffset = 3
+	workerOffset  = 100
+	serverOffset  = workerOffset + MaxMachines
+)
+
+// Table returns the address of the table service.
+func (p Ports) Table() string { return p.at(tableOffset) }
+
+// Object returns the address of the object store.
+func (p Ports) Object() string { return p.at(objectOffset) }
+
+// Fleet returns the address of the fleet list.
+func (p Ports) Fleet() string { return p.at(fleetOffset) }
+
+// Control returns the address of the control listener.
+func (p Ports) Control() string { return p.at(controlOffset) }
+
+// Worker returns the address of the nth worker, from 0.
+func (p Ports) Worker(n int) string { return p.at(workerOffset + n) }
+
+// Server returns the address of the nth backend server, from 0.
+func (p Ports) Server(n int) string { return p.at(serverOffset + n) }
+
+func (p Ports) at(offset int) string {
+	return net.JoinHostPort(p.Host, strconv.Itoa(p.Base+offset))
+}
