Forward requests to backend servers and serve the jobs API

Cause: callers had no way in. HeaderAccount and HeaderPrefix are added to server/wire.go. Measured: go test -race ./sard/caller passes (real HTTP, one backend server).

--- a/sard/caller/doc.go
+++ b/sard/caller/doc.go
@@ -1,2 +1,2 @@
-// Package caller serves the HTTP API of callers.
+// Package caller serves the HTTP API of callers: jobs, and short requests that are forwarded to backend servers.
 package caller
--- /dev/null
+++ b/sard/caller/jobs_test.go
@@ -0,0 +1,111 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/gang"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/place"
+)
+
+// jobs is a gang.Service in memory.
+type jobs struct{ views map[ident.Job]gang.View }
+
+func newJobs() *jobs {
+	return &jobs{views: map[ident.Job]gang.View{"theirs": {ID: "theirs", Account: "alerts"}}}
+}
+
+func (j *jobs) Submit(_ context.Context, account ident.Account, key ident.IdempotencyKey, spec gang.Spec) (gang.View, error) {
+	if spec.Accelerators == 0 {
+		return gang.View{}, fault.New(fault.Throttled, "submit job", "", "the queue is full").After(1500 * time.Millisecond)
+	}
+	v := gang.View{ID: ident.Job("job-" + key), Account: account, Spec: spec}
+	j.views[v.ID] = v
+	return v, nil
+}
+
+func (j *jobs) Get(_ context.Context, account ident.Account, job ident.Job) (gang.View, error) {
+	v, ok := j.views[job]
+	if !ok || v.Account != account {
+		return gang.View{}, fault.New(fault.NotFound, "get job", "", "no job %s", job)
+	}
+	return v, nil
+}
+
+func (j *jobs) List(_ context.Context, account ident.Account) ([]gang.View, error) {
+	var found []gang.View
+	for _, v := range j.views {
+		if v.Account == account {
+			found = append(found, v)
+		}
+	}
+	return found, nil
+}
+
+func (j *jobs) Cancel(ctx context.Context, account ident.Account, ids []ident.Job) error {
+	for _, id := range slices.Compact(ids) {
+		v, err := j.Get(ctx, account, id)
+		if err != nil {
+			return err
+		}
+		v.State = ident.Cancelled
+		j.views[id] = v
+	}
+	return nil
+}
+
+func (j *jobs) Explain(_ context.Context, _ ident.Account, job ident.Job) (place.Explanation, error) {
+	return place.Explanation{Job: job, State: "Waiting"}, nil
+}
+
+func TestJobs(t *testing.T) {
+	api := startAPI(t, nil)
+	tests := []struct {
+		name, method, path, body string
+		status                   int
+		contains                 string
+	}{
+		{"submit", http.MethodPost, "", `{"Kind":"orbit","Accelerators":8,"RunTime":"2h"}`, http.StatusAccepted, `"RunTime":"2h0m0s"`},
+		{"unknown key", http.MethodPost, "", `{"Sort":"orbit"}`, http.StatusBadRequest, `"Kind":"Invalid"`},
+		{"two values", http.MethodPost, "", `{}{}`, http.StatusBadRequest, `"Step":"read job"`},
+		{"refused", http.MethodPost, "", `{"Kind":"orbit"}`, http.StatusTooManyRequests, `"RetryAfterMs":1500`},
+		{"list", http.MethodGet, "", "", http.StatusOK, `"ID":"job-"`},
+		{"get", http.MethodGet, "/job-", "", http.StatusOK, `"State":"Queued"`},
+		{"another account's", http.MethodGet, "/theirs", "", http.StatusNotFound, `"Kind":"NotFound"`},
+		{"explain", http.MethodGet, "/job-/explain", "", http.StatusOK, `"State":"Waiting"`},
+		{"cancel several", http.MethodPost, "/cancel", `{"Jobs":["job-"]}`, http.StatusNoContent, ""},
+		{"cancel", http.MethodDelete, "/job-", "", http.StatusNoContent, ""},
+		{"cancelled", http.MethodGet, "/job-", "", http.StatusOK, `"State":"Cancelled"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := call(t, tt.method, api.URL+"/v1/jobs"+tt.path, tt.body)
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, tt.status, got.body)
+			assert.Assert(t, tt.contains == "" || json.Valid([]byte(got.body)))
+			assert.Assert(t, strings.Contains(got.body, tt.contains), got.body)
+			if tt.status == http.StatusTooManyRequests {
+				assert.Equal(t, got.header.Get("Retry-After"), "2")
+			}
+		})
+	}
+}
+
+func TestNoToken(t *testing.T) {
+	api := startAPI(t, nil)
+	for _, path := range []string{"/v1/jobs", "/r/price"} {
+		response, err := http.Get(api.URL + path)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+	}
+}
--- /dev/null
+++ b/sard/caller/requests_test.go
@@ -0,0 +1,136 @@
+package caller_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/caller"
+	"github.com/sardineline/sardineline/sard/creds"
+	"github.com/sardineline/sardineline/sard/envdoc"
+	"github.com/sardineline/sardineline/sard/fleet"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/route"
+	"github.com/sardineline/sardineline/sard/server"
+)
+
+const token = "pricing-token"
+
+// startAPI serves the API of callers before one backend server with a handler.
+func startAPI(t *testing.T, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	backend := httptest.NewServer(echoID(handler))
+	t.Cleanup(backend.Close)
+	router := route.New(route.Config{Instance: "i1", JoinDelay: time.Nanosecond})
+	router.SetDocument(&envdoc.Document{
+		Accounts: []envdoc.Account{{Name: "pricing"}},
+		Routes: []envdoc.Route{
+			{Name: "price", Path: "/price", Timeout: ident.Duration(5 * time.Second), MaxBody: 1 << 20},
+			{Name: "settle", Path: "/settle", Class: ident.NotRepeated, Timeout: ident.Duration(5 * time.Second)},
+		},
+	})
+	router.SetServers([]fleet.Server{{
+		Name: "b1", Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 8, Connections: 60,
+	}})
+	router.SetInstances("i1", nil)
+	router.SetInstances("i1", nil)
+	tokens, err := creds.NewTokens([]creds.Entry{{Sha256: creds.Hash(token), Account: "pricing"}})
+	assert.NilError(t, err)
+	api := httptest.NewServer(caller.New(caller.Config{Router: router, Tokens: tokens, Jobs: newJobs()}))
+	t.Cleanup(api.Close)
+	return api
+}
+
+// echoID answers with the request's id, as backend servers do.
+func echoID(handler http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(server.HeaderRequest, r.Header.Get(server.HeaderRequest))
+		handler(w, r)
+	})
+}
+
+// reply is what a caller sees.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func call(t *testing.T, method, url, body string) (reply, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(text)}, err
+}
+
+func TestForward(t *testing.T) {
+	api := startAPI(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.Method+" "+r.URL.String()+" "+string(body)+" "+r.Header.Get(server.HeaderAccount)+
+			r.Header.Get("Authorization"))
+	})
+	got, err := call(t, http.MethodPost, api.URL+"/r/price/renewal?x=1", "battery")
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "POST /price/renewal?x=1 battery pricing")
+	assert.Equal(t, got.header.Get(caller.HeaderOutcome), "Answered")
+}
+
+func TestForwardRefuses(t *testing.T) {
+	api := startAPI(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was called") })
+	tests := []struct {
+		name, path, body string
+		status           int
+	}{
+		{"no route", "/r/other", "", http.StatusNotFound},
+		{"route is no path prefix", "/r/prices", "", http.StatusNotFound},
+		{"dot segments", "/r/price/%2e%2e/settle", "", http.StatusBadRequest},
+		{"too large", "/r/price", strings.Repeat("x", 1<<20+1), http.StatusRequestEntityTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := call(t, http.MethodPost, api.URL+tt.path, tt.body)
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, tt.status, got.body)
+			assert.Equal(t, got.header.Get(caller.HeaderOutcome), "NotRun")
+		})
+	}
+}
+
+func TestTruncatedAnswerIsNotWhole(t *testing.T) {
+	tests := []struct {
+		name   string
+		size   int
+		aborts bool
+	}{
+		{"short answer", 100, false},
+		{"long answer", 200_000, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			api := startAPI(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "300000")
+				_, _ = io.WriteString(w, strings.Repeat("x", tt.size))
+				panic(http.ErrAbortHandler)
+			})
+			got, err := call(t, http.MethodPost, api.URL+"/r/settle", "")
+			if tt.aborts {
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, got.header.Get(caller.HeaderOutcome), "Unknown")
+		})
+	}
+}
--- a/sard/server/wire.go
+++ b/sard/server/wire.go
@@ -20,3 +20,9 @@
 	RefusedBusy     = "Busy"
 	RefusedDraining = "Draining"
 )
+
+// HeaderPrefix starts the headers that concern an instance and a backend server. A caller's own are not passed on.
+const HeaderPrefix = "Sardine-"
+
+// HeaderAccount carries the client account of the request's caller.
+const HeaderAccount = "Sardine-Account"
