--- a/sard/config/propose.go
+++ b/sard/config/propose.go
@@ -102,7 +102,7 @@
 	if head.Digest == c.digest {
 		return Verdict{Head: head, Unchanged: true}, nil
 	}
-	if err := a.admit(ctx, c); err != nil {
+	if err := a.admit(c); err != nil {
 		return Verdict{}, err
 	}
 	plan, err := a.plan(ctx, c.doc)
@@ -130,7 +130,7 @@
 }
 
 // admit checks that the document may come into force here now.
-func (a *Agent) admit(ctx context.Context, c candidate) error {
+func (a *Agent) admit(c candidate) error {
 	if m := a.membership(); !m.most() {
 		return fault.New(fault.Unavailable, "propose document", "", "only %d of %d instances are heard, so it could not come into force everywhere",
 			m.Reachable, m.Listed)
--- a/sard/envdoc/decode.go
+++ b/sard/envdoc/decode.go
@@ -55,7 +55,11 @@
 
 func (d *decoder) value(node ast.Node, v reflect.Value, path string) {
 	d.at[path] = positionOf(node)
-	if node.Type() == ast.NullType {
+	switch node.Type() {
+	case ast.NullType:
+		return
+	case ast.AnchorType, ast.AliasType, ast.TagType:
+		d.wrong(node, path, "a plain value")
 		return
 	}
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
--- a/sard/envdoc/node.go
+++ b/sard/envdoc/node.go
@@ -66,14 +66,14 @@
 
 func describe(node ast.Node) string {
 	switch node.(type) {
-	case ast.MapNode:
-		return "a mapping"
-	case ast.ArrayNode:
-		return "a list"
 	case *ast.AnchorNode, *ast.AliasNode:
 		return "an anchor or alias"
 	case *ast.TagNode:
 		return "a tag"
+	case ast.MapNode:
+		return "a mapping"
+	case ast.ArrayNode:
+		return "a list"
 	}
 	return fmt.Sprintf("%q", node.String())
 }
--- /dev/null
+++ b/sardctl/job.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/gang"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/oper"
+	"github.com/sardineline/sardineline/sard/place"
+)
+
+const pathJobs = "/v1/jobs"
+
+// jobsArg names the jobs of a command.
+type jobsArg struct {
+	Args struct {
+		Jobs []ident.Job `positional-arg-name:"JOB" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// jobArg names the job of a command.
+type jobArg struct {
+	Args struct {
+		Job ident.Job `positional-arg-name:"JOB"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type submitCommand struct {
+	Kind           ident.JobKind        `long:"kind" required:"yes" description:"what the job does; run times are learnt by it"`
+	Accelerators   ident.Accelerators   `long:"accelerators" short:"n" required:"yes" description:"size of the gang"`
+	RunTime        time.Duration        `long:"run-time" description:"expected run time"`
+	Checkpointable bool                 `long:"checkpointable" description:"the job can be stopped and resumed"`
+	Urgent         bool                 `long:"urgent" description:"the job starts within seconds"`
+	NotRepeated    bool                 `long:"not-repeated" description:"the job is tried once only"`
+	DataCentre     ident.DataCentre     `long:"data-centre" description:"where the job must run; anywhere when not given"`
+	Command        string               `long:"command" description:"payload for the worker"`
+	Key            ident.IdempotencyKey `long:"key" description:"names the submission, so that repeating it gives the same job; made up when not given"`
+	session        *session
+}
+
+// Execute submits a job.
+func (c *submitCommand) Execute([]string) error {
+	in, err := post(pathJobs, gang.Spec{
+		Kind: c.Kind, Accelerators: c.Accelerators, RunTime: ident.Duration(c.RunTime), Checkpointable: c.Checkpointable,
+		Urgent: c.Urgent, NotRepeated: c.NotRepeated, DataCentre: c.DataCentre, Command: c.Command,
+	})
+	if err != nil {
+		return err
+	}
+	if c.Key == "" {
+		c.Key = ident.IdempotencyKey(newToken())
+	}
+	in.header.Set("Idempotency-Key", string(c.Key))
+	view, err := fetch[gang.View](c.session, in)
+	if err != nil {
+		return fmt.Errorf("submission with --key %s: %w", c.Key, err)
+	}
+	return c.session.printJobs(view, view)
+}
+
+type getCommand struct {
+	jobArg
+	session *session
+}
+
+// Execute shows a job.
+func (c *getCommand) Execute([]string) error {
+	view, err := getJob(c.session, c.Args.Job)
+	if err != nil {
+		return err
+	}
+	return c.session.printJobs(view, view)
+}
+
+func getJob(s *session, job ident.Job) (gang.View, error) {
+	return fetch[gang.View](s, get(fmt.Sprintf("%s/%s", pathJobs, job)))
+}
+
+type listCommand struct {
+	All     bool `long:"all" description:"all accounts' jobs; needs an operator's token"`
+	session *session
+}
+
+// Execute lists jobs.
+func (c *listCommand) Execute([]string) error {
+	path := pathJobs
+	if c.All {
+		path = oper.PathJobs
+	}
+	views, err := fetch[[]gang.View](c.session, get(path))
+	if err != nil {
+		return err
+	}
+	return c.session.printJobs(views, views...)
+}
+
+type cancelCommand struct {
+	jobsArg
+	session *session
+}
+
+// cancelRequest is the body of POST /v1/jobs/cancel.
+type cancelRequest struct{ Jobs []ident.Job }
+
+// Execute cancels jobs.
+func (c *cancelCommand) Execute([]string) error {
+	client, ctx, cancel, err := c.session.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	in, err := post(pathJobs+"/cancel", cancelRequest{Jobs: c.Args.Jobs})
+	if err != nil {
+		return err
+	}
+	if err := client.do(ctx, in, nil); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.session.out, "cancelled: %d jobs\n", len(c.Args.Jobs))
+	return err
+}
+
+type explainCommand struct {
+	jobArg
+	All     bool `long:"all" description:"a job of any account; needs an operator's token"`
+	session *session
+}
+
+// Execute tells why a job waits or where it was placed.
+func (c *explainCommand) Execute([]string) error {
+	base := pathJobs
+	if c.All {
+		base = oper.PathJobs
+	}
+	e, err := fetch[place.Explanation](c.session, get(fmt.Sprintf("%s/%s/explain", base, c.Args.Job)))
+	if err != nil {
+		return err
+	}
+	return c.session.print(e, func(w *rows) {
+		w.row("Job", e.Job)
+		w.row("State", e.State)
+		w.row("Last decision", e.Last)
+		w.row("Waits for", e.Waits)
+		w.row("Needs", e.Needs)
+		for _, p := range e.Parts {
+			w.row("Part", p.Worker, p.Accelerators)
+		}
+	})
+}
+
+type waitCommand struct {
+	jobsArg
+	session *session
+}
+
+// waitPause is the time between two looks at a job.
+const waitPause = 500 * time.Millisecond
+
+// Execute waits until all jobs have ended.
+func (c *waitCommand) Execute([]string) error {
+	deadline := time.Now().Add(c.session.options.Timeout)
+	var ended []gang.View
+	for _, job := range c.Args.Jobs {
+		view, err := waitJob(c.session, job, deadline)
+		if err != nil {
+			return err
+		}
+		ended = append(ended, view)
+	}
+	if err := c.session.printJobs(ended, ended...); err != nil {
+		return err
+	}
+	for _, view := range ended {
+		if view.State != ident.Succeeded {
+			return &jobError{fmt.Sprintf("job %s: %s: %s", view.ID, view.State, view.Reason)}
+		}
+	}
+	return nil
+}
+
+func waitJob(s *session, job ident.Job, deadline time.Time) (gang.View, error) {
+	for {
+		view, err := getJob(s, job)
+		if err != nil || view.State.Terminal() {
+			return view, err
+		}
+		if time.Now().After(deadline) {
+			return view, &jobError{fmt.Sprintf("job %s is still %s after %v; try sardctl explain %s", job, view.State, s.options.Timeout, job)}
+		}
+		time.Sleep(waitPause)
+	}
+}
+
+func (s *session) printJobs(v any, views ...gang.View) error {
+	return s.print(v, func(w *rows) {
+		w.row("JOB", "ACCOUNT", "KIND", "ACCELERATORS", "STATE", "ATTEMPT", "DATA CENTRE", "SUBMITTED", "STARTED", "ENDED", "REASON")
+		for _, j := range views {
+			w.row(j.ID, j.Account, j.Spec.Kind, j.Spec.Accelerators, j.State, j.Attempt, j.DataCentre,
+				formatTime(j.Submitted), formatTime(j.Started), formatTime(j.Ended), j.Reason)
+		}
+	})
+}
+
+func formatTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(time.DateTime)
+}
+
+type requestCommand struct {
+	Method string `long:"method" short:"X" default:"POST" description:"HTTP method"`
+	Data   string `long:"data" short:"d" description:"body of the request"`
+	Key    string `long:"key" description:"idempotency key of a request that must not be repeated"`
+	Args   struct {
+		Path string `positional-arg-name:"PATH" description:"path of the route, such as /r/claims"`
+	} `positional-args:"yes" required:"yes"`
+	session *session
+}
+
+// Execute sends one request and prints its answer.
+func (c *requestCommand) Execute([]string) error {
+	client, ctx, cancel, err := c.session.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	header := http.Header{}
+	if c.Key != "" {
+		header.Set("Idempotency-Key", c.Key)
+	}
+	in := call{method: c.Method, path: c.Args.Path, header: header, body: []byte(c.Data), once: true}
+	resp, err := client.send(ctx, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.session.printAnswer(resp)
+}
--- /dev/null
+++ b/sardctl/options.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the flags that all commands share.
+type options struct {
+	Addresses []string      `long:"address" short:"a" env:"SARDINE_ADDRESS" env-delim:"," default:"http://127.0.0.1:7400" value-name:"URL" description:"address of an instance; give several to try them in turn"`
+	Token     string        `long:"token" env:"SARDINE_TOKEN" value-name:"TOKEN" description:"bearer token of an operator or client account"`
+	CAFile    string        `long:"ca-file" env:"SARDINE_CA_FILE" value-name:"FILE" description:"PEM certificates that the instances' are checked against"`
+	Output    string        `long:"output" short:"o" env:"SARDINE_OUTPUT" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Timeout   time.Duration `long:"timeout" env:"SARDINE_TIMEOUT" default:"30s" description:"time for the whole command"`
+	Version   func() error  `long:"version" description:"print the version and exit"`
+}
+
+// command is one entry of the command line.
+type command struct {
+	name  string
+	short string
+	long  string
+	data  flags.Commander
+}
+
+// commands lists all commands.
+func commands(s *session) []command {
+	return []command{
+		{"apply", "Put a document in force", "Reads a document (YAML or JSON), prints its changes and has it accepted. Safe to repeat: one call makes at most one version.", &applyCommand{session: s}},
+		{"check", "Check a document without accepting it", "Checks a document and its plan on the environment's topology.", &checkCommand{session: s}},
+		{"diff", "Compare a document with the one in force", "Prints what a document would change.", &diffCommand{session: s}},
+		{"document", "Print the document in force or an accepted version", "Prints a document in the form that apply takes.", &documentCommand{session: s}},
+		{"history", "List the accepted versions", "Lists accepted versions, the latest first.", &historyCommand{session: s}},
+		{"restore", "Take the content of an earlier version again", "Makes a new version with the content of an earlier one.", &restoreCommand{session: s}},
+		{"proof", "Print the proof of the document in force", "Asks all instances whether the document in force is proven.", &proofCommand{session: s}},
+		{"promote", "Carry a proven document from trial to here", "Takes the document and its proof from the trial environment and has it accepted at --address.", &promoteCommand{session: s}},
+		{"status", "Show instances, domains and shortages", "Shows which version each instance runs, who holds each domain, and which guarantees are short.", &statusCommand{session: s}},
+		{"drain", "Stop an instance by plan", "Has an instance hand over its domains, finish its requests and exit.", &drainCommand{session: s}},
+		{"submit", "Submit a job", "Submits a job. Safe to repeat with the same --key.", &submitCommand{session: s}},
+		{"get", "Show a job", "Shows a job of the account.", &getCommand{session: s}},
+		{"list", "List jobs", "Lists the account's jobs; with --all, as an operator, all accounts' jobs.", &listCommand{session: s}},
+		{"cancel", "Cancel jobs", "Cancels jobs of the account. Safe to repeat.", &cancelCommand{session: s}},
+		{"explain", "Tell why a job waits or where it was placed", "Tells why a job waits, or where and why it was placed.", &explainCommand{session: s}},
+		{"wait", "Wait until jobs have ended", "Waits until all jobs have ended. Fails when one did not succeed.", &waitCommand{session: s}},
+		{"request", "Send a short request", "Sends one request to a backend server and prints the answer. It is never sent twice.", &requestCommand{session: s}},
+		{"completion", "Print the shell completion script", "Prints a script for bash: source <(sardctl completion)", &completionCommand{session: s}},
+	}
+}
+
+// printVersion ends the parse with the version as its message.
+func printVersion() error {
+	return &flags.Error{Type: flags.ErrHelp, Message: "sardctl " + version}
+}
+
+func newParser(s *session) (*flags.Parser, error) {
+	s.options.Version = printVersion
+	parser := flags.NewNamedParser("sardctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = exitCodesHelp
+	if _, err := parser.AddGroup("Options", "", &s.options); err != nil {
+		return nil, err
+	}
+	for _, c := range commands(s) {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return nil, err
+		}
+	}
+	return parser, nil
+}
--- /dev/null
+++ b/sardctl/run_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/config"
+	"github.com/sardineline/sardineline/sard/creds"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/gang"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/oper"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+const document = "Accounts:\n- Name: north\nPromotion: {ProvenFor: 1ms}\n"
+
+// fakeSystem stands for what is around the agent.
+type fakeSystem struct {
+	gang.Service
+	agent *config.Agent
+}
+
+func (f *fakeSystem) Status(context.Context) (oper.StatusView, error) {
+	r := f.agent.Report()
+	return oper.StatusView{Version: r.Version, Instances: []oper.InstanceStatus{{Name: "i1", Version: r.Version, Digest: r.Digest}}}, nil
+}
+
+func (f *fakeSystem) Drain(_ context.Context, instance ident.Instance) error {
+	if instance != "i1" {
+		return fault.New(fault.NotFound, "drain", "", "no instance %s", instance)
+	}
+	return nil
+}
+
+func (f *fakeSystem) List(context.Context, ident.Account) ([]gang.View, error) {
+	return []gang.View{{ID: "j1", Account: "north", State: ident.Running}}, nil
+}
+
+// serve starts the operators' API over a store. Its operator's token is "t".
+func serve(t *testing.T, cfg config.Config) string {
+	t.Helper()
+	tokens, err := creds.NewTokens([]creds.Entry{{Sha256: creds.Hash("t"), Operator: "ana"}})
+	assert.NilError(t, err)
+	cfg.Store = &table.Memory{}
+	agent := config.New(cfg)
+	system := &fakeSystem{agent: agent}
+	e := echo.New()
+	oper.New(oper.Config{Tokens: tokens, Agent: agent, Jobs: system, Status: system, Drain: system}).Register(e)
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "document.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// sardctl runs a command line and returns its exit code and output.
+func sardctl(url string, args ...string) (int, string) {
+	var out bytes.Buffer
+	args = append([]string{"--address", url, "--token", "t"}, args...)
+	code := run(args, strings.NewReader(""), &out, &out)
+	return code, out.String()
+}
+
+func TestOperatorCommands(t *testing.T) {
+	url := serve(t, config.Config{})
+	good := file(t, document)
+	steps := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"nothing in force", []string{"document"}, exitNotFound, "no document is in force"},
+		{"diff", []string{"diff", good}, exitOK, "+ Accounts[north].Weight: 1"},
+		{"apply", []string{"apply", good}, exitOK, "ana"},
+		{"apply again", []string{"apply", good}, exitOK, "already in force"},
+		{"bad document", []string{"apply", file(t, "Acounts: []")}, exitInvalid, "1:1: Acounts: unknown key"},
+		{"stale base", []string{"apply", "--based-on", "0", file(t, document+"Limits: {MaxBody: 7}\n")}, exitConflict, "~ Limits.MaxBody: 1048576 -> 7"},
+		{"second version", []string{"apply", "--based-on", "1", file(t, document+"Limits: {MaxBody: 7}\n")}, exitOK, "2"},
+		{"restore", []string{"restore", "1"}, exitOK, "3"},
+		{"history", []string{"history"}, exitOK, "content of version 1"},
+		{"document", []string{"document", "--of-version", "2"}, exitOK, "MaxBody: 7"},
+		{"status", []string{"-o", "json", "status"}, exitOK, `"Version": 3`},
+		{"jobs", []string{"list", "--all"}, exitOK, "Running"},
+		{"drain", []string{"drain", "i1"}, exitOK, "i1 is draining"},
+		{"drain unknown", []string{"drain", "i2"}, exitNotFound, "no instance i2"},
+		{"wrong command", []string{"aply"}, exitUsage, "Unknown command `aply'"},
+		{"missing file", []string{"apply", "/nonexistent"}, exitInvalid, "no such file"},
+		{"version", []string{"--version"}, exitOK, ""},
+	}
+	for _, tt := range steps {
+		t.Run(tt.name, func(t *testing.T) {
+			code, out := sardctl(url, tt.args...)
+			assert.Equal(t, code, tt.code, out)
+			assert.Assert(t, strings.Contains(out, tt.want), out)
+		})
+	}
+}
+
+func TestPromoteCarriesProof(t *testing.T) {
+	key := []byte("shared")
+	trial := serve(t, config.Config{PromotionKey: key})
+	production := serve(t, config.Config{PromotionKey: key, RequireProof: true})
+	other := serve(t, config.Config{PromotionKey: []byte("other"), RequireProof: true})
+	good := file(t, document)
+	code, out := sardctl(trial, "apply", good)
+	assert.Equal(t, code, exitOK, out)
+	code, out = sardctl(production, "apply", good)
+	assert.Equal(t, code, exitDenied, out)
+	code, out = sardctl(other, "promote", "--wait", "--trial-address", trial, "--trial-token", "t")
+	assert.Equal(t, code, exitDenied, out)
+	code, out = sardctl(production, "promote", "--wait", "--trial-address", trial, "--trial-token", "t")
+	assert.Equal(t, code, exitOK, out)
+	_, want := sardctl(trial, "document")
+	_, got := sardctl(production, "document")
+	assert.Equal(t, got, want)
+}
+
+func TestUnreachedInstanceIsSkipped(t *testing.T) {
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	code, out := sardctl(dead.URL, "--address", serve(t, config.Config{}), "status")
+	assert.Equal(t, code, exitOK, out)
+	code, out = sardctl(dead.URL, "status")
+	assert.Equal(t, code, exitNotDone, out)
+}
