Place gangs on aligned cells within guarantees

Cause: the life of gangs and the configuration need an engine to build against. Summary gains LastBreach.

--- /dev/null
+++ b/sard/place/config.go
@@ -0,0 +1,60 @@
+package place
+
+import (
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+)
+
+// MaxGang is the largest gang and the largest shape of a guarantee.
+const MaxGang ident.Accelerators = 256
+
+// Config sets the engine's limits. Its zero value works.
+type Config struct {
+	// CheckpointGrace is used until a Configure event sets another; 0 means 5 s.
+	CheckpointGrace time.Duration
+	// UrgentGrace bounds the grace of gangs reclaimed for urgent jobs; 0 means 5 s.
+	UrgentGrace time.Duration
+	// DefaultRunTime is the estimate for kinds that were never seen and declare nothing; 0 means 1 h.
+	DefaultRunTime time.Duration
+	// ReserveAfter is how long a job waits before it may hold a reservation by age; 0 means 10 min.
+	ReserveAfter time.Duration
+	// MaxAge is how long a job waits before it goes first whatever the load; 0 means 6 h.
+	MaxAge time.Duration
+	// MoveCost is the accelerator time that a checkpoint and a restart cost; 0 means 1 min.
+	MoveCost time.Duration
+	// JobFailures is how many different good workers a job fails on before it is refused; 0 means 3.
+	JobFailures int
+	// WorkerFailures is how many different jobs in a row fail on a worker before its quarantine; 0 means 3.
+	// Below 0 there is no quarantine.
+	WorkerFailures int
+	// ProbePause is the first pause before a quarantined worker is probed; it doubles with each failed probe up
+	// to MaxProbePause. 0 means 1 min.
+	ProbePause time.Duration
+	// MaxProbePause bounds the pause between probes; 0 means 10 min.
+	MaxProbePause time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	orDuration(&c.CheckpointGrace, 5*time.Second)
+	orDuration(&c.UrgentGrace, 5*time.Second)
+	orDuration(&c.DefaultRunTime, time.Hour)
+	orDuration(&c.ReserveAfter, 10*time.Minute)
+	orDuration(&c.MaxAge, 6*time.Hour)
+	orDuration(&c.MoveCost, time.Minute)
+	orDuration(&c.ProbePause, time.Minute)
+	orDuration(&c.MaxProbePause, 10*time.Minute)
+	if c.JobFailures == 0 {
+		c.JobFailures = 3
+	}
+	if c.WorkerFailures == 0 {
+		c.WorkerFailures = 3
+	}
+	return c
+}
+
+func orDuration(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
--- a/sard/place/decision.go
+++ b/sard/place/decision.go
@@ -104,6 +104,8 @@
 	Shortages []Shortage
 	// Breaches counts the decisions that were refused because they would have broken a promise.
 	Breaches uint64
+	// LastBreach describes the last of them.
+	LastBreach string
 	// Quarantined are the workers in quarantine.
 	Quarantined []ident.Worker
 }
--- /dev/null
+++ b/sard/place/schedule.go
@@ -0,0 +1,127 @@
+package place
+
+import (
+	"fmt"
+
+	"github.com/sardineline/sardineline/sard/ident"
+)
+
+// memo remembers within a pass what found no guarantee, so that like gangs are not tried again.
+type memo map[memoKey]struct{}
+
+type memoKey struct {
+	account      *account
+	size         int
+	urgent, aged bool
+}
+
+func (g *gang) memoKey() memoKey {
+	return memoKey{account: g.account, size: g.size(), urgent: g.Urgent, aged: g.aged}
+}
+
+// schedule gives every waiting gang its turn.
+func (e *Engine) schedule() {
+	e.order()
+	e.memo = memo{}
+	e.renewReservations()
+	turns := append([]*gang(nil), e.waiting...)
+	for _, g := range turns {
+		e.turn(g)
+	}
+	e.probe()
+}
+
+// turn places a gang, claims accelerators for it, or leaves it waiting.
+func (e *Engine) turn(g *gang) {
+	if e.now.Before(g.notBefore) || e.refuseHopeless(g) {
+		return
+	}
+	o, ok := e.offer(g)
+	if ok && len(o.victims) == 0 {
+		e.accept(g, o)
+		return
+	}
+	if g.Checkpointable && e.borrow(g) {
+		return
+	}
+	if ok {
+		e.accept(g, o)
+		return
+	}
+	if g.tier() > tierPlain {
+		e.reserve(g)
+	}
+}
+
+// borrow places a gang on free accelerators beyond its account's guarantees.
+func (e *Engine) borrow(g *gang) bool {
+	s, ok := e.freeSpot(g)
+	if !ok {
+		return false
+	}
+	parts := e.ledger.topo.take(s, g.size(), e.ledger.free.at)
+	return e.place(g, parts, "free cell")
+}
+
+// freeSpot chooses the free cell that breaks the least: none that is whole, little left over, a crowded
+// neighbourhood.
+func (e *Engine) freeSpot(g *gang) (spot, bool) {
+	var found spot
+	best, ok := cost{}, false
+	e.ledger.free.visit(g.size(), e.closedTo(g), func(s spot) {
+		c := cost{int64(s.whole), int64(s.rest), e.avoidance(g, s), int64(e.ledger.around(s))}
+		if !ok || c.less(best) {
+			found, best, ok = s, c, true
+		}
+	})
+	return found, ok
+}
+
+// avoidance counts the workers of a spot on which the gang failed before.
+func (e *Engine) avoidance(g *gang, s spot) int64 {
+	n := int64(0)
+	nd := &e.ledger.topo.nodes[s.node]
+	for _, w := range g.blamed {
+		if w >= nd.first && w < nd.last {
+			n++
+		}
+	}
+	return n
+}
+
+// place gives a waiting gang its parts when no promise forbids it, and tells whether it did.
+func (e *Engine) place(g *gang, parts []share, why string) bool {
+	if err := e.audit(g, parts); err != nil {
+		e.breached(g, err)
+		return false
+	}
+	e.unwait(g)
+	e.commit(g, parts, why)
+	return true
+}
+
+// commit starts an attempt.
+func (e *Engine) commit(g *gang, parts []share, why string) {
+	g.parts, g.phase, g.placed = parts, phasePlaced, e.now
+	g.Attempt++
+	e.ledger.occupy(g)
+	e.placed = append(e.placed, g)
+	reason := fmt.Sprintf("%s; %d accelerators on %d workers, expected to take %s", why, g.size(), len(parts), g.estimate.Round(1e9))
+	g.last = "placed: " + reason
+	e.decide(Place{Job: g.ID, Attempt: g.Attempt, Parts: e.ledger.topo.parts(parts), Borrowed: g.grant == nil, Reason: reason})
+}
+
+func (t *topology) parts(shares []share) []Part {
+	parts := make([]Part, 0, len(shares))
+	for _, p := range shares {
+		parts = append(parts, Part{Worker: t.workers[p.worker].Name, Accelerators: ident.AcceleratorSet(p.set)})
+	}
+	return parts
+}
+
+// vacate takes a gang's accelerators back.
+func (e *Engine) vacate(g *gang) {
+	e.ledger.vacate(g)
+	e.ledger.leave(g)
+	e.placed = without(e.placed, g)
+}
