Carry configuration reports over the peer link

Cause: the configuration agent exchanges reports and fetches records itself. Change: Exchange, Fetch and Record in place of Announce and Document; heartbeats no longer repeat the version. Measured: go test ./sard/peer ./sard/roster passes. Conclusion: one owner of version knowledge.

--- a/sard/peer/frame.go
+++ b/sard/peer/frame.go
@@ -16,9 +16,9 @@
 	for _, m := range []Message{
 		Done{},
 		Heartbeat{},
-		Announce{},
+		Exchange{},
 		Fetch{},
-		Document{},
+		Record{},
 		Submit{},
 		Get{},
 		List{},
--- a/sard/peer/kind_string.go
+++ b/sard/peer/kind_string.go
@@ -11,9 +11,9 @@
 	_ = x[KindNone-0]
 	_ = x[KindDone-1]
 	_ = x[KindHeartbeat-2]
-	_ = x[KindAnnounce-3]
+	_ = x[KindExchange-3]
 	_ = x[KindFetch-4]
-	_ = x[KindDocument-5]
+	_ = x[KindRecord-5]
 	_ = x[KindSubmit-6]
 	_ = x[KindGet-7]
 	_ = x[KindList-8]
@@ -27,9 +27,9 @@
 	_ = x[KindDrain-16]
 }
 
-const _Kind_name = "KindNoneKindDoneKindHeartbeatKindAnnounceKindFetchKindDocumentKindSubmitKindGetKindListKindCancelKindExplainKindViewKindViewsKindExplanationKindStatusQueryKindStatusKindDrain"
+const _Kind_name = "KindNoneKindDoneKindHeartbeatKindExchangeKindFetchKindRecordKindSubmitKindGetKindListKindCancelKindExplainKindViewKindViewsKindExplanationKindStatusQueryKindStatusKindDrain"
 
-var _Kind_index = [...]uint8{0, 8, 16, 29, 41, 50, 62, 72, 79, 87, 97, 108, 116, 125, 140, 155, 165, 174}
+var _Kind_index = [...]uint8{0, 8, 16, 29, 41, 50, 60, 70, 77, 85, 95, 106, 114, 123, 138, 153, 163, 172}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/sard/peer/message.go
+++ b/sard/peer/message.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"github.com/sardineline/sardineline/sard/config"
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/place"
@@ -21,9 +22,9 @@
 	KindNone Kind = iota
 	KindDone
 	KindHeartbeat
-	KindAnnounce
+	KindExchange
 	KindFetch
-	KindDocument
+	KindRecord
 	KindSubmit
 	KindGet
 	KindList
@@ -46,21 +47,14 @@
 // Heartbeat carries the membership.
 type Heartbeat struct{ roster.Heartbeat }
 
-// Announce tells that an environment document was accepted. The reply is Done.
-type Announce struct {
-	Version ident.Version
-	Digest  ident.Digest
-}
+// Exchange tells what a peer has in force. The reply is Exchange.
+type Exchange struct{ Report config.Report }
 
-// Fetch asks for an accepted document. Version 0 asks for the one in force. The reply is Document.
+// Fetch asks for the record of an accepted document. Version 0 asks for the one in force. The reply is Record.
 type Fetch struct{ Version ident.Version }
 
-// Document carries an accepted document as its acceptor recorded it.
-type Document struct {
-	Version ident.Version
-	Digest  ident.Digest
-	Record  []byte
-}
+// Record carries an accepted document as config.Agent encodes it.
+type Record struct{ Record []byte }
 
 // Submit passes a job on to the holder of a domain. The reply is View.
 type Submit struct {
@@ -111,9 +105,8 @@
 
 // Status is an instance's own state.
 type Status struct {
-	Member  roster.Member
-	Version ident.Version
-	Digest  ident.Digest
+	Member roster.Member
+	Report config.Report
 	// NotReady tells why the instance is not ready; empty when it is.
 	NotReady string
 	Domains  []DomainStatus
@@ -134,9 +127,9 @@
 
 func (Done) kind() Kind        { return KindDone }
 func (Heartbeat) kind() Kind   { return KindHeartbeat }
-func (Announce) kind() Kind    { return KindAnnounce }
+func (Exchange) kind() Kind    { return KindExchange }
 func (Fetch) kind() Kind       { return KindFetch }
-func (Document) kind() Kind    { return KindDocument }
+func (Record) kind() Kind      { return KindRecord }
 func (Submit) kind() Kind      { return KindSubmit }
 func (Get) kind() Kind         { return KindGet }
 func (List) kind() Kind        { return KindList }
--- a/sard/roster/member.go
+++ b/sard/roster/member.go
@@ -53,9 +53,6 @@
 // Heartbeat is what an instance tells its monitors.
 type Heartbeat struct {
 	From Member
-	// Version and Digest name the environment document in force at the sender.
-	Version ident.Version
-	Digest  ident.Digest
 	// Domains are the domains that the sender holds.
 	Domains []DomainLoad
 	// News are changes of membership that the sender passes on.
--- a/sard/roster/mesh_test.go
+++ b/sard/roster/mesh_test.go
@@ -47,7 +47,7 @@
 		if m.down[from] {
 			continue
 		}
-		due := m.rosters[from].Round(roster.Report{Version: 7, Digest: "4f0c"})
+		due := m.rosters[from].Round([]roster.DomainLoad{{DataCentre: "dc1", Epoch: 3, Total: 400, Free: 20, LargestFree: 8}})
 		if len(due) > 0 {
 			data, _ := cbor.Marshal(due[0].Heartbeat)
 			m.bytes += len(data) * len(due)
--- a/sard/roster/round.go
+++ b/sard/roster/round.go
@@ -17,15 +17,9 @@
 	Heartbeat Heartbeat
 }
 
-// Report is what an instance tells of itself in a round of heartbeats.
-type Report struct {
-	Version ident.Version
-	Digest  ident.Digest
-	Domains []DomainLoad
-}
-
-// Round detects lost members and returns the heartbeats that are due. It is called once a period.
-func (r *Roster) Round(report Report) []Delivery {
+// Round detects lost members and returns the heartbeats that are due, which tell of the domains that this
+// instance holds. It is called once a period.
+func (r *Roster) Round(domains []DomainLoad) []Delivery {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -33,9 +27,7 @@
 	r.chooseMonitors()
 	hb := Heartbeat{
 		From:    r.self,
-		Version: report.Version,
-		Digest:  report.Digest,
-		Domains: report.Domains,
+		Domains: domains,
 		News:    append(r.news.take(), r.repeat()...),
 		Servers: r.marks.current(now),
 	}
