Write through the DynamoDB API with tokens and resolved results

Cause: the store had no client, and a lost answer had no meaning. Change: table.Client sends a single put at a revision as PutItem and reads it back by its token; all else goes as a transaction under a request token. Writes without a condition are refused (Memory too). The stand-in's table serves exactly these forms. A refused transaction's token is now used up by a transaction that changes nothing. A put that later writes have overtaken stays OutcomeUnknown.

--- /dev/null
+++ b/sard/table/classify.go
@@ -0,0 +1,78 @@
+package table
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go"
+	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	"github.com/sardineline/sardineline/sard/fault"
+)
+
+// classify gives an error of the SDK its kind. What may have been sent and was not refused is OutcomeUnknown.
+func classify(err error, op operation) error {
+	var known *fault.Error
+	if err == nil || errors.As(err, &known) {
+		return err
+	}
+	return fault.Wrap(err, kindOf(err), string(op), peerName)
+}
+
+func kindOf(err error) fault.Kind {
+	var cancelled *types.TransactionCanceledException
+	if errors.As(err, &cancelled) {
+		return cancelledKind(cancelled.CancellationReasons)
+	}
+	var response *smithyhttp.ResponseError
+	if errors.As(err, &response) && response.HTTPStatusCode() >= http.StatusInternalServerError {
+		return fault.OutcomeUnknown
+	}
+	var api smithy.APIError
+	if errors.As(err, &api) {
+		return codeKind(api.ErrorCode())
+	}
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return fault.Unavailable
+	}
+	return fault.OutcomeUnknown
+}
+
+func codeKind(code string) fault.Kind {
+	switch code {
+	case "ConditionalCheckFailedException":
+		return fault.Conflict
+	case "ProvisionedThroughputExceededException", "ThrottlingException", "RequestLimitExceeded",
+		"TransactionConflictException":
+		return fault.Throttled
+	case "TransactionInProgressException":
+		return fault.OutcomeUnknown
+	case "AccessDeniedException", "UnrecognizedClientException", "InvalidSignatureException",
+		"MissingAuthenticationTokenException":
+		return fault.Denied
+	case "ValidationException", "ResourceNotFoundException", "IdempotentParameterMismatchException",
+		"SerializationException", "UnknownOperationException":
+		return fault.Invalid
+	}
+	return fault.Internal
+}
+
+// cancelledKind tells why a transaction was cancelled. Nothing of it took effect.
+func cancelledKind(reasons []types.CancellationReason) fault.Kind {
+	kind := fault.Internal
+	for _, reason := range reasons {
+		if reason.Code == nil {
+			continue
+		}
+		switch *reason.Code {
+		case "ConditionalCheckFailed":
+			return fault.Conflict
+		case "TransactionConflict", "ProvisionedThroughputExceeded", "ThrottlingError":
+			kind = fault.Throttled
+		}
+	}
+	return kind
+}
--- a/sard/table/forms.go
+++ b/sard/table/forms.go
@@ -15,6 +15,7 @@
 	IfAbsent     = "attribute_not_exists(#P)"
 	IfRevision   = "#R = :R"
 	IfEpoch      = "#E = :E"
+	Always       = "attribute_exists(#P) OR attribute_not_exists(#P)"
 	UpdateItem   = "SET #R = #R + :One, #T = :T, #E = :NewE, #B = :B"
 	KeyPartition = "#P = :P"
 	KeyPrefix    = "#P = :P AND begins_with(#S, :S)"
--- a/sard/table/memory.go
+++ b/sard/table/memory.go
@@ -4,10 +4,12 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
 	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
 )
 
 // Memory is a Store in memory for tests and benchmarks. Fail, when set, is asked before each call and again
@@ -16,8 +18,9 @@
 	// Fail returns the error to give instead of the result; nil for none.
 	Fail func(op string, after bool) error
 
-	mu    sync.Mutex
-	items map[Key]Item
+	mu     sync.Mutex
+	items  map[Key]Item
+	serial uint64
 }
 
 // Get reads one item.
@@ -58,6 +61,9 @@
 
 // Apply makes all writes of a batch or none.
 func (m *Memory) Apply(_ context.Context, _ Priority, batch ...Write) error {
+	if err := check(batch); err != nil {
+		return err
+	}
 	if err := m.failure("apply", false); err != nil {
 		return err
 	}
@@ -78,10 +84,14 @@
 	if m.items == nil {
 		m.items = map[Key]Item{}
 	}
+	m.serial++
+	token := ident.WriteToken("memory-" + strconv.FormatUint(m.serial, tokenBase))
 	for _, w := range batch {
 		switch w := w.(type) {
 		case Put:
-			m.items[w.Key] = Item{Key: w.Key, Revision: m.items[w.Key].Revision + 1, Epoch: w.Epoch, Body: slices.Clone(w.Body)}
+			item := w.item(m.items[w.Key].Revision+1, token)
+			item.Body = slices.Clone(w.Body)
+			m.items[w.Key] = item
 		case Delete:
 			delete(m.items, w.Key)
 		case Check:
--- a/sard/table/store.go
+++ b/sard/table/store.go
@@ -84,7 +84,11 @@
 
 // Store reads and writes items. Its errors are *fault.Error of these kinds:
 // NotFound, Conflict (a condition did not hold), Throttled and Unavailable (surely not written),
-// OutcomeUnknown (the write may have taken effect and reading back failed too).
+// Invalid (a batch that no table accepts, such as a write without a condition),
+// OutcomeUnknown (the write may have taken effect and reading back failed too, or later writes hide it).
+//
+// Revisions start anew when an item is deleted and made again, so a key must not be used again while a call
+// on its former item may still be under way.
 type Store interface {
 	// Get reads one item with strong consistency.
 	Get(ctx context.Context, priority Priority, key Key) (Item, error)
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -72,6 +72,8 @@
 	DataCentre ident.DataCentre `yaml:"DataCentre"`
 	// Rate is the share of calls that fail, above 0 to 1; 0 means 1. Die, Freeze and Leave hold whatever the rate.
 	Rate float64 `yaml:"Rate"`
+	// Calls ends the fault after so many calls that it met; 0 means no limit.
+	Calls int `yaml:"Calls"`
 	// Delay is the length of Slow and Late.
 	Delay ident.Duration `yaml:"Delay"`
 	// For ends the fault by itself; 0 means when cleared.
@@ -158,18 +160,32 @@
 func (s *Set) Draw(at Place, kind Kind) (Fault, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, f := range s.faults {
+	for i, f := range s.faults {
 		if f.Kind != kind || !f.covers(at) {
 			continue
 		}
 		if f.Rate == 0 || s.float() < f.Rate {
-			s.count(kind)
+			s.spend(i)
 			return f, true
 		}
 	}
 	return Fault{}, false
 }
 
+// spend counts a call that a fault met, and ends the fault when it was the last one.
+func (s *Set) spend(i int) {
+	if s.drawn == nil {
+		s.drawn = map[Kind]uint64{}
+	}
+	s.drawn[s.faults[i].Kind]++
+	if s.faults[i].Calls == 0 {
+		return
+	}
+	if s.faults[i].Calls--; s.faults[i].Calls == 0 {
+		s.faults = slices.Delete(s.faults, i, i+1)
+	}
+}
+
 // Has tells whether a fault of the kind is on at the part, whatever its rate.
 func (s *Set) Has(at Place, kind Kind) bool {
 	s.mu.Lock()
@@ -214,13 +230,6 @@
 	return s.random.Float64()
 }
 
-func (s *Set) count(kind Kind) {
-	if s.drawn == nil {
-		s.drawn = map[Kind]uint64{}
-	}
-	s.drawn[kind]++
-}
-
 func (f Fault) same(o Fault) bool {
 	return f.Peer == o.Peer && f.Kind == o.Kind && f.Name == o.Name && f.Rack == o.Rack && f.DataCentre == o.DataCentre
 }
--- a/standin/tables/calls.go
+++ b/standin/tables/calls.go
@@ -151,6 +151,7 @@
 	if p.item != nil {
 		applied.Revision = p.item.Revision
 		applied.Token = p.item.Token
+		applied.Body = p.item.Body
 	}
 	s.writes = append(s.writes, applied)
 }
@@ -175,6 +176,6 @@
 		Revision: revision,
 		Token:    ident.WriteToken(v.text(table.AttrToken)),
 		Epoch:    ident.Epoch(epoch),
-		Body:     v[table.AttrBody].B,
+		Body:     v.blob(table.AttrBody),
 	}, nil
 }
--- a/standin/tables/plan.go
+++ b/standin/tables/plan.go
@@ -57,7 +57,7 @@
 		Revision: now.Revision + 1,
 		Token:    ident.WriteToken(in.ExpressionAttributeValues.text(table.ValueToken)),
 		Epoch:    ident.Epoch(epoch),
-		Body:     in.ExpressionAttributeValues[table.ValueBody].B,
+		Body:     in.ExpressionAttributeValues.blob(table.ValueBody),
 	}
 	return p, nil
 }
@@ -74,6 +74,8 @@
 	now := s.items[key].now
 	ok := false
 	switch e.ConditionExpression {
+	case table.Always:
+		ok = true
 	case table.IfAbsent:
 		ok = now == nil
 	case table.IfRevision:
--- /dev/null
+++ b/standin/tables/rig_test.go
@@ -0,0 +1,79 @@
+package tables_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/table"
+	"github.com/sardineline/sardineline/standin/faults"
+	"github.com/sardineline/sardineline/standin/inmem"
+	"github.com/sardineline/sardineline/standin/tables"
+)
+
+const address = "table:1"
+
+// rig is a table service on a network of pipes.
+type rig struct {
+	network inmem.Network
+	faults  *faults.Set
+	service *tables.Service
+	server  *http.Server
+	group   errgroup.Group
+}
+
+func newRig(seed uint64) (*rig, error) {
+	r := &rig{faults: faults.New(seed)}
+	r.service = tables.New(tables.Config{Faults: r.faults, Record: true, PageBytes: 100})
+	r.server = &http.Server{Handler: r.service, ReadHeaderTimeout: time.Minute}
+	l, err := r.network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	r.group.Go(func() error { return r.server.Serve(l) })
+	return r, nil
+}
+
+func (r *rig) client(config table.Config) (*table.Client, error) {
+	config.Endpoint = "http://" + address
+	config.Dial = r.network.DialContext
+	return table.New(config)
+}
+
+func (r *rig) close() error {
+	if err := r.server.Close(); err != nil {
+		return err
+	}
+	if err := r.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// start makes a rig and a client that end with the test.
+func start(t *testing.T) (*rig, *table.Client) {
+	t.Helper()
+	r, err := newRig(1)
+	assert.NilError(t, err)
+	c, err := r.client(table.Config{})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		c.Close()
+		assert.NilError(t, r.close())
+	})
+	return r, c
+}
+
+func put(sort, body string, cond table.Condition) table.Put {
+	return table.Put{Key: table.Key{Partition: "p", Sort: sort}, Body: []byte(body), If: cond}
+}
+
+func apply(t *testing.T, c *table.Client, batch ...table.Write) error {
+	t.Helper()
+	return c.Apply(context.Background(), table.DecisionPriority, batch...)
+}
--- a/standin/tables/tables.go
+++ b/standin/tables/tables.go
@@ -31,6 +31,7 @@
 	Key      table.Key
 	Revision uint64
 	Token    ident.WriteToken
+	Body     []byte
 	// Deleted tells that the item was removed.
 	Deleted bool
 }
--- a/standin/tables/wire.go
+++ b/standin/tables/wire.go
@@ -10,7 +10,7 @@
 type value struct {
 	S *string `json:",omitempty"`
 	N *string `json:",omitempty"`
-	B []byte  `json:",omitempty"`
+	B *[]byte `json:",omitempty"`
 }
 
 type values map[string]value
@@ -31,6 +31,13 @@
 	return parsed, err == nil
 }
 
+func (v values) blob(name string) []byte {
+	if b := v[name].B; b != nil {
+		return *b
+	}
+	return nil
+}
+
 func (v values) key() table.Key {
 	return table.Key{Partition: v.text(table.AttrPartition), Sort: v.text(table.AttrSort)}
 }
@@ -43,13 +50,16 @@
 }
 
 func attributes(item table.Item) values {
+	if item.Body == nil {
+		item.Body = []byte{}
+	}
 	return values{
 		table.AttrPartition: text(item.Key.Partition),
 		table.AttrSort:      text(item.Key.Sort),
 		table.AttrRevision:  number(item.Revision),
 		table.AttrToken:     text(string(item.Token)),
 		table.AttrEpoch:     number(uint64(item.Epoch)),
-		table.AttrBody:      {B: item.Body},
+		table.AttrBody:      {B: &item.Body},
 	}
 }
 
