--- a/sard/envdoc/decode.go
+++ b/sard/envdoc/decode.go
@@ -29,15 +29,26 @@
 		d.syntax(err)
 		return
 	}
-	if len(file.Docs) > 1 {
-		d.add(positionOf(file.Docs[1]), "", "only one document is allowed")
-		return
-	}
-	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+	bodies := bodiesOf(file)
+	switch len(bodies) {
+	case 0:
 		d.add(position{line: 1, column: 1}, "", "the document is empty")
-		return
+	case 1:
+		d.value(bodies[0], reflect.ValueOf(doc).Elem(), "")
+	default:
+		d.add(positionOf(bodies[1]), "", "only one document is allowed")
+	}
+}
+
+// bodiesOf returns the documents of a file that are not empty, its directives among them.
+func bodiesOf(file *ast.File) []ast.Node {
+	var bodies []ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			bodies = append(bodies, doc.Body)
+		}
 	}
-	d.value(file.Docs[0].Body, reflect.ValueOf(doc).Elem(), "")
+	return bodies
 }
 
 func (d *decoder) syntax(err error) {
--- a/sard/envdoc/parse.go
+++ b/sard/envdoc/parse.go
@@ -6,13 +6,14 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
 // MaxBytes bounds a document's text and its canonical form. The table service takes items of 400 KB.
-const MaxBytes = 256 << 10
+const MaxBytes = 128 << 10
 
 // Parse reads a document from YAML or JSON, checks it and fills its defaults in. It returns the document, its
 // canonical form and the digest of that. The error is a *fault.Error of kind Invalid over Problems, which holds
@@ -43,7 +44,7 @@
 
 // readable tells whether the text had the form of a document, so that its values can be checked.
 func (d *decoder) readable() bool {
-	return len(d.at) > 0
+	return !slices.ContainsFunc(d.problems, func(p Problem) bool { return p.Path == "" })
 }
 
 func (d *decoder) err() error {
