--- /dev/null
+++ b/sard/object/client.go
@@ -0,0 +1,194 @@
+package object
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/aws/retry"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sardineline/sardineline/sard/fault"
+)
+
+// Config tells how to reach the object store. Zero values mean the defaults.
+type Config struct {
+	// Endpoint is the URL of the service.
+	Endpoint string
+	// Region, AccessKey and SecretKey sign the calls.
+	Region    string
+	AccessKey string
+	SecretKey string
+	// Bucket names the bucket; "" means "sardineline".
+	Bucket string
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// CallTimeout bounds a call with its retries; 0 means 10 s.
+	CallTimeout time.Duration
+	// MaxAttempts bounds the attempts of a call; 0 means 3.
+	MaxAttempts int
+	// Metrics registers the client's metrics; nil for none.
+	Metrics prometheus.Registerer
+}
+
+const (
+	defaultBucket      = "sardineline"
+	defaultRegion      = "local"
+	defaultKey         = "sardineline"
+	defaultCallTimeout = 10 * time.Second
+	defaultMaxAttempts = 3
+
+	longestBackoff     = time.Second
+	maxIdleConnections = 4
+	idleTimeout        = 30 * time.Second
+)
+
+// Client is a Store over the S3 API.
+type Client struct {
+	config    Config
+	transport *http.Transport
+	service   *s3.Client
+	calls     *prometheus.CounterVec
+}
+
+var _ Store = (*Client)(nil)
+
+// New makes a client. It does not call the service.
+func New(config Config) (*Client, error) {
+	if config.Endpoint == "" {
+		return nil, fault.New(fault.Invalid, "make object client", "", "no Endpoint is set")
+	}
+	config = config.withDefaults()
+	c := &Client{
+		config: config,
+		transport: &http.Transport{
+			DialContext:         config.Dial,
+			MaxIdleConnsPerHost: maxIdleConnections,
+			IdleConnTimeout:     idleTimeout,
+		},
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sardine_object_calls_total",
+			Help: "Calls of the object store by operation and result.",
+		}, []string{"operation", "result"}),
+	}
+	c.service = config.service(c.transport)
+	if config.Metrics == nil {
+		return c, nil
+	}
+	if err := config.Metrics.Register(c.calls); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "register object metrics", "")
+	}
+	return c, nil
+}
+
+func (c Config) withDefaults() Config {
+	text := func(value, otherwise string) string {
+		if value == "" {
+			return otherwise
+		}
+		return value
+	}
+	c.Bucket = text(c.Bucket, defaultBucket)
+	c.Region = text(c.Region, defaultRegion)
+	c.AccessKey = text(c.AccessKey, defaultKey)
+	c.SecretKey = text(c.SecretKey, defaultKey)
+	if c.CallTimeout == 0 {
+		c.CallTimeout = defaultCallTimeout
+	}
+	if c.MaxAttempts == 0 {
+		c.MaxAttempts = defaultMaxAttempts
+	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{}).DialContext
+	}
+	return c
+}
+
+func (c Config) service(transport *http.Transport) *s3.Client {
+	keys := aws.Credentials{AccessKeyID: c.AccessKey, SecretAccessKey: c.SecretKey}
+	provide := func(context.Context) (aws.Credentials, error) { return keys, nil }
+	return s3.New(s3.Options{
+		BaseEndpoint:               &c.Endpoint,
+		Region:                     c.Region,
+		UsePathStyle:               true,
+		Credentials:                aws.CredentialsProviderFunc(provide),
+		HTTPClient:                 &http.Client{Transport: transport},
+		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
+		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
+		Retryer: retry.NewStandard(func(o *retry.StandardOptions) {
+			o.MaxAttempts = c.MaxAttempts
+			o.MaxBackoff = longestBackoff
+		}),
+	})
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Put writes a whole object.
+func (c *Client) Put(ctx context.Context, key Key, body []byte) error {
+	if key == "" || len(body) > MaxObject {
+		return fault.New(fault.Invalid, "put object", peerName, "object %q of %d bytes, at most %d", key, len(body), MaxObject)
+	}
+	return c.call(ctx, opPut, func(ctx context.Context) error {
+		_, err := c.service.PutObject(ctx, &s3.PutObjectInput{
+			Bucket: &c.config.Bucket,
+			Key:    (*string)(&key),
+			Body:   bytes.NewReader(body),
+		})
+		return err
+	})
+}
+
+// Get reads a whole object.
+func (c *Client) Get(ctx context.Context, key Key) ([]byte, error) {
+	var body []byte
+	err := c.call(ctx, opGet, func(ctx context.Context) error {
+		out, err := c.service.GetObject(ctx, &s3.GetObjectInput{Bucket: &c.config.Bucket, Key: (*string)(&key)})
+		if err != nil {
+			return err
+		}
+		defer func() { _ = out.Body.Close() }()
+		body, err = io.ReadAll(io.LimitReader(out.Body, MaxObject))
+		return err
+	})
+	return body, err
+}
+
+// List returns the objects whose keys start with prefix, in the order of their keys.
+func (c *Client) List(ctx context.Context, prefix Key) ([]Entry, error) {
+	in := &s3.ListObjectsV2Input{Bucket: &c.config.Bucket, Prefix: (*string)(&prefix)}
+	var entries []Entry
+	for {
+		var out *s3.ListObjectsV2Output
+		err := c.call(ctx, opList, func(ctx context.Context) (err error) {
+			out, err = c.service.ListObjectsV2(ctx, in)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range out.Contents {
+			entries = append(entries, Entry{Key: Key(aws.ToString(o.Key)), Size: aws.ToInt64(o.Size)})
+		}
+		if !aws.ToBool(out.IsTruncated) {
+			return entries, nil
+		}
+		in.ContinuationToken = out.NextContinuationToken
+	}
+}
+
+// Delete removes an object.
+func (c *Client) Delete(ctx context.Context, key Key) error {
+	return c.call(ctx, opDelete, func(ctx context.Context) error {
+		_, err := c.service.DeleteObject(ctx, &s3.DeleteObjectInput{Bucket: &c.config.Bucket, Key: (*string)(&key)})
+		return err
+	})
+}
--- a/sard/object/doc.go
+++ b/sard/object/doc.go
@@ -1,2 +1,3 @@
-// Package object is the client of the platform's object store.
+// Package object is the client of the platform's object store, which keeps what is large or finished: archived
+// jobs and the manifests of checkpoints.
 package object
--- a/standin/fleets/fleets.go
+++ b/standin/fleets/fleets.go
@@ -3,8 +3,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -102,8 +104,15 @@
 		http.NotFound(w, r)
 		return
 	}
+	shown := l.Snapshot()
+	tag := fmt.Sprintf("%q", strconv.FormatUint(shown.Sequence, 10))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l.Snapshot())
+	_ = json.NewEncoder(w).Encode(shown)
 }
 
 func (l *List) held() bool {
@@ -120,7 +129,7 @@
 	l.instances = slices.DeleteFunc(slices.Clone(l.instances), func(i fleet.Instance) bool { return i.Name == name })
 }
 
-// record adds a version when the truth has changed.
+// record adds a version when the truth has changed. Sequences start at the Unix time, so that they rise over restarts.
 func (l *List) record(since time.Time) {
 	next := l.truth()
 	if len(l.history) > 0 {
@@ -128,9 +137,10 @@
 		if equal(last, next) {
 			return
 		}
-		next.Sequence = last.Sequence
+		next.Sequence = last.Sequence + 1
+	} else {
+		next.Sequence = uint64(time.Now().Unix())
 	}
-	next.Sequence++
 	l.history = append(l.history, version{since: since, snapshot: next})
 }
 
--- a/standin/tables/client_test.go
+++ b/standin/tables/client_test.go
@@ -216,7 +216,7 @@
 		assert.NilError(t, err)
 		defer func() {
 			c.Close()
-			assert.NilError(t, r.close())
+			assert.NilError(t, r.server.Close())
 		}()
 		begun := time.Now()
 		for i := range 30 {
--- a/standin/tables/random_test.go
+++ b/standin/tables/random_test.go
@@ -154,7 +154,7 @@
 	for _, w := range writers {
 		w.client.Close()
 	}
-	err = errors.Join(err, r.close())
+	err = errors.Join(err, r.server.Close())
 	time.Sleep(time.Minute)
 	if err != nil {
 		return err
--- a/standin/tables/rig_test.go
+++ b/standin/tables/rig_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"testing"
-	"time"
 
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/sardineline/sardineline/sard/table"
@@ -23,20 +19,15 @@
 	network inmem.Network
 	faults  *faults.Set
 	service *tables.Service
-	server  *http.Server
-	group   errgroup.Group
+	server  *inmem.Server
 }
 
 func newRig(seed uint64) (*rig, error) {
 	r := &rig{faults: faults.New(seed)}
 	r.service = tables.New(tables.Config{Faults: r.faults, Record: true, PageBytes: 100})
-	r.server = &http.Server{Handler: r.service, ReadHeaderTimeout: time.Minute}
-	l, err := r.network.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	r.group.Go(func() error { return r.server.Serve(l) })
-	return r, nil
+	server, err := r.network.Serve(address, r.service)
+	r.server = server
+	return r, err
 }
 
 func (r *rig) client(config table.Config) (*table.Client, error) {
@@ -45,16 +36,6 @@
 	return table.New(config)
 }
 
-func (r *rig) close() error {
-	if err := r.server.Close(); err != nil {
-		return err
-	}
-	if err := r.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // start makes a rig and a client that end with the test.
 func start(t *testing.T) (*rig, *table.Client) {
 	t.Helper()
@@ -64,7 +45,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		c.Close()
-		assert.NilError(t, r.close())
+		assert.NilError(t, r.server.Close())
 	})
 	return r, c
 }
