--- a/sard/oper/server.go
+++ b/sard/oper/server.go
@@ -156,7 +156,7 @@
 
 func (s *Server) jobs(c echo.Context) error {
 	views, err := s.cfg.Jobs.List(c.Request().Context(), ident.Account(c.QueryParam("Account")))
-	return answer(c, views, err)
+	return answer(c, JobList{Jobs: views}, err)
 }
 
 func (s *Server) explain(c echo.Context) error {
--- a/sard/oper/wire.go
+++ b/sard/oper/wire.go
@@ -16,6 +16,7 @@
 	"github.com/sardineline/sardineline/sard/config"
 	"github.com/sardineline/sardineline/sard/envdoc"
 	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
@@ -71,6 +72,9 @@
 // DrainRequest names the instance to drain.
 type DrainRequest struct{ Instance ident.Instance }
 
+// JobList lists jobs of all accounts.
+type JobList struct{ Jobs []gang.View }
+
 // ErrorReply is the body of an error.
 type ErrorReply struct {
 	Error string
--- a/sard/roster/mesh_test.go
+++ b/sard/roster/mesh_test.go
@@ -160,6 +160,24 @@
 	})
 }
 
+func TestSeedsAreGreetedUntilKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := roster.New(roster.Config{Self: roster.Member{Name: "a", Address: "10.0.0.1:1", Incarnation: 1}, Seeds: []string{"10.0.0.1:1", "10.0.0.2:1"}})
+		b := roster.New(roster.Config{Self: roster.Member{Name: "b", Address: "10.0.0.2:1", Incarnation: 1}})
+		due := a.Round(nil)
+		assert.Equal(t, len(due), 1)
+		assert.Equal(t, due[0].To.Address, "10.0.0.2:1")
+		b.Receive(due[0].Heartbeat)
+		for _, d := range b.Round(nil) {
+			a.Receive(d.Heartbeat)
+		}
+		assert.Equal(t, len(a.Alive()), 2)
+		due = a.Round(nil)
+		assert.Equal(t, len(due), 1)
+		assert.Equal(t, due[0].To.Name, ident.Instance("b"))
+	})
+}
+
 func TestLeavingServerMarksSpreadAndEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(9)
--- a/sard/roster/roster.go
+++ b/sard/roster/roster.go
@@ -25,6 +25,8 @@
 type Config struct {
 	// Self is this instance. Its Incarnation must be higher than that of an earlier run of the same name.
 	Self Member
+	// Seeds are addresses of peers that get heartbeats until a member with the address is known.
+	Seeds []string
 	// Monitors is the number of peers that get heartbeats; 0 means 8.
 	Monitors int
 	// Period is the time between heartbeats; 0 means 1 s.
@@ -262,3 +264,20 @@
 	slices.SortFunc(all, func(a, b Heartbeat) int { return cmp.Compare(a.From.Name, b.From.Name) })
 	return all
 }
+
+// Counts returns the number of members that are not lost or are listed by the platform, and how many of them are
+// not lost. This instance counts in both.
+func (r *Roster) Counts() (all, present int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all, present = 1, 1
+	for _, p := range r.peers {
+		if p.Status != Lost {
+			present++
+		}
+		if p.Status != Lost || p.listed {
+			all++
+		}
+	}
+	return all, present
+}
--- a/sard/roster/round.go
+++ b/sard/roster/round.go
@@ -35,6 +35,7 @@
 	for _, name := range r.targets {
 		due = append(due, Delivery{To: r.peers[name].Member, Heartbeat: hb})
 	}
+	due = append(due, r.greetings(hb)...)
 	due = append(due, r.corrections(hb)...)
 	hb.Release = true
 	for _, name := range r.released {
@@ -56,6 +57,22 @@
 	return members
 }
 
+// greetings are heartbeats to seeds of which no member is known.
+func (r *Roster) greetings(hb Heartbeat) []Delivery {
+	known := map[string]bool{r.self.Address: true}
+	for _, p := range r.peers {
+		known[p.Address] = known[p.Address] || p.Status != Lost
+	}
+	var due []Delivery
+	hb.Release = true
+	for _, address := range r.cfg.Seeds {
+		if !known[address] {
+			due = append(due, Delivery{To: Member{Address: address}, Heartbeat: hb})
+		}
+	}
+	return due
+}
+
 // corrections tell members that still send heartbeats that they are counted as lost, so that they refute it.
 func (r *Roster) corrections(hb Heartbeat) []Delivery {
 	var due []Delivery
--- a/sardctl/options.go
+++ b/sardctl/options.go
@@ -36,6 +36,7 @@
 		{"proof", "Print the proof of the document in force", "Asks all instances whether the document in force is proven.", &proofCommand{session: s}},
 		{"promote", "Carry a proven document from trial to here", "Takes the document and its proof from the trial environment and has it accepted at --address.", &promoteCommand{session: s}},
 		{"status", "Show instances, domains and shortages", "Shows which version each instance runs, who holds each domain, and which guarantees are short.", &statusCommand{session: s}},
+		{"report", "Show completion time and fragmentation", "Sums up all accounts' jobs and the domains. Needs an operator's token.", &reportCommand{session: s}},
 		{"drain", "Stop an instance by plan", "Has an instance hand over its domains, finish its requests and exit.", &drainCommand{session: s}},
 		{"submit", "Submit a job", "Submits a job. Safe to repeat with the same --key.", &submitCommand{session: s}},
 		{"get", "Show a job", "Shows a job of the account.", &getCommand{session: s}},
--- /dev/null
+++ b/sardined/daemon.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardineline/sardineline/sard/caller"
+	"github.com/sardineline/sardineline/sard/config"
+	"github.com/sardineline/sardineline/sard/creds"
+	"github.com/sardineline/sardineline/sard/domain"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/fleet"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/oper"
+	"github.com/sardineline/sardineline/sard/peer"
+	"github.com/sardineline/sardineline/sard/place"
+	"github.com/sardineline/sardineline/sard/roster"
+	"github.com/sardineline/sardineline/sard/route"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+// daemon is an entry instance with all its parts.
+type daemon struct {
+	settings settings
+	log      hclog.Logger
+	registry *prometheus.Registry
+	promises *prometheus.CounterVec
+
+	store   *table.Client
+	fleet   *fleet.Client
+	roster  *roster.Roster
+	link    *peer.Link
+	agent   *config.Agent
+	router  *route.Router
+	domains *domain.Manager
+
+	listeners []*listener
+	// leaving is set from the start of a planned stop on.
+	leaving atomic.Bool
+	// stop starts a planned stop. It may be called often.
+	stop func()
+	// broken counts the broken promises that this instance has seen.
+	broken atomic.Uint64
+}
+
+// newDaemon puts an instance together. Its peer link lives until ctx ends.
+func newDaemon(ctx context.Context, s settings, log hclog.Logger) (*daemon, error) {
+	d := &daemon{settings: s, log: log, registry: prometheus.NewRegistry()}
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.promises = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sardine_promise_breaches_total",
+		Help: "Steps that were refused because they would have broken a promise, and broken promises that were seen.",
+	}, []string{"promise"})
+	d.registry.MustRegister(d.promises)
+	tokens, err := creds.LoadTokens(s.Secrets.Tokens)
+	if err != nil {
+		return nil, err
+	}
+	client, err := s.Secrets.files().Client()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.newPlatform(); err != nil {
+		return nil, err
+	}
+	d.roster = roster.New(roster.Config{
+		Self: roster.Member{
+			Name:        ident.Instance(s.Instance),
+			Address:     s.Peers,
+			DataCentre:  ident.DataCentre(s.DataCentre),
+			Incarnation: uint64(time.Now().UnixNano()),
+		},
+		Seeds:  s.Seeds,
+		Logger: log.Named("roster"),
+	})
+	h := &handler{roster: d.roster, status: d.ownStatus, drain: func() { d.stop() }}
+	d.newLink(ctx, client, h)
+	d.newAgent()
+	d.newRouter()
+	d.newDomains()
+	h.agent, h.router, h.domains = d.agent, d.router, d.domains
+	d.agent.Subscribe(func(a config.Accepted) {
+		d.router.SetDocument(a.Document)
+		d.domains.Configure(a)
+	})
+	return d, d.openListeners(tokens)
+}
+
+// newPlatform makes the clients of the platform's services.
+func (d *daemon) newPlatform() (err error) {
+	s := d.settings
+	d.store, err = table.New(table.Config{
+		Endpoint:  s.Table.Endpoint,
+		Region:    s.Table.Region,
+		AccessKey: s.Table.AccessKey,
+		SecretKey: s.Table.SecretKey,
+		Table:     s.Table.Name,
+		Metrics:   d.registry,
+		Log:       d.log.Named("table"),
+	})
+	if err != nil {
+		return err
+	}
+	d.fleet, err = fleet.New(fleet.Config{Endpoint: s.Fleet.URL, Metrics: d.registry, Period: s.Fleet.Period, Log: d.log.Named("fleet")})
+	return err
+}
+
+func (d *daemon) newLink(ctx context.Context, secure *tls.Config, h peer.Handler) {
+	cfg := peer.Config{Secret: d.settings.Secrets.PeerSecret, Handler: h, Logger: d.log.Named("peer")}
+	if secure != nil {
+		cfg.Scheme = "wss"
+		cfg.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: secure}}
+	}
+	d.link = peer.New(ctx, cfg)
+}
+
+func (d *daemon) newAgent() {
+	d.agent = config.New(config.Config{
+		Instance:     ident.Instance(d.settings.Instance),
+		Store:        d.store,
+		Peers:        neighbours{roster: d.roster, link: d.link},
+		Plan:         d.plan,
+		Membership:   d.membership,
+		Survey:       d.survey,
+		RequireProof: d.settings.Config.RequireProof,
+		PromotionKey: []byte(d.settings.Config.PromotionKey),
+		Breaches:     d.breaches,
+		OnBreach:     d.breach,
+		Logger:       d.log,
+	})
+}
+
+func (d *daemon) newRouter() {
+	d.router = route.New(route.Config{
+		Instance:   ident.Instance(d.settings.Instance),
+		Store:      d.store,
+		Log:        d.log.Named("route"),
+		Registerer: d.registry,
+		OnLeaving:  func(server ident.Server) { d.roster.MarkServer(server) },
+	})
+}
+
+// membership counts the instances for the configuration agent.
+func (d *daemon) membership() config.Membership {
+	all, heard := d.roster.Counts()
+	return config.Membership{Listed: all, Reachable: heard}
+}
+
+// plan divides the guarantees over the data centres that the platform lists.
+func (d *daemon) plan(_ context.Context, accounts []place.Account) ([]config.Share, error) {
+	sites := d.domains.Sites()
+	if len(sites) == 0 {
+		return nil, fault.New(fault.Unavailable, "plan guarantees", "", "no workers are known yet")
+	}
+	parts, err := place.Plan(accounts, sites)
+	if err != nil {
+		return nil, err
+	}
+	var shares []config.Share
+	for _, p := range parts {
+		shares = append(shares, config.Share{DataCentre: p.DataCentre, Accounts: p.Accounts})
+	}
+	return shares, nil
+}
+
+// breach records a broken promise.
+func (d *daemon) breach(promise, detail string) {
+	d.broken.Add(1)
+	d.promises.WithLabelValues(promise).Inc()
+	d.log.Error("promise broken", "promise", promise, "detail", detail)
+}
+
+func (d *daemon) breaches() uint64 {
+	return d.broken.Load()
+}
+
+// ready tells why the instance must get no requests from the balancer.
+func (d *daemon) ready() error {
+	if d.leaving.Load() {
+		return fault.New(fault.Unavailable, "check readiness", "", "the instance is stopping")
+	}
+	if err := d.agent.Ready(); err != nil {
+		return err
+	}
+	if !d.router.Ready() {
+		return fault.New(fault.Unavailable, "check readiness", "", "the router has no share of the backend servers yet")
+	}
+	return nil
+}
+
+func (d *daemon) openListeners(tokens *creds.Tokens) error {
+	secure, err := d.settings.Secrets.files().Server(false)
+	if err != nil {
+		return err
+	}
+	mutual, err := d.settings.Secrets.files().Server(true)
+	if err != nil {
+		return err
+	}
+	api := caller.New(caller.Config{Jobs: d.domains, Router: d.router, Tokens: tokens, Log: d.log.Named("caller")})
+	oper.New(oper.Config{Tokens: tokens, Agent: d.agent, Jobs: d.domains, Status: d, Drain: d}).Register(api)
+	d.registerHealth(api)
+	health := echo.New()
+	health.HideBanner = true
+	health.HidePort = true
+	d.registerHealth(health)
+	d.registerMetrics(health)
+	peers := http.NewServeMux()
+	peers.Handle(peer.Path, d.link)
+	wanted := []struct {
+		name, address string
+		handler       http.Handler
+		secure        *tls.Config
+	}{
+		{"api", d.settings.API, api, secure},
+		{"health", d.settings.Health, health, nil},
+		{"peers", d.settings.Peers, peers, mutual},
+	}
+	for _, w := range wanted {
+		l, err := listen(w.name, w.address, w.handler, w.secure)
+		if err != nil {
+			return err
+		}
+		d.listeners = append(d.listeners, l)
+	}
+	return nil
+}
+
+// run serves until ctx ends or a drain is asked for, and then stops by plan. It returns early when a part fails.
+func (d *daemon) run(ctx context.Context) error {
+	asked := make(chan struct{})
+	var once sync.Once
+	d.stop = func() { once.Do(func() { close(asked) }) }
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	for _, l := range d.listeners {
+		group.Go(l.serve)
+	}
+	group.Go(func() error { return d.fleet.Watch(work, d.listed) })
+	group.Go(func() error { return d.heartbeats(work) })
+	group.Go(func() error { return d.agent.Run(work) })
+	group.Go(func() error { return d.domains.Run(work) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-asked:
+		case <-work.Done():
+		}
+		d.shutDown()
+		cancel()
+		return nil
+	})
+	d.log.Info("instance runs", "instance", d.settings.Instance, "api", d.settings.API, "health", d.settings.Health, "peers", d.settings.Peers)
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return err
+}
+
+// listed takes a new list of the platform over.
+func (d *daemon) listed(s fleet.Snapshot) {
+	d.roster.UpdateFleet(s.Instances)
+	d.router.SetServers(s.Servers)
+	d.domains.SetTopology(s.Workers)
+}
+
+// shutDown stops by plan: unready first, then the domains are handed over, then the listeners close when their
+// requests have ended.
+func (d *daemon) shutDown() {
+	d.log.Info("planned stop begins")
+	d.leaving.Store(true)
+	d.roster.Leave()
+	d.domains.HandOver()
+	time.Sleep(d.settings.Stop.Unready)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Stop.Drain)
+	defer cancel()
+	for _, l := range d.listeners {
+		if err := l.close(ctx); err != nil {
+			d.log.Error("listener closed with calls in flight", "listener", l.name, "error", err)
+		}
+	}
+	if err := d.router.Drain(ctx); err != nil {
+		d.log.Error("requests were cut off", "error", err)
+	}
+	d.router.Close()
+	d.log.Info("planned stop done")
+}
--- /dev/null
+++ b/sardined/settings.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sardineline/sardineline/sard/creds"
+)
+
+// settings are the flags and environment variables of the daemon.
+type settings struct {
+	Version bool `long:"version" description:"print the version"`
+
+	Instance    string `long:"instance" env:"SARDINED_INSTANCE" description:"name of this instance, unique in the environment"`
+	DataCentre  string `long:"data-centre" env:"SARDINED_DATA_CENTRE" description:"data centre of this instance"`
+	Environment string `long:"environment" env:"SARDINED_ENVIRONMENT" default:"production" description:"name of the environment; it keeps environments apart in one table"`
+
+	API    string `long:"listen" env:"SARDINED_LISTEN" default:"127.0.0.1:7400" description:"IP number and port of the API of callers and operators"`
+	Health string `long:"listen-health" env:"SARDINED_LISTEN_HEALTH" default:"127.0.0.1:7401" description:"IP number and port of /livez, /readyz and /metrics, which need no token"`
+	Peers  string `long:"listen-peers" env:"SARDINED_LISTEN_PEERS" default:"127.0.0.1:7402" description:"IP number and port of the peer link, reachable from the other instances"`
+
+	Seeds []string `long:"seed" env:"SARDINED_SEEDS" env-delim:"," description:"IP number and port of another instance's peer link, for instances that the platform's list does not show yet; may be given several times"`
+
+	Table   tableSettings   `group:"Table service" namespace:"table" env-namespace:"SARDINED_TABLE"`
+	Object  objectSettings  `group:"Object store" namespace:"object" env-namespace:"SARDINED_OBJECT"`
+	Fleet   fleetSettings   `group:"Platform's list" namespace:"fleet" env-namespace:"SARDINED_FLEET"`
+	Secrets secretSettings  `group:"Tokens and TLS"`
+	Config  configSettings  `group:"Configuration" namespace:"config" env-namespace:"SARDINED_CONFIG"`
+	Stop    stopSettings    `group:"Planned stop" namespace:"stop" env-namespace:"SARDINED_STOP"`
+	Log     loggingSettings `group:"Logging" namespace:"log" env-namespace:"SARDINED_LOG"`
+}
+
+type tableSettings struct {
+	Endpoint  string `long:"endpoint" env:"ENDPOINT" description:"URL of the table service"`
+	Region    string `long:"region" env:"REGION" default:"local" description:"region that signs the calls"`
+	Name      string `long:"name" env:"NAME" default:"sardineline" description:"name of the table"`
+	AccessKey string `long:"access-key" env:"ACCESS_KEY" default:"sardineline" description:"access key"`
+	SecretKey string `long:"secret-key" env:"SECRET_KEY" default:"sardineline" description:"secret key"`
+}
+
+type objectSettings struct {
+	Endpoint  string `long:"endpoint" env:"ENDPOINT" description:"URL of the object store; empty for none"`
+	Region    string `long:"region" env:"REGION" default:"local" description:"region that signs the calls"`
+	Bucket    string `long:"bucket" env:"BUCKET" default:"sardineline" description:"bucket"`
+	AccessKey string `long:"access-key" env:"ACCESS_KEY" default:"sardineline" description:"access key"`
+	SecretKey string `long:"secret-key" env:"SECRET_KEY" default:"sardineline" description:"secret key"`
+}
+
+type fleetSettings struct {
+	URL    string        `long:"url" env:"URL" description:"URL of the platform's list, without path"`
+	Period time.Duration `long:"period" env:"PERIOD" default:"5s" description:"time between two readings of the list"`
+}
+
+type secretSettings struct {
+	Tokens     string `long:"tokens" env:"SARDINED_TOKENS" description:"YAML file with the SHA-256 of the bearer tokens"`
+	PeerSecret string `long:"peer-secret" env:"SARDINED_PEER_SECRET" description:"bearer token that instances show each other"`
+	Cert       string `long:"tls-cert" env:"SARDINED_TLS_CERT" description:"PEM file with the certificate of the listeners"`
+	Key        string `long:"tls-key" env:"SARDINED_TLS_KEY" description:"PEM file with its private key"`
+	Authority  string `long:"tls-authority" env:"SARDINED_TLS_AUTHORITY" description:"PEM file with the certificates that sign those of the instances"`
+}
+
+type configSettings struct {
+	RequireProof bool   `long:"require-proof" env:"REQUIRE_PROOF" description:"accept only documents that were proven in trial"`
+	PromotionKey string `long:"promotion-key" env:"PROMOTION_KEY" description:"key that trial and production share to sign proofs"`
+}
+
+type stopSettings struct {
+	Unready time.Duration `long:"unready" env:"UNREADY" default:"5s" description:"time in which the balancer notices that the instance is not ready"`
+	Drain   time.Duration `long:"drain" env:"DRAIN" default:"60s" description:"most time for requests in flight to end"`
+}
+
+type loggingSettings struct {
+	Level string `long:"level" env:"LEVEL" default:"info" choice:"trace" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+	JSON  bool   `long:"json" env:"JSON" description:"write the log as JSON"`
+}
+
+// parseSettings reads flags and environment variables. A *flags.Error of type ErrHelp carries the help.
+func parseSettings(args []string) (settings, error) {
+	var s settings
+	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "sardined"
+	parser.LongDescription = "The daemon of an entry instance. Exit codes: 0 stopped by plan, 1 failed, 2 bad settings."
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return s, err
+	}
+	if s.Version {
+		return s, nil
+	}
+	if len(rest) > 0 {
+		return s, fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	return s, s.check()
+}
+
+// problems collects one message for each bad setting.
+type problems []error
+
+func (p *problems) add(flag, format string, args ...any) {
+	*p = append(*p, fmt.Errorf("--%s: %s", flag, fmt.Sprintf(format, args...)))
+}
+
+func (p *problems) required(flag, value string) {
+	if value == "" {
+		p.add(flag, "must be set")
+	}
+}
+
+func (p *problems) address(flag, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		p.add(flag, "%q is not an IP number and port", value)
+	}
+}
+
+func (p *problems) positive(flag string, value time.Duration) {
+	if value <= 0 {
+		p.add(flag, "%s is not above 0", value)
+	}
+}
+
+// url checks an http or https URL whose host is an IP number.
+func (p *problems) url(flag, value string) {
+	u, err := url.Parse(value)
+	switch {
+	case value == "":
+		p.add(flag, "must be set")
+	case err != nil || u.Host == "" || !strings.HasPrefix(u.Scheme, "http"):
+		p.add(flag, "%q is not an http or https URL", value)
+	default:
+		if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+			p.add(flag, "%q does not name its host by IP number", value)
+		}
+	}
+}
+
+// check returns one message for each bad setting.
+func (s settings) check() error {
+	var p problems
+	p.required("instance", s.Instance)
+	p.required("data-centre", s.DataCentre)
+	p.required("tokens", s.Secrets.Tokens)
+	p.address("listen", s.API)
+	p.address("listen-health", s.Health)
+	p.address("listen-peers", s.Peers)
+	for _, seed := range s.Seeds {
+		p.address("seed", seed)
+	}
+	p.url("table.endpoint", s.Table.Endpoint)
+	p.url("fleet.url", s.Fleet.URL)
+	if s.Object.Endpoint != "" {
+		p.url("object.endpoint", s.Object.Endpoint)
+	}
+	p.positive("fleet.period", s.Fleet.Period)
+	p.positive("stop.drain", s.Stop.Drain)
+	if s.Stop.Unready < 0 {
+		p.add("stop.unready", "%s is below 0", s.Stop.Unready)
+	}
+	if (s.Secrets.Cert == "") != (s.Secrets.Key == "") {
+		p.add("tls-cert", "needs --tls-key, and the other way round")
+	}
+	if s.Secrets.Cert != "" && s.Secrets.Authority == "" {
+		p.add("tls-authority", "must be set with --tls-cert")
+	}
+	return errors.Join(p...)
+}
+
+func (s secretSettings) files() creds.Files {
+	return creds.Files{Cert: s.Cert, Key: s.Key, Authority: s.Authority}
+}
--- /dev/null
+++ b/sardined/tls_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/creds"
+)
+
+// identity writes a self-signed certificate for 127.0.0.1 and its key.
+func identity(t *testing.T) creds.Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "sardined"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	files := creds.Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "cert.pem")}
+	assert.NilError(t, os.WriteFile(files.Cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	assert.NilError(t, os.WriteFile(files.Key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}), 0o600))
+	return files
+}
+
+func TestListenersNeedTheAuthority(t *testing.T) {
+	mine := identity(t)
+	foreign := identity(t)
+	tests := []struct {
+		name   string
+		client creds.Files
+		mutual bool
+		works  bool
+	}{
+		{"trusted", creds.Files{Authority: mine.Authority}, false, true},
+		{"server of another authority", creds.Files{Authority: foreign.Authority}, false, false},
+		{"mutual", mine, true, true},
+		{"mutual without certificate", creds.Files{Authority: mine.Authority}, true, false},
+		{"mutual with foreign certificate", creds.Files{Cert: foreign.Cert, Key: foreign.Key, Authority: mine.Authority}, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			secure, err := mine.Server(tt.mutual)
+			assert.NilError(t, err)
+			hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") })
+			l, err := listen("test", "127.0.0.1:0", hello, secure)
+			assert.NilError(t, err)
+			var group errgroup.Group
+			group.Go(l.serve)
+			client, err := tt.client.Client()
+			assert.NilError(t, err)
+			transport := &http.Transport{TLSClientConfig: client}
+			resp, err := (&http.Client{Transport: transport}).Get("https://" + l.socket.Addr().String())
+			assert.Equal(t, err == nil, tt.works, "%v", err)
+			if err == nil {
+				assert.NilError(t, resp.Body.Close())
+			}
+			transport.CloseIdleConnections()
+			assert.NilError(t, l.close(t.Context()))
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
