Run jobs under domain leases: submit, place, reserve, commit, start, end

Cause: decisions had nobody to carry them out; there was no lease, no worker client and no life of a job. Change: lease acquires, renews and releases a domain lease by conditional writes, with takeover only after a whole term of the same revision; worker calls workers over HTTP with errors by what is known of the effect; gang writes jobs in grouped batches under the lease's fence, takes attempts from placement to their end, polls workers, recovers the domain after a takeover, cancels and prunes.

--- /dev/null
+++ b/sard/gang/record.go
@@ -0,0 +1,98 @@
+package gang
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/place"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+// record is the body of a job's item in the table. The item's partition is "jobs/" and the data centre, its sort
+// key the job's id.
+type record struct {
+	ID             ident.Job
+	Account        ident.Account
+	IdempotencyKey ident.IdempotencyKey `json:",omitempty"`
+	Spec           Spec
+	State          ident.JobState
+	// Attempt is the last attempt that was made.
+	Attempt ident.Attempt
+	// Parts is the assignment of the attempt that may hold accelerators.
+	Parts     []place.Part `json:",omitempty"`
+	Borrowed  bool         `json:",omitempty"`
+	Submitted time.Time
+	Started   time.Time `json:",omitzero"`
+	Ended     time.Time `json:",omitzero"`
+	Reason    string    `json:",omitempty"`
+	// Checkpoint names the object from which the next attempt resumes.
+	Checkpoint string `json:",omitempty"`
+}
+
+// submission is the body of an idempotency key's item. The item's partition is "keys/" and the account, its sort
+// key the idempotency key. It is written in the batch of the job's first record.
+type submission struct {
+	Job  ident.Job
+	Spec Spec
+}
+
+func jobsPartition(dc ident.DataCentre) string {
+	return "jobs/" + string(dc)
+}
+
+func jobKey(job ident.Job) table.Key {
+	return table.Key{Partition: jobsPartition(DomainOf(job)), Sort: string(job)}
+}
+
+func submissionKey(account ident.Account, key ident.IdempotencyKey) table.Key {
+	return table.Key{Partition: "keys/" + string(account), Sort: string(key)}
+}
+
+// encode marshals a body; the bodies hold nothing that could fail.
+func encode(body any) []byte {
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func decode[T any](item table.Item) (T, error) {
+	var body T
+	if err := json.Unmarshal(item.Body, &body); err != nil {
+		return body, fault.Wrap(err, fault.Internal, "decode "+item.Key.Sort, "table")
+	}
+	return body, nil
+}
+
+func (r *record) view() View {
+	return View{
+		ID:         r.ID,
+		Account:    r.Account,
+		Spec:       r.Spec,
+		State:      r.State,
+		Attempt:    r.Attempt,
+		DataCentre: DomainOf(r.ID),
+		Submitted:  r.Submitted,
+		Started:    r.Started,
+		Ended:      r.Ended,
+		Reason:     r.Reason,
+		Parts:      r.Parts,
+	}
+}
+
+func (r *record) job() place.Job {
+	return place.Job{
+		ID:             r.ID,
+		Account:        r.Account,
+		Kind:           r.Spec.Kind,
+		Accelerators:   r.Spec.Accelerators,
+		RunTime:        r.Spec.RunTime.Std(),
+		Checkpointable: r.Spec.Checkpointable,
+		Urgent:         r.Spec.Urgent,
+		Submitted:      r.Submitted,
+		Attempt:        r.Attempt,
+	}
+}
--- /dev/null
+++ b/sard/gang/service.go
@@ -0,0 +1,241 @@
+package gang
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/place"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+var _ Service = (*Domain)(nil)
+
+// takeoverRetryAfter is what callers are told while a domain recovers.
+const takeoverRetryAfter = 2 * time.Second
+
+// maxKey bounds an idempotency key, maxCommand a job's command, in bytes.
+const (
+	maxKey     = 256
+	maxCommand = 64 << 10
+)
+
+// Submit accepts a job. The job and its idempotency key are written in one batch, so that the same key gives the
+// same job in every domain.
+func (d *Domain) Submit(ctx context.Context, account ident.Account, key ident.IdempotencyKey, spec Spec) (View, error) {
+	if err := d.validate(key, spec); err != nil {
+		return View{}, err
+	}
+	if err := d.serving("submit job"); err != nil {
+		return View{}, err
+	}
+	if view, ok, err := d.known(account, key, spec); ok || err != nil {
+		return view, err
+	}
+	next := record{
+		ID:             ident.Job(string(d.config.DataCentre) + "/" + strings.ToLower(rand.Text())),
+		Account:        account,
+		IdempotencyKey: key,
+		Spec:           spec,
+		State:          ident.Queued,
+		Submitted:      time.Now().Round(0),
+	}
+	writes := []table.Write{d.firstPut(jobKey(next.ID), encode(next))}
+	if key != "" {
+		writes = append(writes, d.firstPut(submissionKey(account, key), encode(submission{Job: next.ID, Spec: spec})))
+	}
+	accepted := make(chan error, 1)
+	d.mu.Lock()
+	d.start(func(run context.Context) {
+		err := d.journal.commit(run, false, writes...)
+		if err == nil {
+			d.accept(next)
+		}
+		accepted <- err
+	})
+	d.mu.Unlock()
+	return d.answer(ctx, next, accepted)
+}
+
+// answer waits for the result of a submission's batch.
+func (d *Domain) answer(ctx context.Context, next record, accepted <-chan error) (View, error) {
+	var err error
+	select {
+	case err = <-accepted:
+	case <-ctx.Done():
+		return View{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "submit job", "table")
+	case <-d.ctx.Done():
+		return View{}, fault.New(fault.OutcomeUnknown, "submit job", "", "the domain was given up").After(takeoverRetryAfter)
+	}
+	switch {
+	case err == nil:
+		return next.view(), nil
+	case fault.Is(err, fault.Conflict) && next.IdempotencyKey != "":
+		return d.earlier(ctx, next.Account, next.IdempotencyKey, next.Spec)
+	case fault.Is(err, fault.OutcomeUnknown):
+		return View{}, err
+	default:
+		return View{}, fault.Wrap(err, fault.Unavailable, "submit job", "table").After(outageRetryAfter)
+	}
+}
+
+func (d *Domain) firstPut(key table.Key, body []byte) table.Put {
+	return table.Put{Key: key, Epoch: d.config.Lease.Epoch(), Body: body, If: table.Absent{}}
+}
+
+// accept takes a durable submission into memory and tells the engine.
+func (d *Domain) accept(next record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.remember(next, 1)
+	d.metrics.became(next.State)
+	d.log.Info("job accepted", "Job", next.ID, "Account", next.Account, "Accelerators", next.Spec.Accelerators)
+	d.apply(place.Submit{Job: next.job()})
+}
+
+// remember adds a job to memory. The caller holds mu.
+func (d *Domain) remember(r record, revision uint64) *job {
+	j := &job{record: r, revision: revision, changed: make(chan struct{})}
+	d.jobs[r.ID] = j
+	if r.IdempotencyKey != "" {
+		d.keys[keyOf{r.Account, r.IdempotencyKey}] = r.ID
+	}
+	return j
+}
+
+func (d *Domain) validate(key ident.IdempotencyKey, spec Spec) error {
+	const step = "check job"
+	switch {
+	case spec.Accelerators < 1 || spec.Accelerators > place.MaxGang:
+		return fault.New(fault.Invalid, step, "", "Accelerators must be 1 to %d", place.MaxGang)
+	case spec.Kind == "":
+		return fault.New(fault.Invalid, step, "", "Kind must be given")
+	case spec.RunTime < 0:
+		return fault.New(fault.Invalid, step, "", "RunTime must not be negative")
+	case len(key) > maxKey:
+		return fault.New(fault.Invalid, step, "", "the idempotency key must have at most %d bytes", maxKey)
+	case len(spec.Command) > maxCommand:
+		return fault.New(fault.Invalid, step, "", "Command must have at most %d bytes", maxCommand)
+	case spec.DataCentre != "" && spec.DataCentre != d.config.DataCentre:
+		return fault.New(fault.Invalid, step, "", "the job must run in %s, not in %s", spec.DataCentre, d.config.DataCentre)
+	}
+	return nil
+}
+
+// serving fails when the domain can't take calls that change something.
+func (d *Domain) serving(step string) error {
+	d.mu.Lock()
+	ready := d.ready
+	d.mu.Unlock()
+	if !ready {
+		return fault.New(fault.Unavailable, step, "", "the domain is being recovered").After(takeoverRetryAfter)
+	}
+	if err := d.config.Lease.Check(); err != nil {
+		return fault.Wrap(err, fault.Unavailable, step, "").After(outageRetryAfter)
+	}
+	return nil
+}
+
+// known finds an earlier submission of the key in memory.
+func (d *Domain) known(account ident.Account, key ident.IdempotencyKey, spec Spec) (View, bool, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j, ok := d.jobs[d.keys[keyOf{account, key}]]
+	if !ok || key == "" {
+		return View{}, false, nil
+	}
+	if j.record.Spec != spec {
+		return View{}, true, keyConflict(key)
+	}
+	return j.record.view(), true, nil
+}
+
+// earlier reads an earlier submission of the key from the table; it may be of another domain.
+func (d *Domain) earlier(ctx context.Context, account ident.Account, key ident.IdempotencyKey, spec Spec) (View, error) {
+	item, err := d.config.Store.Get(ctx, table.DecisionPriority, submissionKey(account, key))
+	if err != nil {
+		return View{}, fault.Wrap(err, fault.Unavailable, "read submission", "table").After(outageRetryAfter)
+	}
+	first, err := decode[submission](item)
+	if err != nil {
+		return View{}, err
+	}
+	if first.Spec != spec {
+		return View{}, keyConflict(key)
+	}
+	item, err = d.config.Store.Get(ctx, table.DecisionPriority, jobKey(first.Job))
+	if err != nil {
+		return View{}, fault.Wrap(err, fault.Unavailable, "read job", "table").After(outageRetryAfter)
+	}
+	r, err := decode[record](item)
+	return r.view(), err
+}
+
+func keyConflict(key ident.IdempotencyKey) error {
+	return fault.New(fault.Conflict, "submit job", "", "the idempotency key %q belongs to another submission", key)
+}
+
+// Get returns a job of the account.
+func (d *Domain) Get(_ context.Context, account ident.Account, id ident.Job) (View, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j, err := d.find(account, id)
+	if err != nil {
+		return View{}, err
+	}
+	return j.record.view(), nil
+}
+
+// find returns a job; the empty account may see all. The caller holds mu.
+func (d *Domain) find(account ident.Account, id ident.Job) (*job, error) {
+	if !d.ready {
+		return nil, fault.New(fault.Unavailable, "find job", "", "the domain is being recovered").After(takeoverRetryAfter)
+	}
+	j, ok := d.jobs[id]
+	if !ok || account != "" && j.record.Account != account {
+		return nil, fault.New(fault.NotFound, "find job", "", "no job %s", id)
+	}
+	return j, nil
+}
+
+// List returns the account's jobs, the newest first.
+func (d *Domain) List(_ context.Context, account ident.Account) ([]View, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return nil, fault.New(fault.Unavailable, "list jobs", "", "the domain is being recovered").After(takeoverRetryAfter)
+	}
+	var views []View
+	for _, j := range d.jobs {
+		if account == "" || j.record.Account == account {
+			views = append(views, j.record.view())
+		}
+	}
+	slices.SortFunc(views, func(a, b View) int {
+		return cmp.Or(b.Submitted.Compare(a.Submitted), cmp.Compare(a.ID, b.ID))
+	})
+	return views, nil
+}
+
+// Explain tells why a job waits or where it was placed.
+func (d *Domain) Explain(_ context.Context, account ident.Account, id ident.Job) (place.Explanation, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j, err := d.find(account, id)
+	if err != nil {
+		return place.Explanation{}, err
+	}
+	if !j.record.State.Terminal() {
+		return d.config.Engine.Explain(id), nil
+	}
+	last := j.record.State.String()
+	if j.record.Reason != "" {
+		last += ": " + j.record.Reason
+	}
+	return place.Explanation{Job: id, State: j.record.State.String(), Last: last}, nil
+}
--- a/sard/lease/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package lease holds domain leases with epochs in the table service.
-package lease
--- /dev/null
+++ b/sard/lease/held.go
@@ -0,0 +1,161 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+// Held is a lease that this instance holds.
+type Held struct {
+	leases *Leases
+	dc     ident.DataCentre
+	epoch  ident.Epoch
+	lost   chan struct{}
+
+	// writing is held over each write of the lease.
+	writing sync.Mutex
+
+	mu       sync.Mutex
+	revision uint64
+	safe     time.Time
+	ended    bool
+}
+
+func newHeld(l *Leases, dc ident.DataCentre, epoch ident.Epoch, revision uint64, sent time.Time) *Held {
+	h := &Held{leases: l, dc: dc, epoch: epoch, revision: revision, lost: make(chan struct{})}
+	h.extend(revision, sent)
+	return h
+}
+
+// Epoch returns the epoch under which the lease is held.
+func (h *Held) Epoch() ident.Epoch {
+	return h.epoch
+}
+
+// Check tells whether it is safe to decide or send at this moment. It must be asked right before each send, as the
+// process may have been paused. It fails with Unavailable when the lease could have lapsed, after which a renewal
+// may make it safe again, and with Fenced when the lease is lost.
+func (h *Held) Check() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return fault.New(fault.Fenced, "check lease of "+string(h.dc), "", "epoch %d is superseded", h.epoch)
+	}
+	if late := time.Since(h.safe); late >= 0 {
+		return fault.New(fault.Unavailable, "check lease of "+string(h.dc), "table", "not renewed for %v too long", late)
+	}
+	return nil
+}
+
+// Lost is closed when another instance has taken the lease or when it was released.
+func (h *Held) Lost() <-chan struct{} {
+	return h.lost
+}
+
+// Fence is the condition to add to each batch of writes in the domain.
+func (h *Held) Fence() table.Check {
+	return table.Check{Key: key(h.dc), If: table.AtEpoch{Epoch: h.epoch}}
+}
+
+// Superseded marks the lease as lost; for callers who learn of a higher epoch from a worker or a write.
+func (h *Held) Superseded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		h.ended = true
+		close(h.lost)
+	}
+}
+
+// Keep renews the lease until ctx ends or the lease is lost. A lease that lapsed while the table could not be
+// reached is renewed when nobody has taken it over meanwhile.
+func (h *Held) Keep(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(h.leases.config.Term / renewalsPerTerm)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-h.lost:
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+		if err := h.renew(ctx); err != nil {
+			h.leases.config.Logger.Warn("lease not renewed", "DataCentre", h.dc, "Epoch", h.epoch, "Error", err)
+		}
+	}
+}
+
+// Release gives the lease up, so that another instance can take it at once. The caller has stopped all work of the
+// domain. When the write fails, the lease lapses by itself.
+func (h *Held) Release(ctx context.Context) error {
+	h.writing.Lock()
+	defer h.writing.Unlock()
+	h.Superseded()
+	err := h.leases.config.Store.Apply(ctx, table.LeasePriority, h.leases.put(h.holding(), h.epoch, ""))
+	if err != nil {
+		return fault.Wrap(err, fault.KindOf(err), "release lease of "+string(h.dc), "table")
+	}
+	h.leases.config.Logger.Info("lease released", "DataCentre", h.dc, "Epoch", h.epoch)
+	return nil
+}
+
+func (h *Held) renew(ctx context.Context) error {
+	h.writing.Lock()
+	defer h.writing.Unlock()
+	if fault.Is(h.Check(), fault.Fenced) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.leases.config.Term/renewalsPerTerm)
+	defer cancel()
+	sent := time.Now()
+	last := h.holding()
+	err := h.leases.config.Store.Apply(ctx, table.LeasePriority, h.leases.put(last, h.epoch, h.leases.config.Instance))
+	switch {
+	case err == nil:
+		h.extend(last.Revision+1, sent)
+		return nil
+	case fault.Is(err, fault.Conflict), fault.Is(err, fault.OutcomeUnknown):
+		return h.resolve(ctx, err)
+	default:
+		return err
+	}
+}
+
+// resolve reads the lease back after a renewal without a clear result. A revision of our own is adopted, but the
+// lease is not lengthened, as it is not known which renewal made it.
+func (h *Held) resolve(ctx context.Context, cause error) error {
+	now, err := h.leases.Read(ctx, h.dc)
+	if err != nil {
+		return cause
+	}
+	if now.Epoch != h.epoch || now.Holder != h.leases.config.Instance {
+		h.leases.config.Logger.Warn("lease lost", "DataCentre", h.dc, "Epoch", h.epoch, "Holder", now.Holder, "By", now.Epoch)
+		h.Superseded()
+		return nil
+	}
+	h.mu.Lock()
+	h.revision = now.Revision
+	h.mu.Unlock()
+	return cause
+}
+
+func (h *Held) extend(revision uint64, sent time.Time) {
+	term := h.leases.config.Term
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revision = revision
+	h.safe = sent.Add(term - term/marginsPerTerm)
+}
+
+func (h *Held) holding() Holding {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Holding{DataCentre: h.dc, Holder: h.leases.config.Instance, Epoch: h.epoch, Revision: h.revision}
+}
