--- a/sard/gang/member.go
+++ b/sard/gang/member.go
@@ -24,8 +24,9 @@
 	fenced bool
 	// lost tells that the engine counts the worker as lost.
 	lost bool
-	// accepted is when the last call was sent that the worker accepted under this epoch.
-	accepted time.Time
+	// accepted is when the last call was sent that the worker accepted under this epoch; heard is when its answer
+	// came.
+	accepted, heard time.Time
 	// seen is the sequence of the last report of a poll.
 	seen uint64
 	// shares are the parts of attempts on this worker.
@@ -38,7 +39,7 @@
 func (d *Domain) list(w fleet.Worker) {
 	m, ok := d.members[w.Name]
 	if !ok {
-		m = &member{name: w.Name, accepted: time.Now(), shares: map[*share]struct{}{}, strays: map[worker.Part]bool{}}
+		m = &member{name: w.Name, heard: time.Now(), shares: map[*share]struct{}{}, strays: map[worker.Part]bool{}}
 		d.members[w.Name] = m
 	}
 	if m.client == nil || m.address != w.Address {
@@ -55,7 +56,7 @@
 func (d *Domain) member(name ident.Worker) *member {
 	m, ok := d.members[name]
 	if !ok {
-		m = &member{name: name, accepted: time.Now(), shares: map[*share]struct{}{}, strays: map[worker.Part]bool{}}
+		m = &member{name: name, heard: time.Now(), shares: map[*share]struct{}{}, strays: map[worker.Part]bool{}}
 		d.members[name] = m
 	}
 	return m
@@ -185,7 +186,7 @@
 
 // heard takes a worker's report in. The caller holds mu.
 func (d *Domain) heard(m *member, sent time.Time, report worker.Report) {
-	m.accepted = sent
+	m.accepted, m.heard = sent, time.Now()
 	m.seen = report.Sequence
 	if d.fencedSince.IsZero() && d.most(func(m *member) bool { return m.fenced }) {
 		d.fencedSince = time.Now()
@@ -244,7 +245,7 @@
 	d.fail("poll worker", err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if m.lost || time.Since(m.accepted) < unreachableLimit {
+	if m.lost || time.Since(m.heard) < unreachableLimit {
 		return
 	}
 	m.lost, m.fenced = true, false
--- a/sard/gang/recover.go
+++ b/sard/gang/recover.go
@@ -31,7 +31,7 @@
 	}
 	d.mu.Lock()
 	for _, m := range d.members {
-		m.accepted = time.Now()
+		m.heard = time.Now()
 	}
 	err := d.takeOver(items)
 	d.mu.Unlock()
--- a/sard/lease/held.go
+++ b/sard/lease/held.go
@@ -17,8 +17,8 @@
 	epoch  ident.Epoch
 	lost   chan struct{}
 
-	// writing is held over each write of the lease.
-	writing sync.Mutex
+	// writing has one place, which is taken over each write of the lease.
+	writing chan struct{}
 
 	mu       sync.Mutex
 	revision uint64
@@ -27,7 +27,7 @@
 }
 
 func newHeld(l *Leases, dc ident.DataCentre, epoch ident.Epoch, revision uint64, sent time.Time) *Held {
-	h := &Held{leases: l, dc: dc, epoch: epoch, revision: revision, lost: make(chan struct{})}
+	h := &Held{leases: l, dc: dc, epoch: epoch, revision: revision, lost: make(chan struct{}), writing: make(chan struct{}, 1)}
 	h.extend(revision, sent)
 	return h
 }
@@ -95,8 +95,8 @@
 // Release gives the lease up, so that another instance can take it at once. The caller has stopped all work of the
 // domain. When the write fails, the lease lapses by itself.
 func (h *Held) Release(ctx context.Context) error {
-	h.writing.Lock()
-	defer h.writing.Unlock()
+	h.writing <- struct{}{}
+	defer func() { <-h.writing }()
 	h.Superseded()
 	err := h.leases.config.Store.Apply(ctx, table.LeasePriority, h.leases.put(h.holding(), h.epoch, ""))
 	if err != nil {
@@ -107,8 +107,8 @@
 }
 
 func (h *Held) renew(ctx context.Context) error {
-	h.writing.Lock()
-	defer h.writing.Unlock()
+	h.writing <- struct{}{}
+	defer func() { <-h.writing }()
 	if fault.Is(h.Check(), fault.Fenced) {
 		return nil
 	}
