Measure the table's client and spare it the SDK's endpoint rules

Change: package costs measures processor time, bytes and rates (three points a slope) and the time to settle lost and late answers; the client hands the SDK its fixed endpoint.

--- a/sard/table/client.go
+++ b/sard/table/client.go
@@ -57,10 +57,14 @@
 	random := make([]byte, tokenBytes)
 	_, _ = crand.Read(random)
 	transport := config.transport()
+	service, err := config.service(transport)
+	if err != nil {
+		return nil, err
+	}
 	return &Client{
 		config:    config,
 		transport: transport,
-		service:   config.service(transport),
+		service:   service,
 		reads:     newPace(config.ReadsPerSecond),
 		writes:    newPace(config.WritesPerSecond),
 		retries:   rate.NewLimiter(rate.Limit(config.RetriesPerSecond), burstOf(config.RetriesPerSecond)),
--- a/sard/table/config.go
+++ b/sard/table/config.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	endpoints "github.com/aws/smithy-go/endpoints"
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -103,16 +105,28 @@
 	}
 }
 
-func (c Config) service(transport *http.Transport) *dynamodb.Client {
+// fixedEndpoint spares the SDK its endpoint rules, which compile patterns on each call.
+type fixedEndpoint struct{ url url.URL }
+
+// ResolveEndpoint returns the endpoint of the settings.
+func (f fixedEndpoint) ResolveEndpoint(context.Context, dynamodb.EndpointParameters) (endpoints.Endpoint, error) {
+	return endpoints.Endpoint{URI: f.url}, nil
+}
+
+func (c Config) service(transport *http.Transport) (*dynamodb.Client, error) {
+	endpoint, err := url.Parse(c.Endpoint)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "make table client", "")
+	}
 	keys := aws.Credentials{AccessKeyID: c.AccessKey, SecretAccessKey: c.SecretKey}
 	provide := func(context.Context) (aws.Credentials, error) { return keys, nil }
 	return dynamodb.New(dynamodb.Options{
-		BaseEndpoint:                    &c.Endpoint,
+		EndpointResolverV2:              fixedEndpoint{*endpoint},
 		Region:                          c.Region,
 		Credentials:                     aws.CredentialsProviderFunc(provide),
 		HTTPClient:                      &http.Client{Transport: transport},
 		Retryer:                         aws.NopRetryer{},
 		AccountIDEndpointMode:           aws.AccountIDEndpointModeDisabled,
 		DisableValidateResponseChecksum: true,
-	})
+	}), nil
 }
--- /dev/null
+++ b/standin/costs/costs.go
@@ -0,0 +1,94 @@
+// Package costs measures what the clients of the platform cost their process and the network against the stand-in.
+package costs
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/table"
+	"github.com/sardineline/sardineline/standin/faults"
+	"github.com/sardineline/sardineline/standin/tables"
+)
+
+// Config tells what to measure.
+type Config struct {
+	// Endpoint is the URL of a stand-in's table service in another process, so that only the client's end is
+	// counted. When it is empty, one is served in this process and both ends are counted.
+	Endpoint string
+	// Calls is the number of calls of a figure; 0 means 2,000.
+	Calls int
+}
+
+// Figure is a measured value.
+type Figure struct {
+	Name  string
+	Value float64
+	Unit  string
+}
+
+const (
+	defaultCalls = 2000
+	unlimited    = 1e9
+	settleCalls  = 50
+)
+
+// bench is a client with a table service, when it is in this process.
+type bench struct {
+	meter
+	client *table.Client
+	faults *faults.Set
+	server *http.Server
+	group  errgroup.Group
+}
+
+// Table measures the table's client.
+func Table(ctx context.Context, config Config) ([]Figure, error) {
+	if config.Calls == 0 {
+		config.Calls = defaultCalls
+	}
+	b := &bench{faults: faults.New(1)}
+	if err := b.open(config.Endpoint); err != nil {
+		return nil, err
+	}
+	figures, err := b.measure(ctx, config)
+	return figures, errors.Join(err, b.close())
+}
+
+func (b *bench) open(endpoint string) error {
+	if endpoint == "" {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "listen", "")
+		}
+		b.server = &http.Server{Handler: tables.New(tables.Config{Faults: b.faults}), ReadHeaderTimeout: time.Minute}
+		b.group.Go(func() error { return b.server.Serve(l) })
+		endpoint = "http://" + l.Addr().String()
+	}
+	client, err := table.New(table.Config{
+		Endpoint:         endpoint,
+		Dial:             b.dial,
+		ReadsPerSecond:   unlimited,
+		WritesPerSecond:  unlimited,
+		RetriesPerSecond: unlimited,
+	})
+	b.client = client
+	return err
+}
+
+func (b *bench) close() error {
+	b.client.Close()
+	if b.server == nil {
+		return nil
+	}
+	err := b.server.Close()
+	if served := b.group.Wait(); !errors.Is(served, http.ErrServerClosed) {
+		return errors.Join(err, served)
+	}
+	return err
+}
--- /dev/null
+++ b/standin/costs/fleet.go
@@ -0,0 +1,74 @@
+package costs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/fleet"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/standin/fleets"
+)
+
+// fleetSizes are the numbers of workers of the slope.
+var fleetSizes = []int{50, 500, 3400}
+
+const (
+	fleetReads = 50
+	rackSize   = 8
+)
+
+// Fleet measures the whole reading of the list against its number of workers. Both ends are in this process.
+func Fleet(ctx context.Context) ([]Figure, error) {
+	var figures []Figure
+	for _, size := range fleetSizes {
+		found, err := readFleet(ctx, size)
+		if err != nil {
+			return nil, err
+		}
+		figures = append(figures, found...)
+	}
+	return figures, nil
+}
+
+func readFleet(ctx context.Context, size int) ([]Figure, error) {
+	workers := make([]fleet.Worker, size)
+	for i := range workers {
+		workers[i] = fleet.Worker{
+			Name:         ident.Worker(fmt.Sprintf("dc-a-r%d-w%d", i/rackSize, i%rackSize)),
+			Address:      fmt.Sprintf("10.0.%d.%d:7000", i/rackSize, i%rackSize),
+			DataCentre:   "dc-a",
+			Rack:         ident.Rack(fmt.Sprintf("dc-a-r%d", i/rackSize)),
+			Accelerators: rackSize,
+			Index:        i % rackSize,
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "listen", "")
+	}
+	s := &http.Server{Handler: fleets.New(fleets.Config{Workers: workers}), ReadHeaderTimeout: time.Minute}
+	var group errgroup.Group
+	group.Go(func() error { return s.Serve(l) })
+	var m meter
+	client, err := fleet.New(fleet.Config{Endpoint: "http://" + l.Addr().String(), Dial: m.dial})
+	if err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	figures, err := m.costs(fmt.Sprintf("fleet/%d", size), fleetReads, func(int) error {
+		_, err := client.Snapshot(ctx)
+		return err
+	})
+	client.Close()
+	err = errors.Join(err, s.Close())
+	if served := group.Wait(); !errors.Is(served, http.ErrServerClosed) {
+		err = errors.Join(err, served)
+	}
+	return figures, err
+}
