--- a/sard/domain/contend.go
+++ b/sard/domain/contend.go
@@ -6,16 +6,16 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/roster"
 )
 
 const (
-	// contendPause is the time between two tries to take a domain.
-	contendPause = time.Second
-	// rankDelay is how much longer each rank of the preference order waits before it takes a free domain.
-	rankDelay = 2 * time.Second
+	// turnPause is the mean time between two looks at whose turn it is to take a domain.
+	turnPause = time.Second
 	// settleTime is how long another instance must be the first choice before a domain is handed over to it.
 	settleTime = 30 * time.Second
 	// releaseTimeout bounds the release of a lease.
@@ -24,34 +24,64 @@
 	handOverPoll = 20 * time.Millisecond
 )
 
-// contend takes a domain whenever it is this instance's turn, and schedules it until the lease ends.
+// contend takes a domain whenever it is free and this instance's turn, and schedules it until the lease ends.
 func (m *Manager) contend(ctx context.Context, dc ident.DataCentre) error {
-	free := time.Now()
-	for {
-		pause := contendPause/2 + rand.N(contendPause)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return nil
-		}
-		if m.heardHeld(dc) || m.isLeaving() {
-			free = time.Now()
+	for ctx.Err() == nil {
+		if !m.isTurn(dc) {
+			pause(ctx)
 			continue
 		}
-		rank := m.rank(dc)
-		if rank < 0 || time.Since(free) < time.Duration(rank)*rankDelay {
-			continue
+		held, err := m.acquire(ctx, dc)
+		if err == nil {
+			m.hold(ctx, dc, held)
 		}
-		held, err := m.cfg.Acquire(ctx, dc)
-		if err != nil {
-			if !fault.Is(err, fault.Conflict) && ctx.Err() == nil {
-				m.cfg.Logger.Warn("domain lease not taken", "domain", dc, "error", err)
-			}
-			continue
+	}
+	return nil
+}
+
+// acquire waits for the lease of a domain for as long as it is this instance's turn.
+func (m *Manager) acquire(ctx context.Context, dc ident.DataCentre) (Lease, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var held Lease
+	group.Go(func() (err error) {
+		defer cancel()
+		held, err = m.cfg.Acquire(ctx, dc)
+		return err
+	})
+	group.Go(func() error {
+		for ctx.Err() == nil && m.isTurn(dc) {
+			pause(ctx)
+		}
+		cancel()
+		return nil
+	})
+	return held, group.Wait()
+}
+
+// pause waits for about the time between two looks at whose turn it is.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(turnPause/2 + rand.N(turnPause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// isTurn tells whether this instance is the first of the live instances, but for the holder, to take a domain.
+func (m *Manager) isTurn(dc ident.DataCentre) bool {
+	if m.isLeaving() {
+		return false
+	}
+	holder, _ := m.heard(dc)
+	for _, name := range m.preference(dc) {
+		if name != holder.From.Name {
+			return name == m.cfg.Self.Name
 		}
-		m.hold(ctx, dc, held)
-		free = time.Now()
 	}
+	return false
 }
 
 // hold schedules a domain until the lease ends, another instance is preferred, or ctx ends.
@@ -127,17 +157,6 @@
 	return slices.Concat(roster.Rank(key, near), roster.Rank(key, far))
 }
 
-// rank returns this instance's place in the preference order of a domain, or -1 when it is not live.
-func (m *Manager) rank(dc ident.DataCentre) int {
-	return slices.Index(m.preference(dc), m.cfg.Self.Name)
-}
-
-// heardHeld tells whether a live instance says that it holds a domain.
-func (m *Manager) heardHeld(dc ident.DataCentre) bool {
-	_, ok := m.heard(dc)
-	return ok
-}
-
 // heard returns the heartbeat of the instance that says, under the latest epoch, that it holds a domain.
 func (m *Manager) heard(dc ident.DataCentre) (roster.Heartbeat, bool) {
 	var latest ident.Epoch
--- a/sard/domain/manager.go
+++ b/sard/domain/manager.go
@@ -53,7 +53,7 @@
 	Self   roster.Member
 	Roster *roster.Roster
 	Peers  Caller
-	// Acquire takes the lease of a domain. It fails with kind fault.Conflict while another instance holds it.
+	// Acquire waits until the lease of a domain is free or has lapsed and takes it. It fails when ctx ends.
 	Acquire func(ctx context.Context, dc ident.DataCentre) (Lease, error)
 	// Holder reads who holds a domain; empty for nobody.
 	Holder func(ctx context.Context, dc ident.DataCentre) (ident.Instance, error)
--- a/sard/gang/id.go
+++ b/sard/gang/id.go
@@ -6,8 +6,11 @@
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
+// domainMark ends the domain's name in a job's id. It needs no escaping in a URL.
+const domainMark = "."
+
 // DomainOf returns the domain in which a job was accepted, which its id names.
 func DomainOf(job ident.Job) ident.DataCentre {
-	dc, _, _ := strings.Cut(string(job), "/")
-	return ident.DataCentre(dc)
+	end := max(strings.LastIndex(string(job), domainMark), 0)
+	return ident.DataCentre(job[:end])
 }
--- a/sardctl/job.go
+++ b/sardctl/job.go
@@ -218,7 +218,7 @@
 	Data   string `long:"data" short:"d" description:"body of the request"`
 	Key    string `long:"key" description:"idempotency key of a request that must not be repeated"`
 	Args   struct {
-		Path string `positional-arg-name:"PATH" description:"path of the route, such as /r/claims"`
+		Path string `positional-arg-name:"PATH" description:"path of the route, such as /claims"`
 	} `positional-args:"yes" required:"yes"`
 	session *session
 }
@@ -234,7 +234,7 @@
 	if c.Key != "" {
 		header.Set("Idempotency-Key", c.Key)
 	}
-	in := call{method: c.Method, path: c.Args.Path, header: header, body: []byte(c.Data), once: true}
+	in := call{method: c.Method, path: requestPrefix + c.Args.Path, header: header, body: []byte(c.Data), once: true}
 	resp, err := client.send(ctx, in)
 	if err != nil {
 		return err
--- a/sardctl/request.go
+++ b/sardctl/request.go
@@ -6,6 +6,9 @@
 	"net/http"
 )
 
+// requestPrefix starts the paths of requests that are forwarded to backend servers.
+const requestPrefix = "/r"
+
 // headerOutcome tells what became of a request: Answered, NotRun or Unknown.
 const headerOutcome = "Sardine-Outcome"
 
--- a/sardined/domains.go
+++ b/sardined/domains.go
@@ -2,18 +2,93 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sardineline/sardineline/sard/domain"
-	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/lease"
+	"github.com/sardineline/sardineline/sard/place"
+	"github.com/sardineline/sardineline/sard/worker"
 )
 
+// processMark separates an instance's name from the mark of its process in the holder of a lease.
+const processMark = "@"
+
+// keptLease is a domain lease that is renewed until it is released.
+type keptLease struct {
+	*lease.Held
+	group *errgroup.Group
+	stop  context.CancelFunc
+}
+
+// keep renews a lease until it is released.
+func keep(held *lease.Held) *keptLease {
+	ctx, stop := context.WithCancel(context.Background())
+	k := &keptLease{Held: held, group: &errgroup.Group{}, stop: stop}
+	k.group.Go(func() error { return held.Keep(ctx) })
+	return k
+}
+
+// Release ends the renewals and gives the lease up.
+func (k *keptLease) Release(ctx context.Context) error {
+	k.stop()
+	_ = k.group.Wait()
+	return k.Held.Release(ctx)
+}
+
+// newDomains makes the contender for domains.
 func (d *daemon) newDomains() {
+	leases := lease.New(lease.Config{
+		Store:    d.store,
+		Instance: ident.Instance(d.settings.Instance + processMark + strconv.FormatInt(time.Now().UnixNano(), 36)),
+		Logger:   d.log.Named("lease"),
+	})
+	open := opener{daemon: d, client: &http.Client{Transport: worker.NewTransport()}}
 	d.domains = domain.New(domain.Config{
-		Self: d.roster.Self(), Roster: d.roster, Peers: d.link, Logger: d.log.Named("domain"),
-		Acquire: func(context.Context, ident.DataCentre) (domain.Lease, error) {
-			return nil, fault.New(fault.Conflict, "acquire", "", "not wired yet")
+		Self:   d.roster.Self(),
+		Roster: d.roster,
+		Peers:  d.link,
+		Acquire: func(ctx context.Context, dc ident.DataCentre) (domain.Lease, error) {
+			held, err := leases.Acquire(ctx, dc)
+			if err != nil {
+				return nil, err
+			}
+			return keep(held), nil
 		},
-		Holder: func(context.Context, ident.DataCentre) (ident.Instance, error) { return "", nil },
+		Holder: func(ctx context.Context, dc ident.DataCentre) (ident.Instance, error) {
+			holding, err := leases.Read(ctx, dc)
+			name, _, _ := strings.Cut(string(holding.Holder), processMark)
+			return ident.Instance(name), err
+		},
+		Open:   open.open,
+		Logger: d.log.Named("domain"),
+	})
+}
+
+// opener makes the schedulers of domains.
+type opener struct {
+	daemon *daemon
+	client *http.Client
+}
+
+func (o opener) open(dc ident.DataCentre, held domain.Lease) domain.Scheduler {
+	return gang.New(gang.Config{
+		DataCentre: dc,
+		Store:      o.daemon.store,
+		Lease:      held.(*keptLease).Held,
+		Engine:     place.New(place.Config{}),
+		Workers:    o.worker,
+		Logger:     o.daemon.log.Named("gang"),
+		Registerer: o.daemon.registry,
 	})
 }
+
+func (o opener) worker(name ident.Worker, address string) worker.Client {
+	return worker.New(worker.Config{Worker: name, Address: address, HTTP: o.client})
+}
