--- a/sard/domain/manager_test.go
+++ b/sard/domain/manager_test.go
@@ -63,7 +63,9 @@
 }
 func (s *scheduler) SetTopology([]fleet.Worker) {}
 func (s *scheduler) Configure(place.Configure)  {}
-func (s *scheduler) Summary() place.Summary     { return place.Summary{Accelerators: 64, Free: 64, LargestFree: 64} }
+func (s *scheduler) Summary() place.Summary {
+	return place.Summary{Accelerators: 64, Free: 64, LargestFree: 64}
+}
 
 // kept renews a lease until it is released.
 type kept struct {
--- a/sard/gang/service.go
+++ b/sard/gang/service.go
@@ -38,7 +38,7 @@
 		return view, err
 	}
 	next := record{
-		ID:             ident.Job(string(d.config.DataCentre) + "/" + strings.ToLower(rand.Text())),
+		ID:             ident.Job(string(d.config.DataCentre) + domainMark + strings.ToLower(rand.Text())),
 		Account:        account,
 		IdempotencyKey: key,
 		Spec:           spec,
