--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -36,6 +36,7 @@
 	log      hclog.Logger
 	registry *prometheus.Registry
 	promises *prometheus.CounterVec
+	traffic  *traffic
 
 	store   *table.Client
 	fleet   *fleet.Client
@@ -63,6 +64,7 @@
 		Help: "Steps that were refused because they would have broken a promise, and broken promises that were seen.",
 	}, []string{"promise"})
 	d.registry.MustRegister(d.promises)
+	d.traffic = newTraffic(d.registry)
 	tokens, err := creds.LoadTokens(s.Secrets.Tokens)
 	if err != nil {
 		return nil, err
@@ -106,21 +108,33 @@
 		AccessKey: s.Table.AccessKey,
 		SecretKey: s.Table.SecretKey,
 		Table:     s.Table.Name,
+		Dial:      d.traffic.dialer("table"),
 		Metrics:   d.registry,
 		Log:       d.log.Named("table"),
 	})
 	if err != nil {
 		return err
 	}
-	d.fleet, err = fleet.New(fleet.Config{Endpoint: s.Fleet.URL, Metrics: d.registry, Period: s.Fleet.Period, Log: d.log.Named("fleet")})
+	d.fleet, err = fleet.New(fleet.Config{
+		Endpoint: s.Fleet.URL,
+		Dial:     d.traffic.dialer("fleet"),
+		Period:   s.Fleet.Period,
+		Metrics:  d.registry,
+		Log:      d.log.Named("fleet"),
+	})
 	return err
 }
 
 func (d *daemon) newLink(ctx context.Context, secure *tls.Config, h peer.Handler) {
-	cfg := peer.Config{Secret: d.settings.Secrets.PeerSecret, Handler: h, Logger: d.log.Named("peer")}
+	transport := &http.Transport{DialContext: d.traffic.dialer("instance"), TLSClientConfig: secure}
+	cfg := peer.Config{
+		Secret:  d.settings.Secrets.PeerSecret,
+		Client:  &http.Client{Transport: transport},
+		Handler: h,
+		Logger:  d.log.Named("peer"),
+	}
 	if secure != nil {
 		cfg.Scheme = "wss"
-		cfg.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: secure}}
 	}
 	d.link = peer.New(ctx, cfg)
 }
@@ -225,10 +239,10 @@
 	}{
 		{"api", d.settings.API, api, secure},
 		{"health", d.settings.Health, health, nil},
-		{"peers", d.settings.Peers, peers, mutual},
+		{peersName, d.settings.Peers, peers, mutual},
 	}
 	for _, w := range wanted {
-		l, err := listen(w.name, w.address, w.handler, w.secure)
+		l, err := d.listen(w.name, w.address, w.handler, w.secure)
 		if err != nil {
 			return err
 		}
--- a/sardined/domains.go
+++ b/sardined/domains.go
@@ -49,7 +49,9 @@
 		Instance: ident.Instance(d.settings.Instance + processMark + strconv.FormatInt(time.Now().UnixNano(), 36)),
 		Logger:   d.log.Named("lease"),
 	})
-	open := opener{daemon: d, client: &http.Client{Transport: worker.NewTransport()}}
+	transport := worker.NewTransport()
+	transport.DialContext = d.traffic.dialer("worker")
+	open := opener{daemon: d, client: &http.Client{Transport: transport}}
 	d.domains = domain.New(domain.Config{
 		Self:   d.roster.Self(),
 		Roster: d.roster,
--- a/sardined/listen.go
+++ b/sardined/listen.go
@@ -24,12 +24,18 @@
 	server *http.Server
 }
 
+// peersName is the name of the listener of the peer link, whose bytes are counted.
+const peersName = "peers"
+
 // listen opens a socket. A nil secure means plain HTTP.
-func listen(name, address string, h http.Handler, secure *tls.Config) (*listener, error) {
+func (d *daemon) listen(name, address string, h http.Handler, secure *tls.Config) (*listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "listen for "+name, address)
 	}
+	if name == peersName {
+		socket = countedListener{Listener: socket, traffic: d.traffic, peer: "instance"}
+	}
 	if secure != nil {
 		socket = tls.NewListener(socket, secure)
 	}
