Check placement by random events; measure bursts beside baselines

Cause: promises and targets of placement need proof and figures. Change: a model in the tests that shares no code with the engine; suites in sard/bench played in virtual time; sardbench prints them. Faults that the model found and that are mended here: sizes above 256 crashed the sums of load; unused guarantees stayed on lost workers after their user ended; claims outlived a change of cells; restored gangs were adopted one by one and left out peers; a gang entered a guarantee twice; one gang's failed search hid the guarantee kept for another of its size.

--- a/sard/place/claim.go
+++ b/sard/place/claim.go
@@ -13,7 +13,7 @@
 	}
 	e.ledger.join(g, o.grant)
 	if err := e.auditClaim(g, o.parts); err != nil {
-		e.ledger.leave(g)
+		e.leave(g)
 		e.breached(g, err)
 		return
 	}
@@ -62,7 +62,7 @@
 		e.claims = without(e.claims, g)
 		e.ledger.unhold(g.parts)
 		if err := e.audit(g, g.parts); err != nil {
-			e.ledger.leave(g)
+			e.leave(g)
 			g.parts = nil
 			e.wait(g)
 			e.breached(g, err)
@@ -76,14 +76,15 @@
 func (e *Engine) dropClaim(g *gang) {
 	e.claims = without(e.claims, g)
 	e.ledger.unhold(g.parts)
-	e.ledger.leave(g)
+	e.leave(g)
 	g.parts = nil
 }
 
-// dropBrokenClaims makes gangs wait again whose claimed accelerators went out of service.
+// dropBrokenClaims makes gangs wait again whose claimed accelerators went out of service or are no longer in a
+// smallest cell in service.
 func (e *Engine) dropBrokenClaims() {
 	for _, g := range slices.Clone(e.claims) {
-		if !e.ledger.alive(g.parts) {
+		if e.auditWhole(g, g.parts) != nil {
 			e.dropClaim(g)
 			e.wait(g)
 		}
--- a/sard/place/compact.go
+++ b/sard/place/compact.go
@@ -16,6 +16,7 @@
 // tick does what is due by time alone.
 func (e *Engine) tick() {
 	e.load.dirty = true
+	e.resettle = e.resettle || len(e.shortages) > 0
 	e.releaseProven()
 	e.compact()
 }
--- a/sard/place/configure.go
+++ b/sard/place/configure.go
@@ -7,13 +7,15 @@
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
-// configure takes new guarantees and weights in. Gangs that run stay where they are.
+// configure takes new guarantees and weights in. Gangs that run stay where they are, within their guarantees as
+// far as the new ones reach, else as borrowers.
 func (e *Engine) configure(ev Configure) {
 	e.objective = ev.Objective
 	e.grace = ev.CheckpointGrace
 	if e.grace <= 0 {
 		e.grace = e.config.CheckpointGrace
 	}
+	within := e.users()
 	e.leaveAll()
 	e.accounts = map[ident.Account]*account{}
 	e.grants = nil
@@ -24,7 +26,7 @@
 	for _, g := range e.gangs {
 		g.account = e.account(g.Account)
 	}
-	e.rebuild(e.ledger.topo)
+	e.rebuild(e.ledger.topo, within...)
 }
 
 func (e *Engine) addAccount(spec Account) {
@@ -144,14 +146,14 @@
 	for _, g := range e.placed {
 		e.ledger.occupy(g)
 	}
-	inside := slices.Clone(e.placed)
+	inside := slices.DeleteFunc(slices.Clone(e.placed), func(g *gang) bool {
+		return g.Checkpointable && !slices.Contains(within, g)
+	})
 	slices.SortStableFunc(inside, func(a, b *gang) int {
-		return cmp.Or(cmp.Compare(b.size(), a.size()), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(b.firmness()-a.firmness(), cmp.Compare(b.size(), a.size()), cmp.Compare(a.ID, b.ID))
 	})
 	for _, g := range inside {
-		if !g.Checkpointable || slices.Contains(within, g) {
-			e.adopt(g)
-		}
+		e.adopt(g, inside)
 	}
 	e.resettle = true
 	e.load.dirty = true
--- a/sard/place/engine.go
+++ b/sard/place/engine.go
@@ -27,17 +27,20 @@
 	health      map[ident.Worker]*health
 	quarantined []ident.Worker
 	reserved    []*reservation
+	// restored are the gangs that are not in the ledger yet, since more may follow.
+	restored []*gang
 	// tries counts the searches for a cell to reserve in a pass.
 	tries    int
 	runTimes runTimes
 	load     load
 	memo     memo
 	// resettle asks for another try to bind the grants that are short.
-	resettle  bool
-	shortages []Shortage
-	breaches  uint64
-	breach    string
-	out       []Decision
+	resettle   bool
+	nextSettle time.Time
+	shortages  []Shortage
+	breaches   uint64
+	breach     string
+	out        []Decision
 }
 
 // New returns an engine without workers, accounts and jobs.
@@ -60,6 +63,9 @@
 		e.now = at
 	}
 	e.out = nil
+	if _, more := ev.(Restore); !more {
+		e.adoptRestored()
+	}
 	if e.take(ev) {
 		e.mend()
 		e.schedule()
--- a/sard/place/gang.go
+++ b/sard/place/gang.go
@@ -57,6 +57,14 @@
 	return g.grant != nil || !g.Checkpointable
 }
 
+// firmness is 1 for a gang that can't be checkpointed, else 0.
+func (g *gang) firmness() int {
+	if g.Checkpointable {
+		return 0
+	}
+	return 1
+}
+
 // running tells whether the gang has accelerators.
 func (g *gang) running() bool {
 	return g.phase >= phasePlaced
--- a/sard/place/health.go
+++ b/sard/place/health.go
@@ -45,7 +45,7 @@
 // serve brings a worker in or out of service.
 func (e *Engine) serve(w int32) {
 	e.ledger.setAlive(w, e.inService(w))
-	e.resettle = true
+	e.resettle, e.nextSettle = true, time.Time{}
 	e.load.dirty = true
 }
 
--- a/sard/place/index.go
+++ b/sard/place/index.go
@@ -35,7 +35,12 @@
 		return
 	}
 	x.mask[w] = mask
-	x.cells[w] = workerCell(mask, int(x.topo.workers[w].Accelerators))
+	x.refresh(w)
+}
+
+// refresh sums the cells around worker w anew.
+func (x *index) refresh(w int32) {
+	x.cells[w] = workerCell(x.mask[w], int(x.topo.workers[w].Accelerators))
 	for v := x.topo.nodes[w].parent; v != none; v = x.topo.nodes[v].parent {
 		x.sum(v)
 	}
@@ -78,14 +83,26 @@
 	rest int32
 }
 
-// visit calls see for each spot with n available accelerators, and for one spot only of a cell that is
-// available as a whole. prune tells which nodes to leave out; nil for none.
+// visit calls see for each spot with n available accelerators. prune tells which nodes to leave out; nil for none.
 func (x *index) visit(n int, prune func(v int32) bool, see func(spot)) {
+	if prune == nil {
+		prune = func(int32) bool { return false }
+	}
+	x.start(n, prune, see)
+}
+
+// visitKinds is visit, but calls see for one spot only of a cell that is available as a whole.
+func (x *index) visitKinds(n int, see func(spot)) {
+	x.start(n, nil, see)
+}
+
+func (x *index) start(n int, prune func(v int32) bool, see func(spot)) {
 	if x.topo.root != none && n <= int(MaxGang) {
 		x.walk(x.topo.root, n, 0, prune, see)
 	}
 }
 
+// walk visits the spots below v. Without prune, one spot stands for those of a whole cell.
 func (x *index) walk(v int32, n int, whole int32, prune func(v int32) bool, see func(spot)) {
 	c, nd := &x.cells[v], &x.topo.nodes[v]
 	if int(c.best[class(n)]) < n || (prune != nil && prune(v)) {
@@ -96,7 +113,7 @@
 	}
 	switch {
 	case x.topo.leaf(v):
-		x.walkWorker(v, n, whole, see)
+		x.walkWorker(v, n, whole, prune == nil, see)
 	case n > int(nd.largest):
 		if int(c.count) >= n {
 			see(spot{node: v, whole: whole, rest: c.count - int32(n)})
@@ -109,7 +126,7 @@
 	}
 }
 
-func (x *index) walkWorker(w int32, n int, whole int32, see func(spot)) {
+func (x *index) walkWorker(w int32, n int, whole int32, kinds bool, see func(spot)) {
 	size := int(x.topo.workers[w].Accelerators)
 	k := class(n)
 	for i := range blocks(k, size) {
@@ -123,7 +140,7 @@
 			s.whole = wholeBlock(x.mask[w], k, i, size)
 		}
 		see(s)
-		if whole != 0 {
+		if whole != 0 && kinds {
 			return
 		}
 	}
--- a/sard/place/ledger.go
+++ b/sard/place/ledger.go
@@ -23,6 +23,8 @@
 	slots []slot
 	// capacity is the number of accelerators in service.
 	capacity int
+	// cellCounts are the numbers of cells of the size classes, 0 when not counted since the last change.
+	cellCounts [classes]int
 	// free are accelerators that a gang can have at once.
 	free *index
 	// room are those on which a guarantee may be bound without moving another.
@@ -49,10 +51,27 @@
 	l.loose.set(w, s.alive&^s.pinned&^s.firm)
 }
 
+// setAlive brings accelerators in or out of service.
 func (l *ledger) setAlive(w int32, mask uint64) {
+	if l.slots[w].alive == mask {
+		return
+	}
 	l.capacity += int(ones(mask) - ones(l.slots[w].alive))
 	l.slots[w].alive = mask
+	l.topo.resize(w, ones(mask))
+	l.cellCounts = [classes]int{}
 	l.touch(w)
+	for _, x := range []*index{l.free, l.room, l.loose} {
+		x.refresh(w)
+	}
+}
+
+// cells returns the number of cells in service for gangs of 2^k accelerators, at least 1.
+func (l *ledger) cells(k int) int {
+	if l.cellCounts[k] == 0 {
+		l.cellCounts[k] = max(1, l.topo.cellsOf(1<<k))
+	}
+	return l.cellCounts[k]
 }
 
 // freeTotal is the number of free accelerators.
--- a/sard/place/load.go
+++ b/sard/place/load.go
@@ -136,6 +136,6 @@
 	chain := 0.0
 	for k := classes - 1; k >= largeClass; k-- {
 		chain += byClass[k]
-		e.load.chains[k] = seconds(chain / max(1, float64(e.ledger.topo.cellsOf[k]<<k)))
+		e.load.chains[k] = seconds(chain / max(1, float64(e.ledger.cells(k)<<k)))
 	}
 }
--- a/sard/place/mend.go
+++ b/sard/place/mend.go
@@ -2,10 +2,14 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
+// settlePause is the least time between two attempts to bind all unused guarantees anew.
+const settlePause = 5 * time.Second
+
 // mend binds guarantees that are short or stand on workers out of service, when something changed.
 func (e *Engine) mend() {
 	if !e.resettle {
@@ -15,13 +19,14 @@
 	e.dropBrokenClaims()
 	short := false
 	for _, r := range e.grants {
-		if r.inUse() || (r.bound() && e.ledger.alive(r.region)) {
+		if r.inUse() || (!e.short(r) && e.ledger.usable(r)) {
 			continue
 		}
 		e.ledger.unbind(r)
 		short = !e.ledger.settle(r) || short
 	}
-	if short {
+	if short && !e.now.Before(e.nextSettle) {
+		e.nextSettle = e.now.Add(settlePause)
 		e.settleAll()
 	}
 }
@@ -52,6 +57,17 @@
 	}
 }
 
+// usable tells whether an unused grant's region lies within a smallest aligned cell in service and holds no gang
+// that can't be reclaimed.
+func (l *ledger) usable(r *grant) bool {
+	for _, p := range r.region {
+		if l.slots[p.worker].firm&p.set != 0 {
+			return false
+		}
+	}
+	return l.topo.minimal(r.home, r.size)
+}
+
 // short tells whether the account can't have the cell of a guarantee as a whole.
 func (e *Engine) short(r *grant) bool {
 	return !r.bound() || !e.ledger.alive(r.region)
--- a/sard/place/move.go
+++ b/sard/place/move.go
@@ -18,7 +18,7 @@
 	sets := map[int32]uint64{}
 	n := 0
 	for _, p := range parts {
-		sets[p.worker] = p.set
+		sets[p.worker] |= p.set
 		n += int(ones(p.set))
 	}
 	rest := func(w int32) uint64 { return avail(w) &^ sets[w] }
--- a/sard/place/offer.go
+++ b/sard/place/offer.go
@@ -32,7 +32,7 @@
 	if len(g.account.grants) == 0 {
 		return offer{}, false
 	}
-	key := g.memoKey()
+	key := e.memoKey(g)
 	if _, failed := e.memo[key]; failed {
 		return offer{}, false
 	}
@@ -193,7 +193,8 @@
 	cost cost
 }
 
-// homes returns the cells that promise to be the cheapest, the best first. The present region's comes among them.
+// homes returns the cells that promise to be the cheapest, the best first, and that of the present region, from
+// which no other guarantee has to give way.
 func (e *Engine) homes(g *gang, r *grant) []spot {
 	var top []home
 	e.ledger.loose.visit(r.size, nil, func(s spot) {
@@ -209,6 +210,9 @@
 	for _, h := range top {
 		spots = append(spots, h.spot)
 	}
+	if own, ok := e.ledger.topo.spotAround(r.region, r.size); ok {
+		spots = append(spots, own)
+	}
 	return spots
 }
 
--- a/sard/place/schedule.go
+++ b/sard/place/schedule.go
@@ -13,10 +13,12 @@
 	account      *account
 	size         int
 	urgent, aged bool
+	// kept gangs have a guarantee kept for them.
+	kept bool
 }
 
-func (g *gang) memoKey() memoKey {
-	return memoKey{account: g.account, size: g.size(), urgent: g.Urgent, aged: g.aged}
+func (e *Engine) memoKey(g *gang) memoKey {
+	return memoKey{account: g.account, size: g.size(), urgent: g.Urgent, aged: g.aged, kept: e.keeps(g)}
 }
 
 // schedule gives every waiting gang its turn.
@@ -68,12 +70,17 @@
 func (e *Engine) freeSpot(g *gang) (spot, bool) {
 	var found spot
 	best, ok := cost{}, false
-	e.ledger.free.visit(g.size(), e.closedTo(g), func(s spot) {
-		c := cost{int64(s.whole), int64(s.rest), e.avoidance(g, s), int64(e.ledger.around(s))}
+	see := func(s spot) {
+		c := cost{e.avoidance(g, s), int64(s.whole), int64(s.rest), int64(e.ledger.around(s))}
 		if !ok || c.less(best) {
 			found, best, ok = s, c, true
 		}
-	})
+	}
+	if closed := e.closedTo(g); closed != nil || len(g.blamed) > 0 {
+		e.ledger.free.visit(g.size(), closed, see)
+	} else {
+		e.ledger.free.visitKinds(g.size(), see)
+	}
 	return found, ok
 }
 
@@ -122,6 +129,17 @@
 // vacate takes a gang's accelerators back.
 func (e *Engine) vacate(g *gang) {
 	e.ledger.vacate(g)
-	e.ledger.leave(g)
+	e.leave(g)
 	e.placed = without(e.placed, g)
+	if len(e.shortages) > 0 {
+		e.resettle = true
+	}
+}
+
+// leave ends a gang's use of its guarantee, which is bound anew when its region is not whole any more.
+func (e *Engine) leave(g *gang) {
+	if r := g.grant; r != nil && (e.short(r) || !e.ledger.usable(r)) {
+		e.resettle = true
+	}
+	e.ledger.leave(g)
 }
--- a/sard/place/submit.go
+++ b/sard/place/submit.go
@@ -14,7 +14,7 @@
 	g := &gang{Job: job, account: e.account(job.Account), probe: none}
 	e.gangs[job.ID] = g
 	e.wait(g)
-	return true
+	return !e.refuseHopeless(g)
 }
 
 // wait puts a gang into the queue.
@@ -52,8 +52,8 @@
 		e.refuse(g, "a gang has 1 to %d accelerators, this one %d", MaxGang, n)
 	case topo.root == none:
 		return false
-	case n > int(topo.nodes[topo.root].size):
-		e.refuse(g, "the data centre has %d accelerators, the gang needs %d", topo.nodes[topo.root].size, n)
+	case n > topo.nominal:
+		e.refuse(g, "the data centre has %d accelerators, the gang needs %d", topo.nominal, n)
 	case !g.Checkpointable && n > g.account.largest():
 		e.refuse(g, "a job that can't be checkpointed runs only within a guarantee; the largest of %s is %d, the gang needs %d",
 			g.Account, g.account.largest(), n)
--- a/sard/place/summary.go
+++ b/sard/place/summary.go
@@ -48,7 +48,7 @@
 		return 0
 	}
 	count := 0
-	e.ledger.free.visit(n, func(int32) bool { return false }, func(s spot) { count++ })
+	e.ledger.free.visit(n, nil, func(s spot) { count++ })
 	return count
 }
 
--- a/sard/place/topology.go
+++ b/sard/place/topology.go
@@ -15,7 +15,7 @@
 	parent, left, right int32
 	// first and last are the range of workers, last excluded.
 	first, last int32
-	// size is the number of accelerators in service or not; largest is that of the larger child.
+	// size is the number of accelerators in service; largest is that of the larger child.
 	size, largest int32
 }
 
@@ -25,8 +25,8 @@
 	byName  map[ident.Worker]int32
 	nodes   []node
 	root    int32
-	// cellsOf is the number of cells for gangs of each size class.
-	cellsOf [classes]int
+	// nominal is the number of accelerators, in service or not.
+	nominal int
 }
 
 func newTopology(workers []Worker) *topology {
@@ -36,8 +36,8 @@
 		t.nodes = append(t.nodes, node{
 			parent: none, left: none, right: none,
 			first: int32(i), last: int32(i) + 1,
-			size: int32(w.Accelerators),
 		})
+		t.nominal += int(w.Accelerators)
 	}
 	var racks []int32
 	for first := 0; first < len(workers); {
@@ -50,18 +50,31 @@
 	}
 	if len(racks) > 0 {
 		t.root = t.join(racks)
-		t.countCells()
 	}
 	return t
 }
 
-func (t *topology) countCells() {
-	all := func(w int32) uint64 { return fullMask(t.workers[w].Accelerators) }
-	for k := range classes {
-		t.spots(t.root, 1<<k, all, func(spot) { t.cellsOf[k]++ })
+// resize sets the number of a worker's accelerators in service.
+func (t *topology) resize(w, size int32) {
+	t.nodes[w].size = size
+	for v := t.nodes[w].parent; v != none; v = t.nodes[v].parent {
+		nd := &t.nodes[v]
+		l, r := t.nodes[nd.left].size, t.nodes[nd.right].size
+		nd.size, nd.largest = l+r, max(l, r)
 	}
 }
 
+// cellsOf counts the smallest aligned cells in service for gangs of n.
+func (t *topology) cellsOf(n int) int {
+	count := 0
+	for v := range t.nodes {
+		if t.minimal(int32(v), n) {
+			count++
+		}
+	}
+	return count
+}
+
 func leaves(first, last int) []int32 {
 	var ids []int32
 	for i := first; i < last; i++ {
@@ -83,12 +96,11 @@
 	l.parent, r.parent = id, id
 	t.nodes = append(t.nodes, node{
 		parent: none, left: left, right: right, first: l.first, last: r.last,
-		size: l.size + r.size, largest: max(l.size, r.size),
 	})
 	return id
 }
 
-// minimal tells whether node v is a smallest aligned cell that holds n accelerators.
+// minimal tells whether node v is a smallest aligned cell in service that holds n accelerators.
 func (t *topology) minimal(v int32, n int) bool {
 	nd := &t.nodes[v]
 	if t.leaf(v) {
--- a/sardbench/main.go
+++ b/sardbench/main.go
@@ -1,4 +1,52 @@
 // Command sardbench prints the benchmark figures against their bounds.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sardineline/sardineline/sard/bench"
+)
+
+// version is set when the program is built.
+var version = "devel"
+
+// options are the settings of the program.
+type options struct {
+	Suite   string `long:"suite" env:"SARDBENCH_SUITE" description:"Run the suites whose names start with this."`
+	Known   string `long:"known-red" env:"SARDBENCH_KNOWN_RED" default:"KNOWN-RED.txt" description:"File of known faults; figures that it names as \"bench NAME\" don't fail the run."`
+	Version bool   `long:"version" description:"Print the version and exit."`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+// run returns the exit code: 0 when all figures keep their bounds, 1 when one is over and not known, 2 for bad settings.
+func run() int {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	if opts.Version {
+		fmt.Fprintln(os.Stdout, version)
+		return 0
+	}
+	over := bench.Run(os.Stdout, bench.Suites, opts.Suite)
+	known, err := bench.ReadKnown(opts.Known)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if unknown := known.Unknown(os.Stdout, over); len(unknown) > 0 {
+		return 1
+	}
+	return 0
+}
