Refuse connections at dead machines

Cause: a dead worker or server still took connections and cut them, so that a client could not tell a request that was never sent.

--- a/standin/main.go
+++ b/standin/main.go
@@ -35,6 +35,7 @@
 	Environment string `long:"environment" short:"e" env:"STANDIN_ENVIRONMENT" description:"environment file (YAML)" required:"true"`
 	Host        string `long:"host" env:"STANDIN_HOST" default:"127.0.0.1" description:"IP number of all listeners"`
 	Base        int    `long:"base" env:"STANDIN_BASE" default:"21000" description:"first port"`
+	Seed        uint64 `long:"seed" env:"STANDIN_SEED" description:"seed of the faults' draws, in place of the environment file's"`
 	Level       string `long:"level" env:"STANDIN_LEVEL" default:"info" description:"log level: trace, debug, info, warn or error"`
 	JSON        bool   `long:"json" env:"STANDIN_JSON" description:"write the log as JSON"`
 	Version     bool   `long:"version" description:"print the version"`
@@ -75,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if opts.Seed != 0 {
+		env.Seed = opts.Seed
+	}
 	ports := setup.Ports{Host: opts.Host, Base: opts.Base}
 	w, err := world.New(world.Config{Environment: env, Ports: ports, Log: log})
 	if err != nil {
--- a/standin/server/listen.go
+++ b/standin/server/listen.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"sync"
-
-	"github.com/sardineline/sardineline/standin/faults"
 )
 
 // Listener holds a listener to the server's connection limit: a connection beyond it is closed at once.
@@ -31,10 +29,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.server.config.Faults.Has(l.server.place, faults.Die) {
-			_ = conn.Close()
-			continue
-		}
 		if l.server.connect() {
 			return &counted{Conn: conn, server: l.server}, nil
 		}
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -2,16 +2,10 @@
 package world
 
 import (
-	"context"
-	"errors"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
-	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/standin/blobs"
 	"github.com/sardineline/sardineline/standin/faults"
@@ -44,19 +38,9 @@
 	Workers map[ident.Worker]*worker.Worker
 	Servers map[ident.Server]*server.Server
 
-	listeners []endpoint
+	endpoints []endpoint
 }
 
-// endpoint is a handler at an address. wrap, when set, holds its listener to a limit.
-type endpoint struct {
-	address string
-	handler http.Handler
-	wrap    func(net.Listener) net.Listener
-}
-
-// headerTimeout bounds the reading of a request's header.
-const headerTimeout = 10 * time.Second
-
 // New makes a world with the faults of its environment on.
 func New(config Config) (*World, error) {
 	env := config.Environment
@@ -105,7 +89,8 @@
 			Log:            config.Log,
 		})
 		w.Workers[m.Name] = made
-		w.serve(m.Address, made)
+		at := faults.Place{Peer: faults.Worker, Name: string(m.Name), Rack: m.Rack, DataCentre: m.DataCentre}
+		w.endpoints = append(w.endpoints, endpoint{address: m.Address, handler: made, place: &at})
 	}
 	for _, m := range machines.Servers {
 		made := server.New(server.Config{
@@ -117,48 +102,11 @@
 			Ledger:      w.Ledger,
 		})
 		w.Servers[m.Name] = made
-		w.listeners = append(w.listeners, endpoint{address: m.Address, handler: made, wrap: made.Listener})
+		at := faults.Place{Peer: faults.Server, Name: string(m.Name), DataCentre: m.DataCentre}
+		w.endpoints = append(w.endpoints, endpoint{address: m.Address, handler: made, place: &at, wrap: made.Listener})
 	}
 }
 
 func (w *World) serve(address string, handler http.Handler) {
-	w.listeners = append(w.listeners, endpoint{address: address, handler: handler})
-}
-
-// ListenFunc opens a listener at an address.
-type ListenFunc func(address string) (net.Listener, error)
-
-// ListenTCP opens a TCP listener.
-func ListenTCP(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
+	w.endpoints = append(w.endpoints, endpoint{address: address, handler: handler})
 }
-
-// Serve listens at all addresses, calls ready, and serves until ctx ends.
-func (w *World) Serve(ctx context.Context, listen ListenFunc, ready func()) error {
-	group, ctx := errgroup.WithContext(ctx)
-	for _, e := range w.listeners {
-		l, err := listen(e.address)
-		if err != nil {
-			return fault.Wrap(err, fault.Invalid, "listen", e.address)
-		}
-		if e.wrap != nil {
-			l = e.wrap(l)
-		}
-		s := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, ErrorLog: discard}
-		group.Go(func() error { return s.Serve(l) })
-		group.Go(func() error {
-			<-ctx.Done()
-			return s.Close()
-		})
-	}
-	if ready != nil {
-		ready()
-	}
-	if err := group.Wait(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-// discard drops the log lines of net/http on connections that were cut on purpose.
-var discard = hclog.NewNullLogger().StandardLogger(nil)
--- a/standin/world/world_test.go
+++ b/standin/world/world_test.go
@@ -96,6 +96,7 @@
 		assert.Equal(t, call("POST", w.Ports.Control()+"/v1/faults", die, &reply), http.StatusOK)
 		assert.Equal(t, len(reply.Faults), 2)
 		assert.Equal(t, call("POST", w.Ports.Worker(0)+"/v1/report", worker.FenceRequest{}, nil), 0)
+		assert.Equal(t, call("GET", w.Ports.Server(0)+"/quotes/1", nil, nil), http.StatusOK)
 		die["Off"] = true
 		assert.Equal(t, call("POST", w.Ports.Control()+"/v1/faults", die, &reply), http.StatusOK)
 		assert.Equal(t, call("POST", w.Ports.Worker(0)+"/v1/report", worker.FenceRequest{}, nil), http.StatusOK)
