--- a/standin/fleets/fleets_test.go
+++ b/standin/fleets/fleets_test.go
@@ -96,6 +96,13 @@
 			},
 			func(s fleet.Snapshot) bool { return s.Servers[0].State == ident.Leaving },
 		},
+		{
+			"worker leaves",
+			func(r *rig) error {
+				return r.faults.Switch(faults.Fault{Peer: faults.Worker, Name: "w1", Kind: faults.Leave})
+			},
+			func(s fleet.Snapshot) bool { return s.Workers[1].State == ident.Leaving },
+		},
 		{
 			"instance registers",
 			func(r *rig) error {
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -99,6 +99,7 @@
 		{"stalls", faults.Fault{Kind: faults.Stall}, reply{}, 1},
 		{"frozen", faults.Fault{Kind: faults.Freeze, For: ident.Duration(time.Minute)}, reply{}, 0},
 		{"late", faults.Fault{Kind: faults.Late, Delay: ident.Duration(time.Second)}, reply{status: 200, echo: "r2", whole: true}, 1},
+		{"slow", faults.Fault{Kind: faults.Slow, Delay: ident.Duration(time.Second)}, reply{status: 200, echo: "r2", whole: true}, 1},
 		{"fails", faults.Fault{Kind: faults.FailAll}, reply{status: 500, echo: "r2", whole: true}, 1},
 		{"truncates", faults.Fault{Kind: faults.Truncate}, reply{status: 200, echo: "r2"}, 1},
 		{"crosses", faults.Fault{Kind: faults.Cross}, reply{status: 200, echo: "r1", whole: true}, 1},
