Judge deletions and freezes in the table's randomised run

Cause: the run did not check deletions, and the stand-in kept the whole text of each transaction for 10 minutes and walked all of them at each one. Change: deletions of own keys are judged; freezes join the faults; the stand-in keeps a digest in order of age.

--- a/sard/table/config.go
+++ b/sard/table/config.go
@@ -36,7 +36,8 @@
 	MaxAttempts int
 	// RetriesPerSecond bounds the retries of all calls together; 0 means 10.
 	RetriesPerSecond float64
-	// ReadsPerSecond and WritesPerSecond bound the items read and written; 0 means 160 and 50.
+	// ReadsPerSecond bounds the reads, of which a page of a list is one, and WritesPerSecond the items written;
+	// 0 means 160 and 50.
 	ReadsPerSecond  float64
 	WritesPerSecond float64
 	// Metrics registers the client's metrics; nil for none.
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -46,7 +46,7 @@
 	FailAll
 	// Die ends all that runs, forgets it and cuts connections until cleared (worker, server).
 	Die
-	// Freeze holds all calls until cleared; leases lapse meanwhile (worker, server).
+	// Freeze holds all calls until cleared; leases lapse meanwhile (all parts).
 	Freeze
 	// Leave drains the machine, and the list tells it later (worker, server).
 	Leave
--- a/standin/tables/calls.go
+++ b/standin/tables/calls.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -79,20 +80,20 @@
 }
 
 func (s *Service) transact(in transactInput) (any, error) {
-	payload, err := json.Marshal(in.TransactItems)
+	if n := len(in.TransactItems); n == 0 || n > table.MaxBatch {
+		return nil, invalid("a transaction has 1 to 100 items")
+	}
+	this, err := newTransaction(in)
 	if err != nil {
 		return nil, invalid(err.Error())
 	}
 	s.forget()
-	if seen, ok := s.done[in.ClientRequestToken]; ok && in.ClientRequestToken != "" {
-		if seen.payload != string(payload) {
+	if seen, ok := s.done[this.token]; ok {
+		if seen.payload != this.payload {
 			return nil, apiFailure(400, "IdempotentParameterMismatchException", "The token was used with other parameters")
 		}
 		return struct{}{}, nil
 	}
-	if n := len(in.TransactItems); n == 0 || n > table.MaxBatch {
-		return nil, invalid("a transaction has 1 to 100 items")
-	}
 	plans, failure := s.planAll(in.TransactItems)
 	if failure != nil {
 		return nil, failure
@@ -100,12 +101,31 @@
 	for _, p := range plans {
 		s.apply(p)
 	}
-	if in.ClientRequestToken != "" {
-		s.done[in.ClientRequestToken] = transaction{payload: string(payload), at: time.Now()}
-	}
+	s.remember(this)
 	return struct{}{}, nil
 }
 
+func newTransaction(in transactInput) (transaction, error) {
+	payload, err := json.Marshal(in.TransactItems)
+	return transaction{token: in.ClientRequestToken, payload: sha256.Sum256(payload), at: time.Now()}, err
+}
+
+func (s *Service) remember(t transaction) {
+	if t.token == "" {
+		return
+	}
+	s.done[t.token] = t
+	s.order = append(s.order, t)
+}
+
+// forget drops the transactions whose tokens have run out.
+func (s *Service) forget() {
+	for len(s.order) > 0 && time.Since(s.order[0].at) > tokenLifetime {
+		delete(s.done, s.order[0].token)
+		s.order = s.order[1:]
+	}
+}
+
 func (s *Service) planAll(items []transactItem) ([]plan, *apiError) {
 	var plans []plan
 	seen := map[table.Key]bool{}
@@ -156,15 +176,6 @@
 	s.writes = append(s.writes, applied)
 }
 
-// forget drops the transactions whose tokens have run out.
-func (s *Service) forget() {
-	for token, t := range s.done {
-		if time.Since(t.at) > tokenLifetime {
-			delete(s.done, token)
-		}
-	}
-}
-
 func itemOf(v values) (table.Item, *apiError) {
 	revision, ok := v.number(table.AttrRevision)
 	epoch, epochOK := v.number(table.AttrEpoch)
--- a/standin/tables/random_test.go
+++ b/standin/tables/random_test.go
@@ -48,7 +48,7 @@
 		}
 	})
 	kinds := []faults.Kind{
-		faults.Down, faults.Cut, faults.Slow, faults.Throttle, faults.LoseAnswer, faults.Stale,
+		faults.Down, faults.Cut, faults.Slow, faults.Throttle, faults.LoseAnswer, faults.Stale, faults.Freeze,
 	}
 	outages := rapid.Custom(func(rt *rapid.T) outage {
 		return outage{
@@ -68,11 +68,12 @@
 	}
 }
 
-// told is what a writer was told of the write that carries a body.
+// told is what a writer was told of the puts that carry a body, or of the deletion of a key.
 type told struct {
-	body string
-	keys int
-	err  error
+	body    string
+	keys    int
+	deleted table.Key
+	err     error
 }
 
 // writer runs its steps through a client of its own and keeps what it was told.
@@ -87,17 +88,25 @@
 		time.Sleep(s.Pause)
 		body := fmt.Sprintf("%d/%d", w.name, i)
 		batch := w.batch(s, body)
-		puts := 0
-		for _, write := range batch {
-			if _, ok := write.(table.Put); ok {
-				puts++
-			}
-		}
 		err := w.client.Apply(context.Background(), table.DecisionPriority, batch...)
-		w.results = append(w.results, told{body: body, keys: puts, err: err})
+		w.results = append(w.results, newTold(body, batch, err))
 	}
 }
 
+func newTold(body string, batch []table.Write, err error) told {
+	t := told{body: body, err: err}
+	for _, write := range batch {
+		switch write := write.(type) {
+		case table.Put:
+			t.keys++
+		case table.Delete:
+			t.deleted = write.Key
+		case table.Check:
+		}
+	}
+	return t
+}
+
 func (w *writer) batch(s step, body string) []table.Write {
 	shared := fmt.Sprintf("shared-%d", s.Key)
 	own := fmt.Sprintf("own-%s", body)
@@ -165,9 +174,11 @@
 func judge(writes []tables.Applied, writers []*writer) error {
 	revisions := map[table.Key]uint64{}
 	applied := map[string]int{}
+	deleted := map[table.Key]int{}
 	for _, w := range writes {
 		if w.Deleted {
 			revisions[w.Key] = 0
+			deleted[w.Key]++
 			continue
 		}
 		if revisions[w.Key]++; w.Revision != revisions[w.Key] {
@@ -176,6 +187,9 @@
 		applied[string(w.Body)]++
 	}
 	for _, w := range writers {
+		if err := judgeDeletions(w.results, deleted); err != nil {
+			return err
+		}
 		for _, told := range w.results {
 			if err := judgeOne(told, applied[told.body]); err != nil {
 				return err
@@ -185,6 +199,30 @@
 	return nil
 }
 
+// judgeDeletions checks the deletions of a writer's own keys, which are made once.
+func judgeDeletions(results []told, deleted map[table.Key]int) error {
+	least := map[table.Key]int{}
+	most := map[table.Key]int{}
+	for _, t := range results {
+		if t.deleted == (table.Key{}) {
+			continue
+		}
+		most[t.deleted] += 0
+		if t.err == nil {
+			least[t.deleted]++
+		}
+		if t.err == nil || fault.Is(t.err, fault.OutcomeUnknown) {
+			most[t.deleted]++
+		}
+	}
+	for key, n := range most {
+		if deleted[key] < least[key] || deleted[key] > n {
+			return fmt.Errorf("%v was deleted %d times, want %d to %d", key, deleted[key], least[key], n)
+		}
+	}
+	return nil
+}
+
 func judgeOne(t told, applied int) error {
 	switch {
 	case t.err == nil && applied != t.keys:
@@ -232,6 +270,8 @@
 		{"lost", nil, told{body: "x", keys: 1}, "told success, 0 of 1"},
 		{"doubled", append(one, tables.Applied{Key: key, Revision: 2, Body: []byte("x")}), told{body: "x", keys: 1}, "told success, 2 of 1"},
 		{"told wrong", one, told{body: "x", keys: 1, err: conflict}, "took effect"},
+		{"not deleted", one, told{deleted: key}, "deleted 0 times, want 1"},
+		{"deleted though told not", append(one, tables.Applied{Key: key, Deleted: true}), told{deleted: key, err: conflict}, "deleted 1 times"},
 		{"skipped", []tables.Applied{{Key: key, Revision: 2}}, told{}, "went to revision 2, want 1"},
 	}
 	for _, tt := range tests {
--- a/standin/tables/tables.go
+++ b/standin/tables/tables.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -43,9 +44,11 @@
 type Service struct {
 	config Config
 
-	mu     sync.Mutex
-	items  map[table.Key]row
-	done   map[string]transaction
+	mu    sync.Mutex
+	items map[table.Key]row
+	done  map[string]transaction
+	// order holds the transactions of done, the oldest first.
+	order  []transaction
 	writes []Applied
 	counts Counts
 }
@@ -58,7 +61,8 @@
 
 // transaction is a batch that took effect, remembered for its ClientRequestToken.
 type transaction struct {
-	payload string
+	token   string
+	payload [sha256.Size]byte
 	at      time.Time
 }
 
--- a/standin/world/serve.go
+++ b/standin/world/serve.go
@@ -35,7 +35,7 @@
 	return net.Listen("tcp", address)
 }
 
-// Serve listens at all addresses, calls ready, and serves until ctx ends.
+// Serve listens at all addresses, calls ready, and serves until ctx ends. A call that a fault holds may outlast it.
 func (w *World) Serve(ctx context.Context, listen ListenFunc, ready func()) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, e := range w.endpoints {
