--- a/sard/route/backend.go
+++ b/sard/route/backend.go
@@ -11,6 +11,8 @@
 // backend is what an instance knows of a backend server.
 type backend struct {
 	server fleet.Server
+	// own is how many of the server's slots are this instance's by the rendezvous order.
+	own int
 	// share is how many connections this instance may hold.
 	share int
 	// inFlight counts the slots that this instance holds, each with one connection.
@@ -20,7 +22,9 @@
 	free    int
 	freeAt  time.Time
 	fullTil time.Time
-	breaker breaker
+	// refusals counts the refusals since the last answer.
+	refusals int
+	breaker  breaker
 	// leavingTil is until when a sign of leaving holds; zero for no sign yet.
 	leavingTil time.Time
 	// gone is set once the server is no longer in the list.
@@ -40,17 +44,6 @@
 	refusedFor time.Duration
 }
 
-// freeLife is how long the number of free slots that a server told is trusted.
-const freeLife = time.Second
-
-// guess estimates the free slots.
-func (b *backend) guess(now time.Time) int {
-	if now.Sub(b.freeAt) > freeLife {
-		return b.server.Slots - b.inFlight
-	}
-	return b.free
-}
-
 // usable tells whether a request of a class may be sent now.
 func (b *backend) usable(now time.Time, class ident.RequestClass) bool {
 	switch {
--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -150,6 +150,7 @@
 	switch end := end.(type) {
 	case answered:
 		if again && end.failing && c.route.Class == ident.Idempotent && r.mayRetry() {
+			c.mayHaveRun = true
 			_ = end.answer.Body.Close()
 			return nil
 		}
--- a/sard/route/dispatch.go
+++ b/sard/route/dispatch.go
@@ -14,8 +14,6 @@
 const (
 	// shedEvery is the least time between two checks of all waiting requests.
 	shedEvery = 20 * time.Millisecond
-	// fullPause is how long a server without free slots is passed over before service times are known.
-	fullPause = 20 * time.Millisecond
 	// minRetryAfter is the least time after which a caller is told to come back.
 	minRetryAfter = time.Second
 )
@@ -61,6 +59,9 @@
 	if l.limit == 0 {
 		l.limit = r.limits.MaxWaitingRequests
 	}
+	if len(r.order) == 0 {
+		return r.givenUp(t, "no backend server is known", http.StatusServiceUnavailable)
+	}
 	if !first && l.waiting.Len() >= l.limit {
 		return r.givenUp(t, "too many requests of the account are waiting", http.StatusTooManyRequests)
 	}
@@ -105,7 +106,7 @@
 // dispatch hands slots to waiting tickets for as long as there are both.
 func (r *Router) dispatch(now time.Time) {
 	r.shed(now)
-	skip := map[*line]bool{}
+	var skip map[*line]bool
 	for {
 		l := r.queue.next(skip)
 		if l == nil {
@@ -114,6 +115,9 @@
 		t := l.head()
 		b := r.pick(now, t.class)
 		if b == nil {
+			if skip == nil {
+				skip = map[*line]bool{}
+			}
 			skip[l] = true
 			continue
 		}
@@ -127,28 +131,6 @@
 	r.metrics.waiting.Set(float64(r.queue.count))
 }
 
-// pick draws two servers that can be used and returns the one with more free slots, or nil.
-func (r *Router) pick(now time.Time, class ident.RequestClass) *backend {
-	n := len(r.order)
-	if n == 0 {
-		return nil
-	}
-	var best *backend
-	start, found := rand.IntN(n), 0
-	for i := 0; i < n && found < 2; i++ {
-		b := r.order[(start+i)%n]
-		if !b.usable(now, class) {
-			continue
-		}
-		found++
-		start = (start + rand.IntN(n)) % n
-		if best == nil || b.guess(now) > best.guess(now) {
-			best = b
-		}
-	}
-	return best
-}
-
 // shed gives up the waiting tickets that will not be done in time.
 func (r *Router) shed(now time.Time) {
 	if now.Sub(r.shedAt) < shedEvery {
@@ -192,21 +174,9 @@
 			at = b.fullTil
 		}
 	}
-	r.wakeAt(now, at)
-}
-
-func (r *Router) wakeAt(now, at time.Time) {
-	if r.wake == nil {
-		r.wake = time.AfterFunc(at.Sub(now), r.awake)
-		return
-	}
-	r.wake.Reset(at.Sub(now))
-}
-
-func (r *Router) awake() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	r.resize(now)
-	r.dispatch(now)
+	restart(&r.wake, at.Sub(now), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.dispatch(time.Now())
+	})
 }
--- a/sard/route/release.go
+++ b/sard/route/release.go
@@ -61,33 +61,7 @@
 		b.free++
 	case refusedEnd:
 		b.breaker.abandon()
-		b.full(now, max(s.refusedFor, r.pause(b)))
+		b.full(now, r.serviceMean(), s.refusedFor)
 	}
 	r.dispatch(now)
 }
-
-// freed takes the number of free slots that an answer told. The slot of the answer itself is free again.
-func (b *backend) freed(now time.Time, told int) {
-	b.fullTil = time.Time{}
-	if told == unknownFree {
-		b.free++
-		return
-	}
-	b.free = max(told, 1)
-	b.freeAt = now
-}
-
-// full passes the server over for a time.
-func (b *backend) full(now time.Time, pause time.Duration) {
-	b.free = 0
-	b.freeAt = now
-	b.fullTil = now.Add(pause)
-}
-
-// pause is how long a server without free slots is passed over: about as long as a request runs.
-func (r *Router) pause(b *backend) time.Duration {
-	if r.overall.mean == 0 || b.server.Slots == 0 {
-		return jitter(fullPause)
-	}
-	return jitter(r.overall.mean)
-}
--- a/sard/route/router.go
+++ b/sard/route/router.go
@@ -108,6 +108,7 @@
 	held     int
 	shedAt   time.Time
 	wake     *time.Timer
+	resizer  *time.Timer
 	running  int
 	idle     chan struct{}
 }
@@ -240,8 +241,10 @@
 	for _, b := range r.order {
 		b.closeIdle(0)
 	}
-	if r.wake != nil {
-		r.wake.Stop()
+	for _, timer := range []*time.Timer{r.wake, r.resizer} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 }
 
@@ -270,7 +273,6 @@
 func (r *Router) SetServers(servers []fleet.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
 	listed := map[ident.Server]bool{}
 	for _, s := range servers {
 		listed[s.Name] = true
@@ -287,8 +289,7 @@
 	for _, b := range r.backends {
 		r.order = append(r.order, b)
 	}
-	r.resize(now)
-	r.dispatch(now)
+	r.resize()
 }
 
 func (r *Router) setServer(s fleet.Server) {
--- a/sard/route/share.go
+++ b/sard/route/share.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,37 +14,52 @@
 type members struct {
 	self   ident.Instance
 	joined time.Time
-	// seen holds when each instance was last live.
-	seen map[ident.Instance]time.Time
+	// lost holds when each instance was lost; zero for live ones.
+	lost map[ident.Instance]time.Time
 }
 
-// update takes the live instances and forgets those that were lost before the time given.
-func (m *members) update(self ident.Instance, live []ident.Instance, now, forget time.Time) {
+// update takes the live instances.
+func (m *members) update(self ident.Instance, live []ident.Instance, now time.Time) {
 	if m.joined.IsZero() {
 		m.joined = now
-		m.seen = map[ident.Instance]time.Time{}
+		m.lost = map[ident.Instance]time.Time{}
 	}
 	m.self = self
-	m.seen[self] = now
+	for i, at := range m.lost {
+		if at.IsZero() {
+			m.lost[i] = now
+		}
+	}
+	m.lost[self] = time.Time{}
 	for _, i := range live {
-		m.seen[i] = now
+		m.lost[i] = time.Time{}
 	}
-	for i, at := range m.seen {
-		if at.Before(forget) {
-			delete(m.seen, i)
+}
+
+// forget drops the instances that were lost at the given time or before. It returns when the next is due, or zero.
+func (m *members) forget(before time.Time) time.Time {
+	var next time.Time
+	for i, at := range m.lost {
+		switch {
+		case at.IsZero():
+		case !at.After(before):
+			delete(m.lost, i)
+		case next.IsZero() || at.Before(next):
+			next = at
 		}
 	}
+	return next
 }
 
 // share returns how many connections to s this instance may hold. As many as s has slots are left out of the
 // division: after a share has shrunk, that many requests can still be running on connections beyond it.
 func (m *members) share(s fleet.Server) int {
-	if len(m.seen) == 0 {
+	if len(m.lost) == 0 {
 		return 0
 	}
 	shared := max(s.Connections-s.Slots, 0)
-	own := shared / len(m.seen)
-	if m.rank(s.Name) < shared%len(m.seen) {
+	own := shared / len(m.lost)
+	if m.rank(s.Name) < shared%len(m.lost) {
 		own++
 	}
 	return own
@@ -53,7 +69,7 @@
 func (m *members) rank(s ident.Server) int {
 	own := weigh(m.self, s)
 	rank := 0
-	for i := range m.seen {
+	for i := range m.lost {
 		w := weigh(i, s)
 		if w > own || w == own && i > m.self {
 			rank++
@@ -62,6 +78,18 @@
 	return rank
 }
 
+// own returns how many slots of s are this instance's. The instances of one view divide the slots among them.
+func (m *members) own(s fleet.Server) int {
+	own := 0
+	for i := range s.Slots {
+		name := ident.Server(string(s.Name) + "#" + strconv.Itoa(i))
+		if m.rank(name) == 0 {
+			own++
+		}
+	}
+	return own
+}
+
 func weigh(i ident.Instance, s ident.Server) uint64 {
 	return xxhash.Sum64String(string(i) + "\x00" + string(s))
 }
@@ -71,25 +99,51 @@
 func (r *Router) SetInstances(self ident.Instance, live []ident.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.members.update(self, live, time.Now())
+	r.resize()
+}
+
+// resize computes the shares anew, closes idle connections beyond them and plans the next change.
+func (r *Router) resize() {
 	now := time.Now()
-	r.members.update(self, live, now, now.Add(-r.cfg.GrowDelay))
-	r.resize(now)
+	if r.members.joined.IsZero() {
+		return
+	}
+	due := r.members.forget(now.Add(-r.cfg.GrowDelay))
+	if !due.IsZero() {
+		due = due.Add(r.cfg.GrowDelay)
+	}
+	if joined := r.members.joined.Add(r.cfg.JoinDelay); now.Before(joined) {
+		due = joined
+	}
+	r.setShares(now.Before(r.members.joined.Add(r.cfg.JoinDelay)))
+	if !due.IsZero() {
+		restart(&r.resizer, due.Sub(now), func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.resize()
+		})
+	}
 	r.dispatch(now)
 }
 
-// resize computes the shares anew and closes idle connections beyond them.
-func (r *Router) resize(now time.Time) {
-	joining := r.members.joined.IsZero() || now.Sub(r.members.joined) < r.cfg.JoinDelay
+func (r *Router) setShares(joining bool) {
 	for _, b := range r.order {
-		b.share = 0
+		b.share, b.own = 0, 0
 		if !joining {
-			b.share = r.members.share(b.server)
+			b.share, b.own = r.members.share(b.server), r.members.own(b.server)
 		}
 		b.closeIdle(b.share)
 	}
-	if joining && !r.members.joined.IsZero() {
-		r.wakeAt(now, r.members.joined.Add(r.cfg.JoinDelay))
+}
+
+// restart sets a timer that calls f after d.
+func restart(timer **time.Timer, d time.Duration, f func()) {
+	if *timer == nil {
+		*timer = time.AfterFunc(d, f)
+		return
 	}
+	(*timer).Reset(d)
 }
 
 // Ready tells whether the JoinDelay is over and a document and servers are known.
