--- a/sard/route/pick.go
+++ b/sard/route/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
@@ -18,16 +19,27 @@
 
 // pick returns a server for a request of a class, or nil. The slots that this instance owns by the rendezvous
 // order come first: as long as each instance needs no more, no request is refused. Beyond them, a request goes to
-// a server that is likely to have a free slot of another instance; the server itself settles the races.
+// a server that is likely to have a free slot of another instance; the server itself settles the races. A
+// request that is not to be repeated ends with a refusal, so it takes such a chance only for want of owned slots.
 func (r *Router) pick(now time.Time, class ident.RequestClass) *backend {
 	own := func(b *backend) int { return b.own - b.inFlight }
 	if b := r.betterOfTwo(now, class, own); b != nil {
 		return b
 	}
+	if class == ident.NotRepeated && r.owns(now) {
+		return nil
+	}
 	life := r.freeLife()
 	return r.betterOfTwo(now, class, func(b *backend) int { return b.guess(now, life) })
 }
 
+// owns tells whether this instance owns a slot of any server that takes work.
+func (r *Router) owns(now time.Time) bool {
+	return slices.ContainsFunc(r.order, func(b *backend) bool {
+		return b.own > 0 && !b.leaving(now) && !b.breaker.open()
+	})
+}
+
 // betterOfTwo draws two usable servers with free slots and returns the one with more.
 func (r *Router) betterOfTwo(now time.Time, class ident.RequestClass, free func(*backend) int) *backend {
 	n := len(r.order)
--- a/sard/route/share.go
+++ b/sard/route/share.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,22 +20,24 @@
 	lost map[ident.Instance]time.Time
 }
 
-// update takes the live instances.
-func (m *members) update(self ident.Instance, live []ident.Instance, now time.Time) {
+// update takes the live instances. It returns false when they are the same as before.
+func (m *members) update(self ident.Instance, live []ident.Instance, now time.Time) bool {
+	before := maps.Clone(m.lost)
 	if m.joined.IsZero() {
 		m.joined = now
 		m.lost = map[ident.Instance]time.Time{}
 	}
 	m.self = self
+	current := append([]ident.Instance{self}, live...)
 	for i, at := range m.lost {
-		if at.IsZero() {
+		if at.IsZero() && !slices.Contains(current, i) {
 			m.lost[i] = now
 		}
 	}
-	m.lost[self] = time.Time{}
-	for _, i := range live {
+	for _, i := range current {
 		m.lost[i] = time.Time{}
 	}
+	return !maps.Equal(before, m.lost)
 }
 
 // forget drops the instances that were lost at the given time or before. It returns when the next is due, or zero.
@@ -99,8 +103,9 @@
 func (r *Router) SetInstances(self ident.Instance, live []ident.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.members.update(self, live, time.Now())
-	r.resize()
+	if r.members.update(self, live, time.Now()) {
+		r.resize()
+	}
 }
 
 // resize computes the shares anew, closes idle connections beyond them and plans the next change.
