Tell an acceptance only when most instances run the version

Cause: with the table down, instances went on as ready while most listed instances were reachable. Change: reports carry who was seen running a version. Without the table an instance stays ready only while most listed instances run its version and none knows a later one; restarted instances count only once their version was confirmed as of a moment after their start. An acceptance is told when most instances run the version, and as unknown otherwise; the same token asks again.

--- a/sard/config/agent.go
+++ b/sard/config/agent.go
@@ -64,13 +64,20 @@
 	confirmed time.Time
 	// pending is the confirmation of a version that is not in force yet.
 	pending confirmation
+	// established tells that a version was confirmed as of a moment after the start. Before that, this process does
+	// not know what its instance ran earlier.
+	established bool
+	started     time.Time
+	witnesses   witnesses
 	// heard is when each peer was last heard.
 	heard map[ident.Instance]time.Time
 	// wanted is the latest version that is known to be accepted, and who has it.
 	wanted      ident.Version
 	sources     []ident.Instance
 	subscribers []func(Accepted)
-	counts      Counts
+	// breachesBefore counts the broken promises before the version came into force.
+	breachesBefore uint64
+	counts         Counts
 
 	// installing orders the calls of subscribers.
 	installing sync.Mutex
@@ -99,6 +106,9 @@
 		wake:  make(chan struct{}, 1),
 		fresh: make(chan struct{}, 1),
 		heard: map[ident.Instance]time.Time{},
+
+		witnesses: witnesses{},
+		started:   time.Now(),
 	}
 }
 
--- a/sard/config/install.go
+++ b/sard/config/install.go
@@ -25,7 +25,7 @@
 		return fault.Wrap(err, fault.Invalid, "install document", from)
 	}
 	accepted := Accepted{Record: rec, Document: doc, Since: time.Now()}
-	if err := a.replace(accepted); err != nil {
+	if err := a.replace(accepted, a.breaches()); err != nil {
 		return err
 	}
 	a.log.Info("document in force", "version", rec.Version, "digest", rec.Digest, "author", rec.Author, "from", from)
@@ -37,7 +37,7 @@
 }
 
 // replace holds the step from one document to the next to the promise.
-func (a *Agent) replace(next Accepted) error {
+func (a *Agent) replace(next Accepted, breaches uint64) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if next.Version <= a.current.Version {
@@ -45,6 +45,8 @@
 	}
 	a.first = a.current.Version == 0
 	a.current = next
+	a.breachesBefore = breaches
+	a.witnesses = witnesses{}
 	a.confirm(a.pending)
 	return nil
 }
--- a/sard/config/propose.go
+++ b/sard/config/propose.go
@@ -112,6 +112,40 @@
 	return a.commit(ctx, c, plan, revision)
 }
 
+// mostPause is the time between two looks at how many instances run a version.
+const mostPause = 20 * time.Millisecond
+
+// mostTimeout bounds the wait for most instances to run a version.
+const mostTimeout = 8 * time.Second
+
+// awaitMost returns when most instances run a version. Until then its acceptance is not told, since instances
+// without the table could still go on under an earlier version.
+func (a *Agent) awaitMost(ctx context.Context, version ident.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, mostTimeout)
+	defer cancel()
+	for {
+		n, listed := a.running(version)
+		if 2*n > listed {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fault.New(fault.OutcomeUnknown, "spread document", "", "version %d is written but only %d of %d instances are known to run it", version, n, listed)
+		}
+		sleep(ctx, mostPause)
+	}
+}
+
+// running counts the instances that are known to run a version or a later one.
+func (a *Agent) running(version ident.Version) (n, listed int) {
+	listed = a.membership().Listed
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.current.Version < version {
+		return 0, listed
+	}
+	return a.inForceAt(), listed
+}
+
 // read parses a proposal's content or takes that of the version to restore.
 func (a *Agent) read(ctx context.Context, p Proposal) (candidate, error) {
 	if p.Restore != 0 {
@@ -188,7 +222,7 @@
 		err = a.cfg.Store.Apply(ctx, table.DecisionPriority, batch...)
 		switch {
 		case err == nil:
-			return a.accepted(rec)
+			return a.accepted(ctx, rec)
 		case fault.Is(err, fault.Conflict):
 			return a.resolve(ctx, c)
 		case fault.Is(err, fault.OutcomeUnknown):
@@ -223,22 +257,24 @@
 }
 
 // accepted puts a version in force here, from where it spreads.
-func (a *Agent) accepted(rec Record) (Verdict, error) {
+func (a *Agent) accepted(ctx context.Context, rec Record) (Verdict, error) {
 	a.log.Info("document accepted", "version", rec.Version, "digest", rec.Digest, "author", rec.Author)
 	if err := a.install(rec, "operator "+rec.Author); err != nil {
 		return Verdict{}, err
 	}
-	return Verdict{Head: rec.Head, Plan: rec.Plan}, nil
+	return Verdict{Head: rec.Head, Plan: rec.Plan}, a.awaitMost(ctx, rec.Version)
 }
 
 // settle ends a proposal that turned out to have been accepted. When a later version was accepted since, that one
 // is taken instead.
-func (a *Agent) settle(rec Record, head Head) (Verdict, error) {
+func (a *Agent) settle(ctx context.Context, rec Record, head Head) (Verdict, error) {
 	if head.Version == rec.Version {
-		return a.accepted(rec)
+		return a.accepted(ctx, rec)
+	}
+	if err := a.fetchTable(ctx, head.Version); err != nil {
+		return Verdict{}, fault.Wrap(err, fault.OutcomeUnknown, "propose document", "table")
 	}
-	a.learn(Report{Version: head.Version, Digest: head.Digest}, "", time.Time{})
-	return Verdict{Head: rec.Head, Plan: rec.Plan}, nil
+	return Verdict{Head: rec.Head, Plan: rec.Plan}, a.awaitMost(ctx, rec.Version)
 }
 
 // readBack looks whether a write whose result is unknown took effect. It is not settled while the version is free
@@ -266,7 +302,7 @@
 		return Verdict{}, fault.Wrap(err, fault.OutcomeUnknown, step, "table")
 	}
 	if next.Token == c.Token && next.Digest == c.digest {
-		return a.settle(next, head)
+		return a.settle(ctx, next, head)
 	}
 	changes, err := a.changesFrom(ctx, head, c)
 	if err != nil {
--- a/sard/config/ready.go
+++ b/sard/config/ready.go
@@ -44,8 +44,7 @@
 // not confirmed within the bound. The error is of kind Unavailable.
 //
 // A version is confirmed by a strongly consistent read of the table, by this instance or, at the age that a peer
-// tells, by another. While the table answers nobody, it is confirmed by peers: most of the listed instances are
-// heard and none has a later version. Accepting a document needs most instances too.
+// tells, by another. While the table answers nobody, it is confirmed by most of the listed instances running it.
 func (a *Agent) Ready() error {
 	members := a.membership()
 	a.mu.Lock()
@@ -58,11 +57,11 @@
 		return fault.New(fault.Unavailable, step, "", "the accepted document is not known yet")
 	case a.wanted > a.current.Version:
 		return fault.New(fault.Unavailable, step, "", "version %d is accepted but version %d is in force", a.wanted, a.current.Version)
-	case a.recent(a.confirmed) || members.most() && a.anyHeard():
+	case a.recent(a.confirmed) || a.quorum(members.Listed, a.oldest()):
 		return nil
 	}
-	return fault.New(fault.Unavailable, step, "", "version %d was not confirmed for %v: the table does not answer and %d of %d instances are heard",
-		a.current.Version, a.cfg.Bound, members.Reachable, members.Listed)
+	return fault.New(fault.Unavailable, step, "", "version %d was not confirmed for %v: the table does not answer and only %d of %d instances are known to run it",
+		a.current.Version, a.cfg.Bound, a.inForceAt(), members.Listed)
 }
 
 func (m Membership) most() bool {
@@ -73,15 +72,6 @@
 	return !t.IsZero() && time.Since(t) <= a.cfg.Bound
 }
 
-func (a *Agent) anyHeard() bool {
-	for _, at := range a.heard {
-		if a.recent(at) {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *Agent) unconfirmedFor() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/sard/config/spread.go
+++ b/sard/config/spread.go
@@ -24,6 +24,8 @@
 	Instance ident.Instance
 	Version  ident.Version
 	Digest   ident.Digest
+	// Known is the latest version that the instance knows to be accepted.
+	Known ident.Version
 	// InForceFor is how long the version has been in force at the instance.
 	InForceFor ident.Duration
 	// First tells that the version is the first of the process, so that InForceFor is bounded by its age.
@@ -32,7 +34,13 @@
 	Confirmed bool
 	// ConfirmedAgo is the age of a moment at which the table held no later version than this one.
 	ConfirmedAgo ident.Duration
-	// Breaches counts the broken promises that the instance has seen.
+	// Established tells that the instance's version was confirmed as of a moment after its start.
+	Established bool
+	// Asks tells that the instance wants Witnesses in the answer.
+	Asks bool
+	// Witnesses are the instances that were seen running the version, in no order.
+	Witnesses []Witness
+	// Breaches counts the broken promises that the instance has seen since the version came into force.
 	Breaches uint64
 }
 
@@ -64,12 +72,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := Report{
-		Instance:  a.cfg.Instance,
-		Version:   a.current.Version,
-		Digest:    a.current.Digest,
-		First:     a.first,
-		Confirmed: !a.confirmed.IsZero(),
-		Breaches:  breaches,
+		Instance:    a.cfg.Instance,
+		Version:     a.current.Version,
+		Digest:      a.current.Digest,
+		Known:       max(a.current.Version, a.wanted),
+		First:       a.first,
+		Confirmed:   !a.confirmed.IsZero(),
+		Established: a.established,
+		Breaches:    breaches - a.breachesBefore,
 	}
 	if r.Version > 0 {
 		r.InForceFor = ident.Duration(time.Since(a.current.Since))
@@ -89,7 +99,17 @@
 		a.hear(theirs.Instance)
 		a.learn(theirs, theirs.Instance, time.Time{})
 	}
-	return a.Report()
+	mine := a.Report()
+	if theirs.Asks && theirs.Version == mine.Version {
+		mine.Witnesses = a.listWitnesses()
+	}
+	return mine
+}
+
+func (a *Agent) listWitnesses() []Witness {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.witnesses.list(a.cfg.Bound)
 }
 
 // learn takes in that a version was accepted. When the report is confirmed, asOf is a moment no later than the one
@@ -100,14 +120,15 @@
 	if r.Confirmed {
 		a.confirm(confirmation{version: r.Version, at: asOf})
 	}
-	if r.Version <= a.current.Version || r.Version < a.wanted {
+	known := max(r.Version, r.Known)
+	if known <= a.current.Version || known < a.wanted {
 		return
 	}
-	if r.Version > a.wanted {
-		a.wanted = r.Version
+	if known > a.wanted {
+		a.wanted = known
 		a.sources = nil
 	}
-	if source != "" && !slices.Contains(a.sources, source) {
+	if source != "" && r.Version == known && !slices.Contains(a.sources, source) {
 		a.sources = append(a.sources, source)
 	}
 	notify(a.wake)
@@ -123,6 +144,7 @@
 	}
 	if c.at.After(a.confirmed) {
 		a.confirmed = c.at
+		a.established = a.established || a.current.Version > 0 && !c.at.Before(a.started)
 	}
 }
 
@@ -137,7 +159,7 @@
 	interval := func() time.Duration { return exchangeInterval }
 	return every(ctx, interval, func(ctx context.Context) {
 		peers := a.cfg.Peers.Neighbours()
-		if len(peers) > 0 && a.unconfirmedFor() < a.cfg.Bound/2 {
+		if len(peers) > 0 && !a.asks() {
 			peers = []ident.Instance{peers[rand.IntN(len(peers))]}
 		}
 		a.exchangeAll(ctx, peers)
@@ -171,7 +193,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := time.Now()
-	theirs, err := a.cfg.Peers.Exchange(ctx, peer, a.Report())
+	mine := a.Report()
+	mine.Asks = a.asks()
+	theirs, err := a.cfg.Peers.Exchange(ctx, peer, mine)
 	a.count(func(c *Counts) { c.ExchangesSent++ })
 	if err != nil {
 		a.log.Debug("report not exchanged", "peer", peer, "error", err)
@@ -182,6 +206,11 @@
 	}
 	a.hear(peer)
 	a.learn(theirs, peer, sent.Add(-theirs.ConfirmedAgo.Std()))
+	listed := a.membership().Listed
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attest(theirs, sent)
+	a.established = a.established || a.quorum(listed, a.started)
 }
 
 // fetchLoop gets each wanted version, one at a time.
