--- a/sardctl/job.go
+++ b/sardctl/job.go
@@ -78,6 +78,9 @@
 	return fetch[gang.View](s, get(fmt.Sprintf("%s/%s", pathJobs, job)))
 }
 
+// jobList is the body of both calls that list jobs.
+type jobList struct{ Jobs []gang.View }
+
 type listCommand struct {
 	All     bool `long:"all" description:"all accounts' jobs; needs an operator's token"`
 	session *session
@@ -89,11 +92,11 @@
 	if c.All {
 		path = oper.PathJobs
 	}
-	views, err := fetch[[]gang.View](c.session, get(path))
+	list, err := fetch[jobList](c.session, get(path))
 	if err != nil {
 		return err
 	}
-	return c.session.printJobs(views, views...)
+	return c.session.printJobs(list, list.Jobs...)
 }
 
 type cancelCommand struct {
@@ -215,7 +218,7 @@
 	Data   string `long:"data" short:"d" description:"body of the request"`
 	Key    string `long:"key" description:"idempotency key of a request that must not be repeated"`
 	Args   struct {
-		Path string `positional-arg-name:"PATH" description:"path of the route, such as /r/claims"`
+		Path string `positional-arg-name:"PATH" description:"path of the route, such as /claims"`
 	} `positional-args:"yes" required:"yes"`
 	session *session
 }
@@ -231,7 +234,7 @@
 	if c.Key != "" {
 		header.Set("Idempotency-Key", c.Key)
 	}
-	in := call{method: c.Method, path: c.Args.Path, header: header, body: []byte(c.Data), once: true}
+	in := call{method: c.Method, path: requestPrefix + c.Args.Path, header: header, body: []byte(c.Data), once: true}
 	resp, err := client.send(ctx, in)
 	if err != nil {
 		return err
