Measure the spread of documents and bound its fan-out

Change: reports go to the 8 peers that rank first, the same that get heartbeats; a peer that pushes a version counts as running it; bench.MeasureSpread runs real agents in memory.

--- /dev/null
+++ b/sard/bench/spread_test.go
@@ -0,0 +1,33 @@
+package bench_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/bench"
+)
+
+// TestSpreadInVirtualTime holds the time to in force to its bounds and logs the cost of the spread.
+func TestSpreadInVirtualTime(t *testing.T) {
+	tests := []struct {
+		n     int
+		bound time.Duration
+	}{
+		{9, 2 * time.Second},
+		{100, 10 * time.Second},
+		{400, 10 * time.Second},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			r, err := bench.MeasureSpread(t.Context(), tt.n)
+			assert.NilError(t, err)
+			last := r.InForce[len(r.InForce)-1]
+			assert.Assert(t, last <= tt.bound, "%d instances: %v", tt.n, last)
+			t.Logf("%d instances: in force p50 %v p99 %v max %v; told p50 %v max %v; rest a second %+v; a change %+v", tt.n,
+				r.InForce[len(r.InForce)/2], r.InForce[len(r.InForce)*99/100], last, r.Told[len(r.Told)/2], r.Told[len(r.Told)-1], r.Rest, r.Change)
+		})
+	}
+}
--- a/sard/config/agent.go
+++ b/sard/config/agent.go
@@ -28,6 +28,8 @@
 	Store    table.Store
 	// Peers are the other instances; nil for none.
 	Peers Peers
+	// Fanout is the number of peers that this instance exchanges reports with; 0 means 8.
+	Fanout int
 	// Plan places all guarantees at once on the environment's topology. Its error is of kind Invalid when the
 	// topology has too little room. Nil puts no plan into records.
 	Plan func(ctx context.Context, accounts []place.Account) ([]Share, error)
@@ -69,6 +71,8 @@
 	established bool
 	started     time.Time
 	witnesses   witnesses
+	// runs are the other instances that were ever seen running the version in force here.
+	runs map[uint32]bool
 	// heard is when each peer was last heard.
 	heard map[ident.Instance]time.Time
 	// wanted is the latest version that is known to be accepted, and who has it.
@@ -94,6 +98,9 @@
 	if cfg.Bound == 0 {
 		cfg.Bound = DefaultBound
 	}
+	if cfg.Fanout == 0 {
+		cfg.Fanout = DefaultFanout
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
@@ -108,6 +115,7 @@
 		heard: map[ident.Instance]time.Time{},
 
 		witnesses: witnesses{},
+		runs:      map[uint32]bool{},
 		started:   time.Now(),
 	}
 }
--- a/sard/config/install.go
+++ b/sard/config/install.go
@@ -47,6 +47,7 @@
 	a.current = next
 	a.breachesBefore = breaches
 	a.witnesses = witnesses{}
+	a.runs = map[uint32]bool{}
 	a.confirm(a.pending)
 	return nil
 }
--- a/sard/config/mesh_test.go
+++ b/sard/config/mesh_test.go
@@ -27,8 +27,6 @@
 type mesh struct {
 	t     *testing.T
 	store *table.Memory
-	// degree is the number of neighbours.
-	degree int
 
 	mu   sync.Mutex
 	rand *rand.Rand
@@ -59,9 +57,9 @@
 	last ident.Version
 }
 
-func newMesh(t *testing.T, n, degree int, seed uint64) *mesh {
+func newMesh(t *testing.T, n int, seed uint64) *mesh {
 	m := &mesh{
-		t: t, store: &table.Memory{}, degree: degree, rand: rand.New(rand.NewPCG(seed, seed)),
+		t: t, store: &table.Memory{}, rand: rand.New(rand.NewPCG(seed, seed)),
 		side: make([]int, n), cut: make([]bool, n), nodes: make([]*node, n), highest: make([]ident.Version, n),
 		seen: map[ident.Version]ident.Digest{},
 	}
@@ -202,16 +200,13 @@
 	return count
 }
 
-// Neighbours lists the next instances in a ring of the instances and, for half of them, distant ones.
+// Neighbours lists all other instances.
 func (n *node) Neighbours() []ident.Instance {
-	total := len(n.mesh.side)
 	var peers []ident.Instance
-	for step := 1; len(peers) < min(n.mesh.degree, total-1); step++ {
-		hop := step
-		if step%2 == 0 && n.mesh.degree < total-1 {
-			hop = 1 + (step*7919+n.index*104729)%(total-1)
+	for i := range n.mesh.side {
+		if i != n.index {
+			peers = append(peers, name(i))
 		}
-		peers = append(peers, name((n.index+hop)%total))
 	}
 	return peers
 }
--- a/sard/config/propose.go
+++ b/sard/config/propose.go
@@ -143,7 +143,7 @@
 	if a.current.Version < version {
 		return 0, listed
 	}
-	return a.inForceAt(), listed
+	return len(a.runs) + 1, listed
 }
 
 // read parses a proposal's content or takes that of the version to restore.
--- a/sard/config/quorum.go
+++ b/sard/config/quorum.go
@@ -63,13 +63,16 @@
 	if r.Version != a.current.Version || r.Version == 0 {
 		return
 	}
+	a.runs[witnessID(r.Instance)] = true
 	if r.Established && r.Known == r.Version {
 		a.witnesses.add(witnessID(r.Instance), asOf)
 	}
 	for _, w := range r.Witnesses {
+		a.runs[w.ID] = true
 		a.witnesses.add(w.ID, asOf.Add(-time.Duration(w.AgoMs)*time.Millisecond))
 	}
 	delete(a.witnesses, witnessID(a.cfg.Instance))
+	delete(a.runs, witnessID(a.cfg.Instance))
 }
 
 // inForceAt counts the instances, this one included, that were seen within the bound running the version in force
@@ -103,5 +106,5 @@
 	listed := a.membership().Listed
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.recent(a.current.Since) && 2*a.inForceAt() <= listed
+	return a.recent(a.current.Since) && 2*(len(a.runs)+1) <= listed
 }
--- a/sard/config/random_test.go
+++ b/sard/config/random_test.go
@@ -48,7 +48,7 @@
 
 // play runs a script and returns the failures.
 func play(t *testing.T, script []act) []string {
-	m := newMesh(t, randomInstances, randomInstances-1, 7)
+	m := newMesh(t, randomInstances, 7)
 	weight := 0
 	for _, a := range script {
 		weight++
--- a/sard/config/spread.go
+++ b/sard/config/spread.go
@@ -10,8 +10,12 @@
 
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/roster"
 )
 
+// DefaultFanout is the number of peers that an instance exchanges reports with.
+const DefaultFanout = 8
+
 const (
 	exchangeInterval = time.Second
 	exchangeTimeout  = 500 * time.Millisecond
@@ -46,7 +50,7 @@
 
 // Peers are the other instances. Its calls end with their context. Errors are *fault.Error.
 type Peers interface {
-	// Neighbours lists the peers that this instance exchanges reports with, in any order.
+	// Neighbours lists the peers that may be called, in any order.
 	Neighbours() []ident.Instance
 	// Exchange sends this instance's report to a peer, which gives it to Agent.Exchange, and returns the answer.
 	Exchange(ctx context.Context, peer ident.Instance, mine Report) (Report, error)
@@ -98,6 +102,7 @@
 		theirs.Confirmed = false
 		a.hear(theirs.Instance)
 		a.learn(theirs, theirs.Instance, time.Time{})
+		a.noteRun(theirs)
 	}
 	mine := a.Report()
 	if theirs.Asks && theirs.Version == mine.Version {
@@ -106,6 +111,15 @@
 	return mine
 }
 
+// noteRun notes a peer that runs the version in force here. Its report's age is not known, so it is no witness.
+func (a *Agent) noteRun(r Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Version == a.current.Version && r.Instance != a.cfg.Instance {
+		a.runs[witnessID(r.Instance)] = true
+	}
+}
+
 func (a *Agent) listWitnesses() []Witness {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -158,7 +172,7 @@
 func (a *Agent) exchangeLoop(ctx context.Context) error {
 	interval := func() time.Duration { return exchangeInterval }
 	return every(ctx, interval, func(ctx context.Context) {
-		peers := a.cfg.Peers.Neighbours()
+		peers := a.neighbours()
 		if len(peers) > 0 && !a.asks() {
 			peers = []ident.Instance{peers[rand.IntN(len(peers))]}
 		}
@@ -174,8 +188,18 @@
 			return nil
 		case <-a.fresh:
 		}
-		a.exchangeAll(ctx, a.cfg.Peers.Neighbours())
+		a.exchangeAll(ctx, a.neighbours())
+	}
+}
+
+// neighbours lists the peers that this instance exchanges reports with: all, or those that rank first for it by
+// rendezvous hashing.
+func (a *Agent) neighbours() []ident.Instance {
+	peers := a.cfg.Peers.Neighbours()
+	if len(peers) <= a.cfg.Fanout {
+		return peers
 	}
+	return roster.Rank(string(a.cfg.Instance), peers)[:a.cfg.Fanout]
 }
 
 func (a *Agent) exchangeAll(ctx context.Context, peers []ident.Instance) {
--- a/sard/config/spread_test.go
+++ b/sard/config/spread_test.go
@@ -38,7 +38,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, tt.n, 8, 1)
+				m := newMesh(t, tt.n, 1)
 				defer m.stop()
 				m.set(func() { m.loss = tt.loss })
 				time.Sleep(inForceLarge)
@@ -63,7 +63,7 @@
 
 func TestCutOffInstanceStopsBeingReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 8, 1)
+		m := newMesh(t, 9, 1)
 		defer m.stop()
 		_, err := m.propose(0, 1)
 		assert.NilError(t, err)
@@ -83,7 +83,7 @@
 
 func TestStoreOutageKeepsInstancesReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 8, 1)
+		m := newMesh(t, 9, 1)
 		defer m.stop()
 		_, err := m.propose(0, 1)
 		assert.NilError(t, err)
@@ -101,7 +101,7 @@
 
 func TestHalfWithoutTheTableStopsBeingReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 8, 1)
+		m := newMesh(t, 9, 1)
 		defer m.stop()
 		_, err := m.propose(0, 1)
 		assert.NilError(t, err)
@@ -117,7 +117,7 @@
 
 func TestFewInstancesAcceptNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 8, 1)
+		m := newMesh(t, 9, 1)
 		defer m.stop()
 		m.set(func() { m.divide(5) })
 		m.set(func() { clear(m.cut) })
@@ -128,7 +128,7 @@
 
 func TestFreshInstancesAreNoWitnesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 8, 1)
+		m := newMesh(t, 9, 1)
 		defer m.stop()
 		for i := range 2 {
 			_, err := m.propose(0, i+1)
@@ -150,7 +150,7 @@
 
 func TestPartitionAtAcceptance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 8, 1)
+		m := newMesh(t, 9, 1)
 		defer m.stop()
 		_, err := m.propose(0, 1)
 		assert.NilError(t, err)
--- a/sardctl/document.go
+++ b/sardctl/document.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	if c.session.options.Output == "json" {
-		return c.session.print(rec.Content, nil)
+		return c.session.print(rec, nil)
 	}
 	text, err := yaml.JSONToYAML(rec.Content)
 	if err != nil {
--- a/sardctl/job.go
+++ b/sardctl/job.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/caller"
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/oper"
@@ -104,9 +105,6 @@
 	session *session
 }
 
-// cancelRequest is the body of POST /v1/jobs/cancel.
-type cancelRequest struct{ Jobs []ident.Job }
-
 // Execute cancels jobs.
 func (c *cancelCommand) Execute([]string) error {
 	client, ctx, cancel, err := c.session.connect()
@@ -114,7 +112,7 @@
 		return err
 	}
 	defer cancel()
-	in, err := post(pathJobs+"/cancel", cancelRequest{Jobs: c.Args.Jobs})
+	in, err := post(pathJobs+"/cancel", caller.CancelRequest{Jobs: c.Args.Jobs})
 	if err != nil {
 		return err
 	}
--- a/sardctl/request.go
+++ b/sardctl/request.go
@@ -4,14 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/sardineline/sardineline/sard/caller"
+	"github.com/sardineline/sardineline/sard/ident"
 )
 
 // requestPrefix starts the paths of requests that are forwarded to backend servers.
 const requestPrefix = "/r"
 
-// headerOutcome tells what became of a request: Answered, NotRun or Unknown.
-const headerOutcome = "Sardine-Outcome"
-
 // answer is the answer to a request as it is printed in JSON.
 type answer struct {
 	Status  int
@@ -25,7 +25,7 @@
 	if err != nil {
 		return &transportError{method: resp.Request.Method, url: resp.Request.URL.String(), sent: true, cause: err}
 	}
-	a := answer{Status: resp.StatusCode, Outcome: resp.Header.Get(headerOutcome), Body: string(body)}
+	a := answer{Status: resp.StatusCode, Outcome: resp.Header.Get(caller.HeaderOutcome), Body: string(body)}
 	if s.options.Output == "json" {
 		if err := s.print(a, nil); err != nil {
 			return err
@@ -41,9 +41,9 @@
 func outcomeError(a answer, resp *http.Response) error {
 	cause := fmt.Errorf("%d %s", a.Status, a.Outcome)
 	switch a.Outcome {
-	case "NotRun":
+	case ident.NotRun.String():
 		return &transportError{method: resp.Request.Method, url: resp.Request.URL.String(), cause: cause}
-	case "Unknown":
+	case ident.Unknown.String():
 		return &transportError{method: resp.Request.Method, url: resp.Request.URL.String(), sent: true, cause: cause}
 	}
 	return nil
