--- a/sard/config/agent.go
+++ b/sard/config/agent.go
@@ -81,7 +81,9 @@
 	subscribers []func(Accepted)
 	// breachesBefore counts the broken promises before the version came into force.
 	breachesBefore uint64
-	counts         Counts
+	// noted is the version under which broken promises were stored last.
+	noted  ident.Version
+	counts Counts
 
 	// installing orders the calls of subscribers.
 	installing sync.Mutex
--- a/sard/config/history.go
+++ b/sard/config/history.go
@@ -13,6 +13,8 @@
 const (
 	// historyPage is the number of versions that share a prefix of their sort keys and are read at once.
 	historyPage = 10
+	// keptVersions is the number of versions that stay in the table.
+	keptVersions = 10_000
 	// MaxHistory bounds the versions that one call lists.
 	MaxHistory = 100
 )
@@ -59,3 +61,14 @@
 func (a *Agent) Version(ctx context.Context, version ident.Version) (Record, error) {
 	return a.readRecord(ctx, version)
 }
+
+// prune removes the version that is too old to be kept. One that could not be removed stays.
+func (a *Agent) prune(ctx context.Context, latest ident.Version) {
+	if latest <= keptVersions {
+		return
+	}
+	old := table.Delete{Key: versionKey(latest - keptVersions), If: table.AtRevision{Revision: 1}}
+	if err := a.cfg.Store.Apply(ctx, table.BackgroundPriority, old); err != nil {
+		a.log.Debug("old version not removed", "version", latest-keptVersions, "error", err)
+	}
+}
--- a/sard/config/poll.go
+++ b/sard/config/poll.go
@@ -65,6 +65,7 @@
 		return
 	}
 	a.learn(Report{Version: head.Version, Digest: head.Digest, Confirmed: true}, "", start)
+	a.noteBreaches(ctx)
 }
 
 // checkHead holds the table to the promise: a strongly consistent read sees every version that was in force before.
--- a/sard/config/proof.go
+++ b/sard/config/proof.go
@@ -49,7 +49,11 @@
 	if err != nil {
 		return Proof{}, fault.Wrap(err, fault.KindOf(err), step, "")
 	}
-	if flaws := flawsOf(survey, current.Head); len(flaws) > 0 {
+	noted, err := a.notedBreaches(ctx, current.Version)
+	if err != nil {
+		return Proof{}, err
+	}
+	if flaws := append(flawsOf(survey, current.Head), noted...); len(flaws) > 0 {
 		return Proof{}, fault.New(fault.Conflict, step, "", "not proven: %s", strings.Join(flaws, "; "))
 	}
 	now := time.Now().UTC().Round(0)
--- a/sard/config/propose.go
+++ b/sard/config/propose.go
@@ -258,6 +258,7 @@
 
 // accepted puts a version in force here, from where it spreads.
 func (a *Agent) accepted(ctx context.Context, rec Record) (Verdict, error) {
+	a.prune(ctx, rec.Version)
 	a.log.Info("document accepted", "version", rec.Version, "digest", rec.Digest, "author", rec.Author)
 	if err := a.install(rec, "operator "+rec.Author); err != nil {
 		return Verdict{}, err
