Share the job list of both APIs and the statuses of errors

Cause: the operators' and the callers' APIs gave other HTTP statuses for the same kinds of errors, and three types stood for a list of jobs. Change: one list type; OutcomeUnknown is 502 and Fenced 503 in both.

--- a/sard/config/spread_test.go
+++ b/sard/config/spread_test.go
@@ -61,16 +61,23 @@
 	}
 }
 
+// newRunningMesh returns nine instances that run version 1.
+func newRunningMesh(t *testing.T) *mesh {
+	t.Helper()
+	m := newMesh(t, 9, 1)
+	_, err := m.propose(0, 1)
+	assert.NilError(t, err)
+	time.Sleep(inForceSmall)
+	assert.Equal(t, m.settled(1), 9)
+	return m
+}
+
 func TestCutOffInstanceStopsBeingReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 1)
+		m := newRunningMesh(t)
 		defer m.stop()
-		_, err := m.propose(0, 1)
-		assert.NilError(t, err)
-		time.Sleep(inForceSmall)
-		assert.Equal(t, m.settled(1), 9)
 		m.set(func() { m.side[8], m.cut[8] = 1, true })
-		_, err = m.propose(0, 2)
+		_, err := m.propose(0, 2)
 		assert.NilError(t, err)
 		time.Sleep(11 * time.Second)
 		assert.ErrorContains(t, m.all()[8].agent.Ready(), "was not confirmed for 10s")
@@ -83,11 +90,8 @@
 
 func TestStoreOutageKeepsInstancesReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 1)
+		m := newRunningMesh(t)
 		defer m.stop()
-		_, err := m.propose(0, 1)
-		assert.NilError(t, err)
-		time.Sleep(inForceSmall)
 		m.cutAll()
 		for range 60 {
 			time.Sleep(time.Minute)
@@ -101,13 +105,10 @@
 
 func TestHalfWithoutTheTableStopsBeingReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 1)
+		m := newRunningMesh(t)
 		defer m.stop()
-		_, err := m.propose(0, 1)
-		assert.NilError(t, err)
-		time.Sleep(inForceSmall)
 		m.set(func() { m.divide(5) })
-		_, err = m.propose(0, 2)
+		_, err := m.propose(0, 2)
 		assert.NilError(t, err)
 		time.Sleep(11 * time.Second)
 		assert.Equal(t, m.settled(2), 5)
@@ -150,11 +151,8 @@
 
 func TestPartitionAtAcceptance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 9, 1)
+		m := newRunningMesh(t)
 		defer m.stop()
-		_, err := m.propose(0, 1)
-		assert.NilError(t, err)
-		time.Sleep(inForceSmall)
 		m.set(func() {
 			m.failure = func(op string, after bool) error {
 				if op == "apply" && after {
@@ -163,7 +161,7 @@
 				return nil
 			}
 		})
-		_, err = m.propose(0, 2)
+		_, err := m.propose(0, 2)
 		assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
 		time.Sleep(11 * time.Second)
 		assert.Equal(t, m.settled(2), 4)
--- a/sard/oper/server.go
+++ b/sard/oper/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/sardineline/sardineline/sard/caller"
 	"github.com/sardineline/sardineline/sard/config"
 	"github.com/sardineline/sardineline/sard/creds"
 	"github.com/sardineline/sardineline/sard/fault"
@@ -156,7 +157,7 @@
 
 func (s *Server) jobs(c echo.Context) error {
 	views, err := s.cfg.Jobs.List(c.Request().Context(), ident.Account(c.QueryParam("Account")))
-	return answer(c, JobList{Jobs: views}, err)
+	return answer(c, caller.JobList{Jobs: views}, err)
 }
 
 func (s *Server) explain(c echo.Context) error {
--- a/sard/oper/wire.go
+++ b/sard/oper/wire.go
@@ -16,7 +16,6 @@
 	"github.com/sardineline/sardineline/sard/config"
 	"github.com/sardineline/sardineline/sard/envdoc"
 	"github.com/sardineline/sardineline/sard/fault"
-	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
@@ -72,9 +71,6 @@
 // DrainRequest names the instance to drain.
 type DrainRequest struct{ Instance ident.Instance }
 
-// JobList lists jobs of all accounts.
-type JobList struct{ Jobs []gang.View }
-
 // ErrorReply is the body of an error.
 type ErrorReply struct {
 	Error string
@@ -122,14 +118,14 @@
 		return http.StatusForbidden
 	case fault.NotFound:
 		return http.StatusNotFound
-	case fault.Conflict, fault.Fenced:
+	case fault.Conflict:
 		return http.StatusConflict
 	case fault.Throttled:
 		return http.StatusTooManyRequests
-	case fault.Unavailable:
+	case fault.Unavailable, fault.Fenced:
 		return http.StatusServiceUnavailable
 	case fault.OutcomeUnknown:
-		return http.StatusGatewayTimeout
+		return http.StatusBadGateway
 	}
 	return http.StatusInternalServerError
 }
--- a/sardctl/job.go
+++ b/sardctl/job.go
@@ -79,9 +79,6 @@
 	return fetch[gang.View](s, get(fmt.Sprintf("%s/%s", pathJobs, job)))
 }
 
-// jobList is the body of both calls that list jobs.
-type jobList struct{ Jobs []gang.View }
-
 type listCommand struct {
 	All     bool `long:"all" description:"all accounts' jobs; needs an operator's token"`
 	session *session
@@ -93,7 +90,7 @@
 	if c.All {
 		path = oper.PathJobs
 	}
-	list, err := fetch[jobList](c.session, get(path))
+	list, err := fetch[caller.JobList](c.session, get(path))
 	if err != nil {
 		return err
 	}
--- a/sardctl/report.go
+++ b/sardctl/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/caller"
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/oper"
@@ -35,7 +36,7 @@
 
 // Execute prints completion time and fragmentation.
 func (c *reportCommand) Execute([]string) error {
-	jobs, err := fetch[jobList](c.session, get(oper.PathJobs))
+	jobs, err := fetch[caller.JobList](c.session, get(oper.PathJobs))
 	if err != nil {
 		return err
 	}
