--- a/sardctl/job.go
+++ b/sardctl/job.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/caller"
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/oper"
@@ -78,9 +79,6 @@
 	return fetch[gang.View](s, get(fmt.Sprintf("%s/%s", pathJobs, job)))
 }
 
-// jobList is the body of both calls that list jobs.
-type jobList struct{ Jobs []gang.View }
-
 type listCommand struct {
 	All     bool `long:"all" description:"all accounts' jobs; needs an operator's token"`
 	session *session
@@ -92,7 +90,7 @@
 	if c.All {
 		path = oper.PathJobs
 	}
-	list, err := fetch[jobList](c.session, get(path))
+	list, err := fetch[caller.JobList](c.session, get(path))
 	if err != nil {
 		return err
 	}
@@ -104,9 +102,6 @@
 	session *session
 }
 
-// cancelRequest is the body of POST /v1/jobs/cancel.
-type cancelRequest struct{ Jobs []ident.Job }
-
 // Execute cancels jobs.
 func (c *cancelCommand) Execute([]string) error {
 	client, ctx, cancel, err := c.session.connect()
@@ -114,7 +109,7 @@
 		return err
 	}
 	defer cancel()
-	in, err := post(pathJobs+"/cancel", cancelRequest{Jobs: c.Args.Jobs})
+	in, err := post(pathJobs+"/cancel", caller.CancelRequest{Jobs: c.Args.Jobs})
 	if err != nil {
 		return err
 	}
