--- a/sard/gang/link_test.go
+++ b/sard/gang/link_test.go
@@ -236,13 +236,18 @@
 	table.Memory
 	mu       sync.Mutex
 	terminal map[string]int
-	writes   int
+	// writes counts the items written, batches the calls, leases those of leases.
+	writes, batches, leases int
 }
 
 func (c *counted) Apply(ctx context.Context, p table.Priority, batch ...table.Write) error {
 	err := c.Memory.Apply(ctx, p, batch...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.batches++
+	if key, _ := table.Target(batch[len(batch)-1]); key.Partition == "lease" {
+		c.leases++
+	}
 	for _, w := range batch {
 		put, ok := w.(table.Put)
 		var body struct{ State ident.JobState }
--- a/sard/gang/member.go
+++ b/sard/gang/member.go
@@ -31,6 +31,8 @@
 	seen uint64
 	// shares are the parts of attempts on this worker.
 	shares map[*share]struct{}
+	// failing tells that the last poll failed; the next one does not wait at the worker.
+	failing bool
 	// strays are unknown parts that are being stopped.
 	strays map[worker.Part]bool
 }
@@ -99,6 +101,13 @@
 	if !fenced {
 		return d.fence(ctx, m, client)
 	}
+	// A worker that does not hold its answer back is not called again at once.
+	early := false
+	defer func() {
+		if early {
+			_ = sleep(ctx, callPause)
+		}
+	}()
 	req, renewed := d.renewal(m)
 	sent := time.Now()
 	report, err := client.Renew(ctx, req)
@@ -110,6 +119,7 @@
 	if err != nil {
 		return err
 	}
+	early = report.Sequence == req.Seen && time.Since(sent) < callPause
 	d.heard(m, sent, report)
 	return nil
 }
@@ -142,6 +152,9 @@
 		Seen:   m.seen,
 		Wait:   ident.Duration(pollWait),
 	}
+	if m.failing {
+		req.Wait = 0
+	}
 	if !d.mayRenew() {
 		return req, nil
 	}
@@ -186,7 +199,7 @@
 
 // heard takes a worker's report in. The caller holds mu.
 func (d *Domain) heard(m *member, sent time.Time, report worker.Report) {
-	m.accepted, m.heard = sent, time.Now()
+	m.accepted, m.heard, m.failing = sent, time.Now(), false
 	m.seen = report.Sequence
 	if d.fencedSince.IsZero() && d.most(func(m *member) bool { return m.fenced }) {
 		d.fencedSince = time.Now()
@@ -196,12 +209,18 @@
 		d.log.Info("worker back", "Worker", m.name)
 		d.apply(place.WorkerBack{Worker: m.name})
 	}
+	if report.Unchanged {
+		return
+	}
 	said := map[worker.Part]worker.PartReport{}
 	for _, p := range report.Parts {
 		said[p.Part] = p
 	}
 	for s := range m.shares {
-		s.report(sent, said)
+		if !s.report(sent, said) {
+			// The next report has to name the parts again.
+			m.seen = 0
+		}
 	}
 	for part, p := range said {
 		if p.State <= ident.PartRunning && !d.expected(m, part) {
@@ -245,6 +264,7 @@
 	d.fail("poll worker", err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m.failing = true
 	if m.lost || time.Since(m.heard) < unreachableLimit {
 		return
 	}
--- a/sard/gang/recover.go
+++ b/sard/gang/recover.go
@@ -107,8 +107,8 @@
 	_ = group.Wait()
 }
 
-// restore tells the engine of all jobs that have not ended, and resumes their attempts. It returns how many. The
-// caller holds mu.
+// restore resumes the attempts of all jobs that have not ended and has the others queued again. It returns how many
+// attempts it resumed. The caller holds mu.
 func (d *Domain) restore() int {
 	var open []*job
 	for _, j := range d.jobs {
@@ -120,18 +120,34 @@
 		return cmp.Or(a.record.Submitted.Compare(b.record.Submitted), cmp.Compare(a.record.ID, b.record.ID))
 	})
 	resumed := 0
+	var queued []*job
 	for _, j := range open {
-		if j.attempt != nil {
-			d.resume(j)
-			resumed++
+		if j.attempt == nil {
+			queued = append(queued, j)
+			continue
 		}
+		d.resume(j)
+		resumed++
 	}
-	for _, j := range open {
-		if j.attempt == nil {
+	d.start(func(ctx context.Context) { d.requeue(ctx, queued) })
+	return resumed
+}
+
+// requeue tells the engine of the jobs that wait, one at a time, so that gangs are renewed and calls are served
+// between them.
+func (d *Domain) requeue(ctx context.Context, queued []*job) {
+	began := time.Now()
+	for _, j := range queued {
+		if ctx.Err() != nil {
+			return
+		}
+		d.mu.Lock()
+		if j.record.State == ident.Queued && !j.busy {
 			d.apply(place.Submit{Job: j.record.job()})
 		}
+		d.mu.Unlock()
 	}
-	return resumed
+	d.log.Info("jobs queued again", "Jobs", len(queued), "Took", time.Since(began))
 }
 
 // resume goes on with an attempt of an earlier holder. The caller holds mu.
--- a/sard/gang/share.go
+++ b/sard/gang/share.go
@@ -76,19 +76,24 @@
 	return now.After(s.lapse)
 }
 
-// report takes in what the worker says of its parts in the answer to a call that was sent at a time.
-func (s *share) report(sent time.Time, said map[worker.Part]worker.PartReport) {
+// report takes in what the worker says of its parts in the answer to a call that was sent at a time. It tells
+// whether the report is conclusive: the lack of a part is not when the part was reserved after the call was sent.
+func (s *share) report(sent time.Time, said map[worker.Part]worker.PartReport) bool {
 	before := s.ended()
 	p, ok := said[s.part]
 	switch {
 	case ok:
 		s.raise(p)
-	case !s.reserved.IsZero() && sent.After(s.reserved):
+	case s.reserved.IsZero():
+	case sent.After(s.reserved):
 		s.gone = true
+	default:
+		return false
 	}
 	if s.ended() && !before {
 		poke(s.attempt.wake)
 	}
+	return true
 }
 
 // raise takes in the part's own report.
--- a/sard/gang/worker_test.go
+++ b/sard/gang/worker_test.go
@@ -33,6 +33,8 @@
 	parts    map[worker.Part]*fakePart
 	changed  chan struct{}
 	down     bool
+	// mute tells that no checkpoint is ever written; set before the first call.
+	mute bool
 }
 
 func newFakeWorker(name ident.Worker, l *ledger) *fakeWorker {
@@ -215,10 +217,18 @@
 	case <-changed:
 	case <-ctx.Done():
 	}
-	return w.call(ctx, "renewed", req.Epoch, func() error { return nil })
+	report, err = w.call(ctx, "renewed", req.Epoch, func() error { return nil })
+	if report.Sequence == req.Seen && req.Seen != 0 && err == nil {
+		report.Unchanged, report.Parts = true, nil
+	}
+	return report, err
 }
 
 func (w *fakeWorker) Checkpoint(ctx context.Context, req worker.CheckpointRequest) (worker.CheckpointReply, error) {
+	if w.mute {
+		<-ctx.Done()
+		return worker.CheckpointReply{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "checkpoint", string(w.name))
+	}
 	_, err := w.call(ctx, "checkpoint", req.Epoch, func() error {
 		if p, ok := w.parts[req.Part]; !ok || p.report.State != ident.PartRunning {
 			return w.refuse("checkpoint", worker.UnknownPart)
--- a/sard/worker/wire.go
+++ b/sard/worker/wire.go
@@ -105,7 +105,11 @@
 	Epoch  ident.Epoch
 	// Sequence rises with each change of a part's state.
 	Sequence uint64
-	Parts    []PartReport
+	// Unchanged tells that nothing has changed since the Sequence that a RenewRequest has Seen; Parts is then left
+	// out. A worker may set it only in an answer to RenewRequest, and never for a sequence of an earlier start of
+	// the worker.
+	Unchanged bool `json:",omitempty"`
+	Parts     []PartReport
 }
 
 // ErrorCode is why a worker refused a call.
