--- a/sard/config/agent.go
+++ b/sard/config/agent.go
@@ -28,6 +28,8 @@
 	Store    table.Store
 	// Peers are the other instances; nil for none.
 	Peers Peers
+	// Fanout is the number of peers that this instance exchanges reports with; 0 means 8.
+	Fanout int
 	// Plan places all guarantees at once on the environment's topology. Its error is of kind Invalid when the
 	// topology has too little room. Nil puts no plan into records.
 	Plan func(ctx context.Context, accounts []place.Account) ([]Share, error)
@@ -64,13 +66,24 @@
 	confirmed time.Time
 	// pending is the confirmation of a version that is not in force yet.
 	pending confirmation
+	// established tells that a version was confirmed as of a moment after the start. Before that, this process does
+	// not know what its instance ran earlier.
+	established bool
+	started     time.Time
+	witnesses   witnesses
+	// runs are the other instances that were ever seen running the version in force here.
+	runs map[uint32]bool
 	// heard is when each peer was last heard.
 	heard map[ident.Instance]time.Time
 	// wanted is the latest version that is known to be accepted, and who has it.
 	wanted      ident.Version
 	sources     []ident.Instance
 	subscribers []func(Accepted)
-	counts      Counts
+	// breachesBefore counts the broken promises before the version came into force.
+	breachesBefore uint64
+	// noted is the version under which broken promises were stored last.
+	noted  ident.Version
+	counts Counts
 
 	// installing orders the calls of subscribers.
 	installing sync.Mutex
@@ -87,6 +100,9 @@
 	if cfg.Bound == 0 {
 		cfg.Bound = DefaultBound
 	}
+	if cfg.Fanout == 0 {
+		cfg.Fanout = DefaultFanout
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
@@ -99,6 +115,10 @@
 		wake:  make(chan struct{}, 1),
 		fresh: make(chan struct{}, 1),
 		heard: map[ident.Instance]time.Time{},
+
+		witnesses: witnesses{},
+		runs:      map[uint32]bool{},
+		started:   time.Now(),
 	}
 }
 
