--- a/standin/costs/costs.go
+++ b/standin/costs/costs.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/bench"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/table"
 	"github.com/sardineline/sardineline/standin/faults"
@@ -31,21 +32,14 @@
 	Settles int
 }
 
-// Figure is a measured value.
-type Figure struct {
-	Name  string
-	Value float64
-	Unit  string
-}
-
 const (
 	defaultCalls   = 2000
 	defaultSettles = 50
 	unlimited      = 1e9
 )
 
-// bench is a client with a table service, when it is in this process.
-type bench struct {
+// rig is a client with a table service, when it is in this process.
+type rig struct {
 	meter
 	client *table.Client
 	faults *faults.Set
@@ -70,9 +64,9 @@
 }
 
 // Table measures the table's client.
-func Table(ctx context.Context, config Config) ([]Figure, error) {
+func Table(ctx context.Context, config Config) ([]bench.Figure, error) {
 	config = config.withDefaults()
-	b := &bench{faults: faults.New(1)}
+	b := &rig{faults: faults.New(1)}
 	if err := b.open(config.Endpoint); err != nil {
 		return nil, err
 	}
@@ -80,7 +74,7 @@
 	return figures, errors.Join(err, b.close())
 }
 
-func (b *bench) open(endpoint string) error {
+func (b *rig) open(endpoint string) error {
 	if endpoint == "" {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -101,7 +95,7 @@
 	return err
 }
 
-func (b *bench) close() error {
+func (b *rig) close() error {
 	b.client.Close()
 	if b.server == nil {
 		return nil
--- a/standin/costs/costs_test.go
+++ b/standin/costs/costs_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/bench"
 	"github.com/sardineline/sardineline/standin/costs"
 )
 
@@ -22,7 +23,7 @@
 func TestFigures(t *testing.T) {
 	tests := []struct {
 		name    string
-		measure func(context.Context, costs.Config) ([]costs.Figure, error)
+		measure func(context.Context, costs.Config) ([]bench.Figure, error)
 	}{
 		{"table", costs.Table},
 		{"fleet", costs.Fleet},
@@ -34,7 +35,7 @@
 			assert.Assert(t, len(figures) > 0)
 			for _, f := range figures {
 				assert.Assert(t, f.Value >= 0, f.Name)
-				t.Logf("%-40s %12.3f %s", f.Name, f.Value, f.Unit)
+				t.Log(f)
 			}
 		})
 	}
--- a/standin/costs/fleet.go
+++ b/standin/costs/fleet.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/bench"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/fleet"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -22,9 +23,9 @@
 )
 
 // Fleet measures the whole reading of the list against its number of workers. Both ends are in this process.
-func Fleet(ctx context.Context, config Config) ([]Figure, error) {
+func Fleet(ctx context.Context, config Config) ([]bench.Figure, error) {
 	config = config.withDefaults()
-	var figures []Figure
+	var figures []bench.Figure
 	for _, size := range config.Workers {
 		found, err := readFleet(ctx, size, min(config.Calls, fleetReads))
 		if err != nil {
@@ -35,7 +36,7 @@
 	return figures, nil
 }
 
-func readFleet(ctx context.Context, size, reads int) ([]Figure, error) {
+func readFleet(ctx context.Context, size, reads int) ([]bench.Figure, error) {
 	workers := make([]fleet.Worker, size)
 	for i := range workers {
 		workers[i] = fleet.Worker{
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
-	figures, err := m.costs(fmt.Sprintf("fleet/%d", size), reads, func(int) error {
+	figures, err := m.costs(fmt.Sprintf("fleet.read.%d", size), reads, func(int) error {
 		_, err := client.Snapshot(ctx)
 		return err
 	})
--- a/standin/costs/measure.go
+++ b/standin/costs/measure.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/bench"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/table"
 	"github.com/sardineline/sardineline/standin/faults"
@@ -25,16 +26,16 @@
 	runName  = "costs"
 )
 
-func (b *bench) measure(ctx context.Context, config Config) ([]Figure, error) {
+func (b *rig) measure(ctx context.Context, config Config) ([]bench.Figure, error) {
 	prefix := fmt.Sprintf("%s-%d-", runName, time.Now().UnixNano())
-	steps := []func() ([]Figure, error){
-		func() ([]Figure, error) { return b.bodies(ctx, prefix, config.Calls) },
-		func() ([]Figure, error) { return b.batches(ctx, prefix, config.Calls) },
-		func() ([]Figure, error) { return b.lists(ctx, prefix, config.Records) },
-		func() ([]Figure, error) { return b.rates(ctx, prefix, config.Calls) },
-		func() ([]Figure, error) { return b.settling(ctx, prefix, config.Settles) },
+	steps := []func() ([]bench.Figure, error){
+		func() ([]bench.Figure, error) { return b.bodies(ctx, prefix, config.Calls) },
+		func() ([]bench.Figure, error) { return b.batches(ctx, prefix, config.Calls) },
+		func() ([]bench.Figure, error) { return b.lists(ctx, prefix, config.Records) },
+		func() ([]bench.Figure, error) { return b.rates(ctx, prefix, config.Calls) },
+		func() ([]bench.Figure, error) { return b.settling(ctx, prefix, config.Settles) },
 	}
-	var figures []Figure
+	var figures []bench.Figure
 	for _, step := range steps {
 		more, err := step()
 		if err != nil {
@@ -45,21 +46,21 @@
 	return figures, nil
 }
 
-func (b *bench) bodies(ctx context.Context, prefix string, calls int) ([]Figure, error) {
-	var figures []Figure
+func (b *rig) bodies(ctx context.Context, prefix string, calls int) ([]bench.Figure, error) {
+	var figures []bench.Figure
 	for _, size := range bodySizes {
 		key := table.Key{Partition: prefix + "body", Sort: fmt.Sprint(size)}
 		body := make([]byte, size)
 		if err := b.put(ctx, key, table.Absent{}, body); err != nil {
 			return nil, err
 		}
-		puts, err := b.costs(fmt.Sprintf("put/%dB", size), calls, func(n int) error {
+		puts, err := b.costs(fmt.Sprintf("table.put.%dB", size), calls, func(n int) error {
 			return b.put(ctx, key, table.AtRevision{Revision: uint64(n) + 1}, body)
 		})
 		if err != nil {
 			return nil, err
 		}
-		gets, err := b.costs(fmt.Sprintf("get/%dB", size), calls, func(int) error {
+		gets, err := b.costs(fmt.Sprintf("table.get.%dB", size), calls, func(int) error {
 			_, err := b.client.Get(ctx, table.LeasePriority, key)
 			return err
 		})
@@ -71,10 +72,10 @@
 	return figures, nil
 }
 
-func (b *bench) batches(ctx context.Context, prefix string, calls int) ([]Figure, error) {
-	var figures []Figure
+func (b *rig) batches(ctx context.Context, prefix string, calls int) ([]bench.Figure, error) {
+	var figures []bench.Figure
 	for _, size := range batchSizes {
-		found, err := b.costs(fmt.Sprintf("transaction/%d", size), max(1, calls/size), func(n int) error {
+		found, err := b.costs(fmt.Sprintf("table.transaction.%d", size), max(1, calls/size), func(n int) error {
 			batch := make([]table.Write, size)
 			for i := range batch {
 				key := table.Key{Partition: prefix + "batch", Sort: fmt.Sprintf("%d-%d-%d", size, n, i)}
@@ -91,8 +92,8 @@
 }
 
 // lists reads partitions of records, as a successor does after a takeover.
-func (b *bench) lists(ctx context.Context, prefix string, sizes []int) ([]Figure, error) {
-	var figures []Figure
+func (b *rig) lists(ctx context.Context, prefix string, sizes []int) ([]bench.Figure, error) {
+	var figures []bench.Figure
 	for _, size := range sizes {
 		partition := fmt.Sprintf("%slist-%d", prefix, size)
 		for n := 0; n < size; n += table.MaxBatch {
@@ -105,7 +106,7 @@
 				return nil, err
 			}
 		}
-		found, err := b.costs(fmt.Sprintf("list/%d", size), 1, func(int) error {
+		found, err := b.costs(fmt.Sprintf("table.list.%d", size), 1, func(int) error {
 			_, err := b.client.List(ctx, table.LeasePriority, partition, "")
 			return err
 		})
@@ -118,8 +119,8 @@
 }
 
 // rates measures how many writes a second a client makes with several callers.
-func (b *bench) rates(ctx context.Context, prefix string, calls int) ([]Figure, error) {
-	var figures []Figure
+func (b *rig) rates(ctx context.Context, prefix string, calls int) ([]bench.Figure, error) {
+	var figures []bench.Figure
 	for _, callers := range writers {
 		var group errgroup.Group
 		begun := time.Now()
@@ -141,13 +142,13 @@
 			return nil, err
 		}
 		rate := float64(calls) / time.Since(begun).Seconds()
-		figures = append(figures, Figure{fmt.Sprintf("writes/%d callers", callers), rate, "1/s"})
+		figures = append(figures, bench.Figure{Name: fmt.Sprintf("table.writes.%d-callers", callers), Value: rate, Unit: "1/s"})
 	}
 	return figures, nil
 }
 
 // settling measures the time of a write whose answer is lost or late. It needs the service in this process.
-func (b *bench) settling(ctx context.Context, prefix string, settles int) ([]Figure, error) {
+func (b *rig) settling(ctx context.Context, prefix string, settles int) ([]bench.Figure, error) {
 	if b.server == nil {
 		return nil, nil
 	}
@@ -157,23 +158,23 @@
 		fault faults.Fault
 		calls int
 	}{
-		{"settle lost answer", faults.Fault{Peer: faults.Table, Kind: faults.LoseAnswer, Calls: 1}, settles},
-		{"settle late answer", slow, settles / 10},
+		{"lost", faults.Fault{Peer: faults.Table, Kind: faults.LoseAnswer, Calls: 1}, settles},
+		{"late", slow, settles / 10},
 	}
-	var figures []Figure
+	var figures []bench.Figure
 	for _, tt := range tests {
 		for _, form := range []string{"put", "transaction"} {
 			found, err := b.settle(ctx, prefix+tt.name+form, form == "put", tt.fault, tt.calls)
 			if err != nil {
 				return nil, err
 			}
-			figures = append(figures, Figure{tt.name + "/" + form + "/median", found, "ms"})
+			figures = append(figures, bench.Figure{Name: "table.settle." + tt.name + "." + form, Value: found, Unit: "ms"})
 		}
 	}
 	return figures, nil
 }
 
-func (b *bench) settle(ctx context.Context, partition string, single bool, f faults.Fault, calls int) (float64, error) {
+func (b *rig) settle(ctx context.Context, partition string, single bool, f faults.Fault, calls int) (float64, error) {
 	var times []time.Duration
 	for n := range calls {
 		key := table.Key{Partition: partition, Sort: fmt.Sprint(n)}
@@ -200,6 +201,6 @@
 	return float64(times[len(times)/2].Microseconds()) / perMille, nil
 }
 
-func (b *bench) put(ctx context.Context, key table.Key, cond table.Condition, body []byte) error {
+func (b *rig) put(ctx context.Context, key table.Key, cond table.Condition, body []byte) error {
 	return b.client.Apply(ctx, table.LeasePriority, table.Put{Key: key, Body: body, If: cond})
 }
--- a/standin/costs/meter.go
+++ b/standin/costs/meter.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/sardineline/sardineline/sard/bench"
 )
 
 const perMille = 1000
@@ -17,7 +19,7 @@
 }
 
 // costs runs calls one after another and gives the processor time, elapsed time and bytes of each.
-func (m *meter) costs(name string, calls int, call func(n int) error) ([]Figure, error) {
+func (m *meter) costs(name string, calls int, call func(n int) error) ([]bench.Figure, error) {
 	begun, used := time.Now(), usage()
 	sent, got := m.sent.Load(), m.got.Load()
 	for n := range calls {
@@ -26,10 +28,10 @@
 		}
 	}
 	each := func(total float64) float64 { return total / float64(calls) }
-	return []Figure{
-		{name + "/cpu", each(float64((usage() - used).Microseconds()) / perMille), "ms"},
-		{name + "/elapsed", each(float64(time.Since(begun).Microseconds()) / perMille), "ms"},
-		{name + "/bytes", each(float64(m.sent.Load() - sent + m.got.Load() - got)), "B"},
+	return []bench.Figure{
+		{Name: name + ".cpu", Value: each(float64((usage() - used).Microseconds()) / perMille), Unit: "ms"},
+		{Name: name + ".elapsed", Value: each(float64(time.Since(begun).Microseconds()) / perMille), Unit: "ms"},
+		{Name: name + ".bytes", Value: each(float64(m.sent.Load() - sent + m.got.Load() - got)), Unit: "B"},
 	}, nil
 }
 
