Let holders take ended parts out of workers' reports

Cause: a worker reports each ended part for an hour, also when its end has long been recorded, in every renewal. Change: RenewRequest gets Forget (additive); the stand-in leaves such parts out and still refuses to run them again.

--- a/sard/worker/wire.go
+++ b/sard/worker/wire.go
@@ -59,6 +59,9 @@
 	Lease  ident.Duration
 	Seen   uint64
 	Wait   ident.Duration
+	// Forget are ended parts whose end is recorded: the worker leaves them out of its reports. It still refuses
+	// to run them again.
+	Forget []Part
 }
 
 // CheckpointRequest asks a part to write a checkpoint. The answer is a CheckpointReply.
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -113,6 +113,11 @@
 			w.extend(p, in.Lease.Std())
 		}
 	}
+	for _, name := range in.Forget {
+		if p := w.parts[name]; p != nil && !p.live() {
+			p.forgotten = true
+		}
+	}
 	w.await(ctx, in.Seen, in.Wait.Std())
 	if w.dead {
 		return nil, nil
--- a/standin/worker/part.go
+++ b/standin/worker/part.go
@@ -20,6 +20,8 @@
 	command      command
 	state        ident.PartState
 	message      string
+	// forgotten parts are left out of reports.
+	forgotten bool
 
 	lapse  *time.Timer
 	expiry time.Time
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -178,7 +178,9 @@
 	now := time.Now()
 	r := wire.Report{Worker: w.config.Name, Epoch: w.epoch, Sequence: w.sequence}
 	for _, p := range w.parts {
-		r.Parts = append(r.Parts, p.report(now))
+		if !p.forgotten {
+			r.Parts = append(r.Parts, p.report(now))
+		}
 	}
 	return r
 }
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -148,6 +148,23 @@
 	})
 }
 
+func TestForgottenPartIsNotReportedNorRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		part := r.begin("run 1s", "")
+		renew := wire.RenewRequest{Epoch: 1, Parts: []wire.Part{part}, Lease: shortLease, Forget: []wire.Part{part}}
+		assert.Equal(t, r.call("/v1/renew", renew, nil), http.StatusOK)
+		assert.Equal(t, r.state().State, ident.PartRunning)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		var report wire.Report
+		assert.Equal(t, r.call("/v1/renew", renew, &report), http.StatusOK)
+		assert.Equal(t, len(report.Parts), 0)
+		r.begin("run 1s", "")
+		assert.Equal(t, len(r.ledger.Report().Attempts[0].Runs), 1)
+	})
+}
+
 func TestCheckpointAndThrottle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
