Seed the table client's waits

Cause: rapid could not reproduce or shrink a failure of the randomised run, as the waits were random. Change: Config.Seed; the run seeds each client. Calls at the same moment may still change places.

--- a/sard/table/client.go
+++ b/sard/table/client.go
@@ -4,7 +4,6 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/hex"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -26,6 +25,7 @@
 	writes    *pace
 	retries   *rate.Limiter
 	metrics   *metrics
+	jitter    *jitter
 
 	// prefix and serial make the tokens of this client's writes.
 	prefix string
@@ -38,10 +38,8 @@
 var _ Store = (*Client)(nil)
 
 const (
-	tokenBytes  = 8
-	tokenBase   = 36
-	firstPause  = 50 * time.Millisecond
-	longestWait = time.Second
+	tokenBytes = 8
+	tokenBase  = 36
 )
 
 // New makes a client. It does not call the service.
@@ -69,6 +67,7 @@
 		writes:    newPace(config.WritesPerSecond),
 		retries:   rate.NewLimiter(rate.Limit(config.RetriesPerSecond), burstOf(config.RetriesPerSecond)),
 		metrics:   m,
+		jitter:    newJitter(config.Seed),
 		prefix:    hex.EncodeToString(random),
 	}, nil
 }
@@ -97,7 +96,7 @@
 	if tried >= c.config.MaxAttempts || ctx.Err() != nil || !c.retries.Allow() {
 		return false
 	}
-	timer := time.NewTimer(backoff(tried))
+	timer := time.NewTimer(c.jitter.backoff(tried))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -107,11 +106,6 @@
 	}
 }
 
-// backoff returns a random wait, longer on average with each attempt.
-func backoff(tried int) time.Duration {
-	return rand.N(min(firstPause<<tried, longestWait))
-}
-
 func (c *Client) note(err error) {
 	switch {
 	case err == nil, fault.Is(err, fault.NotFound), fault.Is(err, fault.Conflict), fault.Is(err, fault.Throttled):
--- a/sard/table/config.go
+++ b/sard/table/config.go
@@ -40,6 +40,8 @@
 	// 0 means 160 and 50.
 	ReadsPerSecond  float64
 	WritesPerSecond float64
+	// Seed makes the random waits between attempts repeat; 0 means that they don't.
+	Seed uint64
 	// Metrics registers the client's metrics; nil for none.
 	Metrics prometheus.Registerer
 	// Log takes a line for each write whose result had to be read back; nil for none.
--- a/standin/tables/random_test.go
+++ b/standin/tables/random_test.go
@@ -142,7 +142,7 @@
 	writers := make([]*writer, len(s.Writers))
 	var group errgroup.Group
 	for i := range writers {
-		client, err := r.client(table.Config{})
+		client, err := r.client(table.Config{Seed: s.Seed + uint64(i) + 1})
 		if err != nil {
 			return err
 		}
