--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -24,6 +24,8 @@
 	need time.Duration
 	// spent is set once the body has been read away, so that it cannot be sent again.
 	spent bool
+	// failed are the servers at which attempts have failed.
+	failed []*backend
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 }
@@ -114,6 +116,7 @@
 		class:    c.route.Class,
 		deadline: c.deadline,
 		need:     c.need,
+		failed:   c.failed,
 		granted:  make(chan grant, 1),
 	}
 }
@@ -122,9 +125,9 @@
 func (r *Router) forward(ctx context.Context, c *call) Result {
 	for try := 1; ; try++ {
 		start := time.Now()
-		s, refused := r.wait(ctx, c.ticket(), try > 1)
-		if refused != nil {
-			return c.without(refused)
+		s, notRun := r.wait(ctx, c.ticket(), try > 1)
+		if notRun != nil {
+			return c.without(notRun)
 		}
 		r.metrics.waits.Observe(time.Since(start).Seconds())
 		r.log.Info("request routed", "request", c.ID, "account", c.Account, "route", c.route.Name,
@@ -133,6 +136,9 @@
 		if result := r.conclude(ctx, c, end, try); result != nil {
 			return result
 		}
+		if _, busy := end.(refused); !busy {
+			c.failed = append(c.failed, s.backend)
+		}
 	}
 }
 
--- a/sard/route/dispatch.go
+++ b/sard/route/dispatch.go
@@ -14,6 +14,8 @@
 const (
 	// shedEvery is the least time between two checks of all waiting requests.
 	shedEvery = 20 * time.Millisecond
+	// admitMargin is the part of its time that a request must have to spare when it begins to wait.
+	admitMargin = 8
 	// minRetryAfter is the least time after which a caller is told to come back.
 	minRetryAfter = time.Second
 )
@@ -69,7 +71,7 @@
 	if first {
 		position = 0
 	}
-	if late := r.lateness(t, position, now); late > 0 {
+	if late := r.lateness(t, position, now); late > -t.deadline.Sub(now)/admitMargin {
 		return r.givenUp(t, "the request would not be done in time", http.StatusServiceUnavailable)
 	}
 	return nil
@@ -113,7 +115,7 @@
 			break
 		}
 		t := l.head()
-		b := r.pick(now, t.class)
+		b := r.pick(now, t)
 		if b == nil {
 			if skip == nil {
 				skip = map[*line]bool{}
--- /dev/null
+++ b/sard/route/leave_test.go
@@ -0,0 +1,107 @@
+package route_test
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/route"
+	"github.com/sardineline/sardineline/sard/server"
+)
+
+// TestLeavingServer lets a server show that it leaves while the platform's list still shows it as live.
+func TestLeavingServer(t *testing.T) {
+	tests := []struct {
+		name string
+		sign func(w http.ResponseWriter)
+	}{
+		{"refusal while draining", func(w http.ResponseWriter) {
+			w.Header().Set(server.HeaderRefused, server.RefusedDraining)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{"connection closed", func(w http.ResponseWriter) { w.Header().Set("Connection", "close") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var leaving atomic.Bool
+				var last atomic.Int64
+				site := newSite(t, func(w http.ResponseWriter, _ *http.Request) {
+					last.Store(time.Now().UnixNano())
+					if leaving.Load() {
+						tt.sign(w)
+					}
+				}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "priced") })
+				var b *route.Router
+				a := site.instance(route.Config{Instance: "a", OnLeaving: func(s ident.Server) { b.MarkLeaving(s) }}, "b")
+				b = site.instance(route.Config{Instance: "b", OnLeaving: func(s ident.Server) { a.MarkLeaving(s) }}, "a")
+				joined()
+				var since time.Time
+				for i := range 300 {
+					if i == 100 {
+						since = time.Now()
+						leaving.Store(true)
+					}
+					result, _ := post([]*route.Router{a, b}[i%2], "/price", "", "x")
+					assert.Equal(t, result.Outcome(), ident.Answered)
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Assert(t, time.Unix(0, last.Load()).Sub(since) < 3*time.Second)
+				assert.DeepEqual(t, a.Leaving(), []ident.Server{"s0"})
+				assert.DeepEqual(t, b.Leaving(), []ident.Server{"s0"})
+				site.stop(t, a, b)
+			})
+		})
+	}
+}
+
+// TestMarksLapse checks that two instances do not keep each other's marks alive.
+func TestMarksLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite(t, func(http.ResponseWriter, *http.Request) {})
+		a := site.instance(route.Config{Instance: "a"}, "b")
+		b := site.instance(route.Config{Instance: "b"}, "a")
+		a.MarkLeaving("s0")
+		for range 200 {
+			for _, s := range a.Leaving() {
+				b.MarkLeaving(s)
+			}
+			for _, s := range b.Leaving() {
+				a.MarkLeaving(s)
+			}
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, len(a.Leaving())+len(b.Leaving()), 0)
+		site.stop(t, a, b)
+	})
+}
+
+// TestDrain ends an instance while a request runs and another waits.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite(t, func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(testTimeout / 4)
+			_, _ = io.WriteString(w, "priced")
+		})
+		a := site.instance(route.Config{Instance: "a"})
+		joined()
+		var answered atomic.Int64
+		for range 5 {
+			site.group.Go(func() error {
+				if _, answer := post(a, "/price", "", "x"); answer == "priced" {
+					answered.Add(1)
+				}
+				return http.ErrServerClosed
+			})
+		}
+		time.Sleep(time.Millisecond)
+		site.stop(t, a)
+		assert.Equal(t, answered.Load(), int64(5))
+	})
+}
--- a/sard/route/ledger_test.go
+++ b/sard/route/ledger_test.go
@@ -183,7 +183,7 @@
 	case answerTooLong:
 		rawKept(w, whole+"and more")
 	case answerUndelimited:
-		raw(w, "HTTP/1.1 200 OK\r\n"+server.HeaderRequest+": "+string(id)+"\r\n\r\n"+body)
+		raw(w, "HTTP/1.1 200 OK\r\n"+server.HeaderRequest+": "+string(id)+"\r\n\r\n"+body[:len(body)/2])
 	case resetAfter:
 		panic(http.ErrAbortHandler)
 	default:
--- a/sard/route/pick.go
+++ b/sard/route/pick.go
@@ -17,41 +17,48 @@
 	serviceGuess = 20 * time.Millisecond
 )
 
-// pick returns a server for a request of a class, or nil. The slots that this instance owns by the rendezvous
+// pick returns a server for a waiting request, or nil. The slots that this instance owns by the rendezvous
 // order come first: as long as each instance needs no more, no request is refused. Beyond them, a request goes to
 // a server that is likely to have a free slot of another instance; the server itself settles the races. A
 // request that is not to be repeated ends with a refusal, so it takes such a chance only for want of owned slots.
-func (r *Router) pick(now time.Time, class ident.RequestClass) *backend {
-	own := func(b *backend) int { return b.own - b.inFlight }
-	if b := r.betterOfTwo(now, class, own); b != nil {
+func (r *Router) pick(now time.Time, t *ticket) *backend {
+	life := r.freeLife()
+	own := func(b *backend) int {
+		if t.class == ident.NotRepeated {
+			return min(b.own-b.inFlight, b.guess(now, life))
+		}
+		return b.own - b.inFlight
+	}
+	if b := r.betterOfTwo(now, t, own); b != nil {
 		return b
 	}
-	if class == ident.NotRepeated && r.owns(now) {
+	if t.class == ident.NotRepeated && r.anyWorking(now, func(b *backend) bool { return b.own > 0 }) {
 		return nil
 	}
-	life := r.freeLife()
-	return r.betterOfTwo(now, class, func(b *backend) int { return b.guess(now, life) })
+	return r.betterOfTwo(now, t, func(b *backend) int { return b.guess(now, life) })
 }
 
-// owns tells whether this instance owns a slot of any server that takes work.
-func (r *Router) owns(now time.Time) bool {
+// anyWorking tells whether a server that takes work has a property.
+func (r *Router) anyWorking(now time.Time, has func(b *backend) bool) bool {
 	return slices.ContainsFunc(r.order, func(b *backend) bool {
-		return b.own > 0 && !b.leaving(now) && !b.breaker.open()
+		return !b.leaving(now) && !b.breaker.open() && has(b)
 	})
 }
 
-// betterOfTwo draws two usable servers with free slots and returns the one with more.
-func (r *Router) betterOfTwo(now time.Time, class ident.RequestClass, free func(*backend) int) *backend {
+// betterOfTwo draws two usable servers with free slots and returns the one with more. Servers that failed the
+// request before are left out while another one takes work.
+func (r *Router) betterOfTwo(now time.Time, t *ticket, free func(*backend) int) *backend {
 	n := len(r.order)
 	if n == 0 {
 		return nil
 	}
+	avoids := len(t.failed) > 0 && r.anyWorking(now, func(b *backend) bool { return !slices.Contains(t.failed, b) })
 	var best *backend
 	found := 0
 	start := rand.IntN(n)
 	for i := 0; i < n && found < 2; i++ {
 		b := r.order[(start+i)%n]
-		if free(b) <= 0 || !b.usable(now, class) {
+		if free(b) <= 0 || !b.usable(now, t.class) || avoids && slices.Contains(t.failed, b) {
 			continue
 		}
 		found++
@@ -86,6 +93,10 @@
 func (b *backend) freed(now time.Time, told int) {
 	b.fullTil = time.Time{}
 	b.refusals = 0
+	if told == unknownFree {
+		b.freeAt = time.Time{}
+		return
+	}
 	b.free = max(told, 1)
 	b.freeAt = now
 }
--- a/sard/route/queue.go
+++ b/sard/route/queue.go
@@ -14,6 +14,8 @@
 	deadline time.Time
 	// need is the time that the request is expected to take once it has a slot.
 	need time.Duration
+	// failed are the servers at which the request has failed.
+	failed []*backend
 	// granted receives the slot, or the reason why there is none. It holds one element.
 	granted chan grant
 	element *list.Element
