--- a/sard/config/spread.go
+++ b/sard/config/spread.go
@@ -10,8 +10,12 @@
 
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/roster"
 )
 
+// DefaultFanout is the number of peers that an instance exchanges reports with.
+const DefaultFanout = 8
+
 const (
 	exchangeInterval = time.Second
 	exchangeTimeout  = 500 * time.Millisecond
@@ -24,6 +28,8 @@
 	Instance ident.Instance
 	Version  ident.Version
 	Digest   ident.Digest
+	// Known is the latest version that the instance knows to be accepted.
+	Known ident.Version
 	// InForceFor is how long the version has been in force at the instance.
 	InForceFor ident.Duration
 	// First tells that the version is the first of the process, so that InForceFor is bounded by its age.
@@ -32,13 +38,19 @@
 	Confirmed bool
 	// ConfirmedAgo is the age of a moment at which the table held no later version than this one.
 	ConfirmedAgo ident.Duration
-	// Breaches counts the broken promises that the instance has seen.
+	// Established tells that the instance's version was confirmed as of a moment after its start.
+	Established bool
+	// Asks tells that the instance wants Witnesses in the answer.
+	Asks bool
+	// Witnesses are the instances that were seen running the version, in no order.
+	Witnesses []Witness
+	// Breaches counts the broken promises that the instance has seen since the version came into force.
 	Breaches uint64
 }
 
 // Peers are the other instances. Its calls end with their context. Errors are *fault.Error.
 type Peers interface {
-	// Neighbours lists the peers that this instance exchanges reports with, in any order.
+	// Neighbours lists the peers that may be called, in any order.
 	Neighbours() []ident.Instance
 	// Exchange sends this instance's report to a peer, which gives it to Agent.Exchange, and returns the answer.
 	Exchange(ctx context.Context, peer ident.Instance, mine Report) (Report, error)
@@ -64,12 +76,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := Report{
-		Instance:  a.cfg.Instance,
-		Version:   a.current.Version,
-		Digest:    a.current.Digest,
-		First:     a.first,
-		Confirmed: !a.confirmed.IsZero(),
-		Breaches:  breaches,
+		Instance:    a.cfg.Instance,
+		Version:     a.current.Version,
+		Digest:      a.current.Digest,
+		Known:       max(a.current.Version, a.wanted),
+		First:       a.first,
+		Confirmed:   !a.confirmed.IsZero(),
+		Established: a.established,
+		Breaches:    breaches - a.breachesBefore,
 	}
 	if r.Version > 0 {
 		r.InForceFor = ident.Duration(time.Since(a.current.Since))
@@ -88,8 +102,28 @@
 		theirs.Confirmed = false
 		a.hear(theirs.Instance)
 		a.learn(theirs, theirs.Instance, time.Time{})
+		a.noteRun(theirs)
+	}
+	mine := a.Report()
+	if theirs.Asks && theirs.Version == mine.Version {
+		mine.Witnesses = a.listWitnesses()
+	}
+	return mine
+}
+
+// noteRun notes a peer that runs the version in force here. Its report's age is not known, so it is no witness.
+func (a *Agent) noteRun(r Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Version == a.current.Version && r.Instance != a.cfg.Instance {
+		a.runs[witnessID(r.Instance)] = true
 	}
-	return a.Report()
+}
+
+func (a *Agent) listWitnesses() []Witness {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.witnesses.list(a.cfg.Bound)
 }
 
 // learn takes in that a version was accepted. When the report is confirmed, asOf is a moment no later than the one
@@ -100,14 +134,15 @@
 	if r.Confirmed {
 		a.confirm(confirmation{version: r.Version, at: asOf})
 	}
-	if r.Version <= a.current.Version || r.Version < a.wanted {
+	known := max(r.Version, r.Known)
+	if known <= a.current.Version || known < a.wanted {
 		return
 	}
-	if r.Version > a.wanted {
-		a.wanted = r.Version
+	if known > a.wanted {
+		a.wanted = known
 		a.sources = nil
 	}
-	if source != "" && !slices.Contains(a.sources, source) {
+	if source != "" && r.Version == known && !slices.Contains(a.sources, source) {
 		a.sources = append(a.sources, source)
 	}
 	notify(a.wake)
@@ -123,6 +158,7 @@
 	}
 	if c.at.After(a.confirmed) {
 		a.confirmed = c.at
+		a.established = a.established || a.current.Version > 0 && !c.at.Before(a.started)
 	}
 }
 
@@ -136,8 +172,8 @@
 func (a *Agent) exchangeLoop(ctx context.Context) error {
 	interval := func() time.Duration { return exchangeInterval }
 	return every(ctx, interval, func(ctx context.Context) {
-		peers := a.cfg.Peers.Neighbours()
-		if len(peers) > 0 && a.unconfirmedFor() < a.cfg.Bound/2 {
+		peers := a.neighbours()
+		if len(peers) > 0 && !a.asks() {
 			peers = []ident.Instance{peers[rand.IntN(len(peers))]}
 		}
 		a.exchangeAll(ctx, peers)
@@ -152,8 +188,18 @@
 			return nil
 		case <-a.fresh:
 		}
-		a.exchangeAll(ctx, a.cfg.Peers.Neighbours())
+		a.exchangeAll(ctx, a.neighbours())
+	}
+}
+
+// neighbours lists the peers that this instance exchanges reports with: all, or those that rank first for it by
+// rendezvous hashing.
+func (a *Agent) neighbours() []ident.Instance {
+	peers := a.cfg.Peers.Neighbours()
+	if len(peers) <= a.cfg.Fanout {
+		return peers
 	}
+	return roster.Rank(string(a.cfg.Instance), peers)[:a.cfg.Fanout]
 }
 
 func (a *Agent) exchangeAll(ctx context.Context, peers []ident.Instance) {
@@ -171,7 +217,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := time.Now()
-	theirs, err := a.cfg.Peers.Exchange(ctx, peer, a.Report())
+	mine := a.Report()
+	mine.Asks = a.asks()
+	theirs, err := a.cfg.Peers.Exchange(ctx, peer, mine)
 	a.count(func(c *Counts) { c.ExchangesSent++ })
 	if err != nil {
 		a.log.Debug("report not exchanged", "peer", peer, "error", err)
@@ -182,6 +230,11 @@
 	}
 	a.hear(peer)
 	a.learn(theirs, peer, sent.Add(-theirs.ConfirmedAgo.Std()))
+	listed := a.membership().Listed
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attest(theirs, sent)
+	a.established = a.established || a.quorum(listed, a.started)
 }
 
 // fetchLoop gets each wanted version, one at a time.
