Assert the request path's promises and list its figures in the bench

Cause: the promises were only tested, not asserted in the program; sardbench did not run the request path.

--- a/sard/bench/registry.go
+++ b/sard/bench/registry.go
@@ -15,4 +15,8 @@
 	{"place.badworkers", BadWorkers},
 	{"place.rackloss", RackLoss},
 	{"place.decision", Decisions},
+	{"route.added", AddedTime},
+	{"route.load", OfferedLoads},
+	{"route.failing", FailingServers},
+	{"route.waiting", WaitingMemory},
 }
--- a/sard/load/waiting.go
+++ b/sard/load/waiting.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// waitingRequests is how many requests wait while memory is measured.
-const waitingRequests = 2000
+// WaitingRequests is how many requests wait while memory is measured.
+const WaitingRequests = 2000
 
 // waitingBody is the size of their bodies in bytes.
 const waitingBody = 1 << 10
@@ -27,7 +27,7 @@
 	}
 	defer f.stop()
 	defer close(hold)
-	in := startInstances(1, f.entries(), documentOf(2*waitingRequests, time.Minute))
+	in := startInstances(1, f.entries(), documentOf(2*WaitingRequests, time.Minute))
 	defer in.stop()
 	api, address, err := startAPI(in.routers[0])
 	if err != nil {
@@ -37,7 +37,7 @@
 	before := inUse()
 	request := fmt.Sprintf("POST /r%s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		path, token, waitingBody, strings.Repeat("x", waitingBody))
-	for range waitingRequests + slots {
+	for range WaitingRequests + slots {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
 			return 0, err
--- a/sard/route/attempt.go
+++ b/sard/route/attempt.go
@@ -66,8 +66,13 @@
 		r.release(s, idleEnd)
 		return unreached{fault.Wrap(err, fault.Invalid, "make request", "")}
 	}
+	if !r.maySend(c) {
+		r.release(s, idleEnd)
+		return lost{false, fault.New(fault.OutcomeUnknown, "send request", s.peer(), "the request was sent before")}
+	}
 	c.spent = c.spent || !c.payload.whole()
 	response, err := s.conn.Do(request) //nolint:bodyclose // receive and stream close it
+	c.sent = c.sent || s.conn.Sent()
 	if err != nil {
 		return r.failed(ctx, s, err)
 	}
--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -26,6 +26,8 @@
 	spent bool
 	// failed are the servers at which attempts have failed.
 	failed []*backend
+	// sent is set once a byte may have left.
+	sent bool
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 }
@@ -51,7 +53,7 @@
 	}
 	c := &call{Request: q, route: route}
 	c.deadline, _ = ctx.Deadline()
-	result := r.settle(ctx, c)
+	result := r.honest(c, r.settle(ctx, c))
 	r.report(c, result)
 	answer, ok := result.(Answered)
 	if !ok {
--- a/sard/route/dispatch.go
+++ b/sard/route/dispatch.go
@@ -116,7 +116,7 @@
 		}
 		t := l.head()
 		b := r.pick(now, t)
-		if b == nil {
+		if b == nil || !r.mayTake(b, now) {
 			if skip == nil {
 				skip = map[*line]bool{}
 			}
--- a/sard/route/metrics.go
+++ b/sard/route/metrics.go
@@ -11,7 +11,6 @@
 	retries  prometheus.Counter
 	waiting  prometheus.Gauge
 	waits    prometheus.Histogram
-	breaches *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -32,12 +31,9 @@
 			Name: "sardine_request_wait_seconds", Help: "Time that requests waited for a slot.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 4, 8),
 		}),
-		breaches: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sardine_route_breaches_total", Help: "Steps refused because a promise would have been broken.",
-		}, []string{"Promise"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.outcomes, m.attempts, m.retries, m.waiting, m.waits, m.breaches)
+		registerer.MustRegister(m.outcomes, m.attempts, m.retries, m.waiting, m.waits)
 	}
 	return m
 }
