Pause before retries, and test streams and callers that leave

Cause: retries went out at once, and streaming was not tested end to end. Change: a retry after a failure waits for a jittered pause; tests over real HTTP send 8 MB chunked both ways, leave midway and send short bodies.

--- /dev/null
+++ b/sard/caller/stream_test.go
@@ -0,0 +1,98 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endless gives a number of bytes.
+type endless struct{ left int }
+
+// Read gives the next bytes.
+func (e *endless) Read(p []byte) (int, error) {
+	if e.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), e.left)
+	for i := range n {
+		p[i] = byte((e.left - i) % 251)
+	}
+	e.left -= n
+	return n, nil
+}
+
+// TestLargeBodiesAreStreamed sends a large chunked body and gets it back.
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	const size = 8 << 20
+	api := startAPI(t, func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.ContentLength == -1, "the body is chunked")
+		sum := sha256.New()
+		_, err := io.Copy(sum, r.Body)
+		assert.Check(t, err)
+		_, _ = w.Write(sum.Sum(nil))
+		_, _ = io.Copy(w, &endless{left: size})
+	})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, api.URL+"/r/settle", &endless{left: size})
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	want, err := io.ReadAll(&endless{left: size})
+	assert.NilError(t, err)
+	sum := sha256.Sum256(want)
+	assert.Assert(t, bytes.Equal(got[:sha256.Size], sum[:]))
+	assert.Assert(t, bytes.Equal(got[sha256.Size:], want))
+}
+
+// TestCallerLeaves ends a call from the caller's side, and expects the server's call to be ended too.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	started := make(chan struct{})
+	api := startAPI(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, api.URL+"/r/settle", strings.NewReader("claim"))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	waiting := time.AfterFunc(0, func() {
+		<-started
+		cancel()
+	})
+	defer waiting.Stop()
+	_, err = http.DefaultClient.Do(r) //nolint:bodyclose // there is no answer
+	assert.Assert(t, errors.Is(err, context.Canceled))
+	<-ended
+}
+
+// TestShortBodyIsNotForwarded sends less than the announced length and leaves.
+func TestShortBodyIsNotForwarded(t *testing.T) {
+	api := startAPI(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was called") })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(api.URL, "http://"))
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "POST /r/settle HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+token+
+		"\r\nContent-Length: 100\r\n\r\nshort")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(answer), "Sardine-Outcome: NotRun"), string(answer))
+	assert.NilError(t, conn.Close())
+}
--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -11,8 +11,13 @@
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
-// maxTries bounds the attempts of one request.
-const maxTries = 4
+// Settings of retries.
+const (
+	// maxTries bounds the attempts of one request.
+	maxTries = 4
+	// retryPause is half the mean pause before the first retry. It doubles with each try.
+	retryPause = 2 * time.Millisecond
+)
 
 // call is a request on its way.
 type call struct {
@@ -140,6 +145,7 @@
 		}
 		if _, busy := end.(refused); !busy {
 			c.failed = append(c.failed, s.backend)
+			pause(ctx, jitter(retryPause<<try))
 		}
 	}
 }
