--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -11,8 +11,13 @@
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
-// maxTries bounds the attempts of one request.
-const maxTries = 4
+// Settings of retries.
+const (
+	// maxTries bounds the attempts of one request.
+	maxTries = 4
+	// retryPause is half the mean pause before the first retry. It doubles with each try.
+	retryPause = 2 * time.Millisecond
+)
 
 // call is a request on its way.
 type call struct {
@@ -24,6 +29,10 @@
 	need time.Duration
 	// spent is set once the body has been read away, so that it cannot be sent again.
 	spent bool
+	// failed are the servers at which attempts have failed.
+	failed []*backend
+	// sent is set once a byte may have left.
+	sent bool
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 }
@@ -49,7 +58,7 @@
 	}
 	c := &call{Request: q, route: route}
 	c.deadline, _ = ctx.Deadline()
-	result := r.settle(ctx, c)
+	result := r.honest(c, r.settle(ctx, c))
 	r.report(c, result)
 	answer, ok := result.(Answered)
 	if !ok {
@@ -114,6 +123,7 @@
 		class:    c.route.Class,
 		deadline: c.deadline,
 		need:     c.need,
+		failed:   c.failed,
 		granted:  make(chan grant, 1),
 	}
 }
@@ -122,9 +132,9 @@
 func (r *Router) forward(ctx context.Context, c *call) Result {
 	for try := 1; ; try++ {
 		start := time.Now()
-		s, refused := r.wait(ctx, c.ticket(), try > 1)
-		if refused != nil {
-			return c.without(refused)
+		s, notRun := r.wait(ctx, c.ticket(), try > 1)
+		if notRun != nil {
+			return c.without(notRun)
 		}
 		r.metrics.waits.Observe(time.Since(start).Seconds())
 		r.log.Info("request routed", "request", c.ID, "account", c.Account, "route", c.route.Name,
@@ -133,6 +143,10 @@
 		if result := r.conclude(ctx, c, end, try); result != nil {
 			return result
 		}
+		if _, busy := end.(refused); !busy {
+			c.failed = append(c.failed, s.backend)
+			pause(ctx, jitter(retryPause<<try))
+		}
 	}
 }
 
