Confirm a version by its own write, and rank peers once

Cause: at 400 instances, 2 s after the start and with a third of the calls lost, an acceptance stayed unknown (134 of 400 instances known after 8 s): no instance was established before its next poll, so none was told of as running the version. TestFirstDocumentIsTold fails without this change. Change: the acceptor's own write confirms the version; the ranking of peers is kept while the peers stay the same.

--- a/sard/bench/spread.go
+++ b/sard/bench/spread.go
@@ -17,15 +17,23 @@
 )
 
 const (
-	spreadDelay   = time.Millisecond
-	spreadRest    = 20 * time.Second
-	spreadChanges = 10
-	spreadLimit   = 20 * time.Second
+	// spreadDelay is the one-way latency between instances.
+	spreadDelay = time.Millisecond
+	// spreadLimit bounds the spread of one change.
+	spreadLimit = 20 * time.Second
 )
 
+// SpreadConfig sets up MeasureSpread.
+type SpreadConfig struct {
+	Instances int
+	// Changes is the number of documents, one after the other.
+	Changes int
+	// Rest is how long the cost without changes is counted. MeasureSpread takes three times as long and more.
+	Rest time.Duration
+}
+
 // SpreadResult is what the spread of documents over a number of instances cost.
 type SpreadResult struct {
-	Instances int
 	// InForce is the time from the proposal of a change to the moment at which an instance has it in force, for
 	// all changes and instances, in ascending order.
 	InForce []time.Duration
@@ -47,26 +55,31 @@
 
 // spreadNet joins the agents in memory, with a delay each way.
 type spreadNet struct {
+	cfg    SpreadConfig
 	agents []*config.Agent
 	bytes  atomic.Int64
 }
 
 // spreadPeer is the net as one instance sees it.
 type spreadPeer struct {
-	net   *spreadNet
-	index int
+	net    *spreadNet
+	others []ident.Instance
 }
 
-// MeasureSpread runs agents of n instances and spreads changes. It takes its time from the clock of the runtime, so
+// MeasureSpread runs the agents of some instances and spreads changes. It takes its time from the clock of the runtime, so
 // that tests can run it in virtual time.
-func MeasureSpread(ctx context.Context, n int) (SpreadResult, error) {
+func MeasureSpread(ctx context.Context, cfg SpreadConfig) (SpreadResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	net := &spreadNet{}
+	net := &spreadNet{cfg: cfg}
 	store := &table.Memory{}
-	for i := range n {
+	names := make([]ident.Instance, cfg.Instances)
+	for i := range names {
+		names[i] = spreadName(i)
+	}
+	for i, name := range names {
 		net.agents = append(net.agents, config.New(config.Config{
-			Instance: spreadName(i), Store: store, Peers: spreadPeer{net: net, index: i},
-			Membership: func() config.Membership { return config.Membership{Listed: n, Reachable: n} },
+			Instance: name, Store: store, Peers: spreadPeer{net: net, others: slices.Delete(slices.Clone(names), i, i+1)},
+			Membership: func() config.Membership { return config.Membership{Listed: cfg.Instances, Reachable: cfg.Instances} },
 		}))
 	}
 	var group errgroup.Group
@@ -80,24 +93,24 @@
 }
 
 func (net *spreadNet) measure(ctx context.Context) (SpreadResult, error) {
-	r := SpreadResult{Instances: len(net.agents)}
+	var r SpreadResult
 	if err := net.change(ctx, &r); err != nil {
 		return r, err
 	}
-	r = SpreadResult{Instances: r.Instances}
-	time.Sleep(spreadRest)
+	r = SpreadResult{}
+	time.Sleep(net.cfg.Rest)
 	before := net.cost()
-	time.Sleep(spreadRest)
-	r.Rest = net.cost().less(before).times(1 / spreadRest.Seconds())
+	time.Sleep(net.cfg.Rest)
+	r.Rest = net.cost().less(before).times(1 / net.cfg.Rest.Seconds())
 	before, began := net.cost(), time.Now()
-	for range spreadChanges {
+	for range net.cfg.Changes {
 		if err := net.change(ctx, &r); err != nil {
 			return r, err
 		}
 	}
-	time.Sleep(spreadRest)
+	time.Sleep(net.cfg.Rest)
 	rest := r.Rest.times(time.Since(began).Seconds())
-	r.Change = net.cost().less(before).less(rest).times(1.0 / spreadChanges)
+	r.Change = net.cost().less(before).less(rest).times(1 / float64(net.cfg.Changes))
 	slices.Sort(r.InForce)
 	slices.Sort(r.Told)
 	return r, nil
@@ -153,15 +166,7 @@
 }
 
 // Neighbours lists all other instances.
-func (p spreadPeer) Neighbours() []ident.Instance {
-	var peers []ident.Instance
-	for i := range p.net.agents {
-		if i != p.index {
-			peers = append(peers, spreadName(i))
-		}
-	}
-	return peers
-}
+func (p spreadPeer) Neighbours() []ident.Instance { return p.others }
 
 func (p spreadPeer) find(name ident.Instance) *config.Agent {
 	var i int
--- a/sard/config/agent.go
+++ b/sard/config/agent.go
@@ -79,6 +79,9 @@
 	wanted      ident.Version
 	sources     []ident.Instance
 	subscribers []func(Accepted)
+	// ranked are the first of rankedOf by rendezvous hashing.
+	ranked   []ident.Instance
+	rankedOf []ident.Instance
 	// breachesBefore counts the broken promises before the version came into force.
 	breachesBefore uint64
 	// noted is the version under which broken promises were stored last.
--- a/sard/config/mesh_test.go
+++ b/sard/config/mesh_test.go
@@ -37,6 +37,7 @@
 	// cut instances don't reach the table.
 	cut   []bool
 	nodes []*node
+	names []ident.Instance
 	// highest is the highest version that each instance was ever seen to run, over its restarts, while ready.
 	highest []ident.Version
 	seen    map[ident.Version]ident.Digest
@@ -53,6 +54,7 @@
 	index  int
 	agent  *config.Agent
 	cancel context.CancelFunc
+	others []ident.Instance
 	// last is the version that the run had last.
 	last ident.Version
 }
@@ -63,6 +65,9 @@
 		side: make([]int, n), cut: make([]bool, n), nodes: make([]*node, n), highest: make([]ident.Version, n),
 		seen: map[ident.Version]ident.Digest{},
 	}
+	for i := range n {
+		m.names = append(m.names, name(i))
+	}
 	m.store.Fail = m.storeFailure
 	for i := range n {
 		m.start(i)
@@ -82,7 +87,7 @@
 // start runs a new agent at instance i.
 func (m *mesh) start(i int) {
 	ctx, cancel := context.WithCancel(m.t.Context())
-	n := &node{mesh: m, index: i, cancel: cancel}
+	n := &node{mesh: m, index: i, cancel: cancel, others: slices.Delete(slices.Clone(m.names), i, i+1)}
 	n.agent = config.New(config.Config{
 		Instance: name(i), Store: reach{n}, Peers: n,
 		Membership: n.membership,
@@ -201,15 +206,7 @@
 }
 
 // Neighbours lists all other instances.
-func (n *node) Neighbours() []ident.Instance {
-	var peers []ident.Instance
-	for i := range n.mesh.side {
-		if i != n.index {
-			peers = append(peers, name(i))
-		}
-	}
-	return peers
-}
+func (n *node) Neighbours() []ident.Instance { return n.others }
 
 func (n *node) Exchange(ctx context.Context, peer ident.Instance, mine config.Report) (config.Report, error) {
 	to, err := n.travel(ctx, peer)
--- a/sard/config/propose.go
+++ b/sard/config/propose.go
@@ -217,11 +217,12 @@
 	if err != nil {
 		return Verdict{}, err
 	}
-	unknown := false
+	unknown, began := false, time.Now()
 	for range commitAttempts {
 		err = a.cfg.Store.Apply(ctx, table.DecisionPriority, batch...)
 		switch {
 		case err == nil:
+			a.wrote(rec.Version, began)
 			return a.accepted(ctx, rec)
 		case fault.Is(err, fault.Conflict):
 			return a.resolve(ctx, c)
@@ -237,6 +238,13 @@
 	return Verdict{}, fault.Wrap(err, fault.OutcomeUnknown, "accept document", "table")
 }
 
+// wrote takes in that a version was written after a moment, so that no later one had been accepted by then.
+func (a *Agent) wrote(version ident.Version, after time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.confirm(confirmation{version: version, at: after})
+}
+
 func writes(rec Record, revision uint64) ([]table.Write, error) {
 	head, err := encode(rec.Head)
 	if err != nil {
--- a/sard/config/spread.go
+++ b/sard/config/spread.go
@@ -199,7 +199,13 @@
 	if len(peers) <= a.cfg.Fanout {
 		return peers
 	}
-	return roster.Rank(string(a.cfg.Instance), peers)[:a.cfg.Fanout]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.Equal(peers, a.rankedOf) {
+		a.rankedOf = slices.Clone(peers)
+		a.ranked = roster.Rank(string(a.cfg.Instance), peers)[:a.cfg.Fanout]
+	}
+	return a.ranked
 }
 
 func (a *Agent) exchangeAll(ctx context.Context, peers []ident.Instance) {
--- a/sard/config/spread_test.go
+++ b/sard/config/spread_test.go
@@ -41,7 +41,7 @@
 				m := newMesh(t, tt.n, 1)
 				defer m.stop()
 				m.set(func() { m.loss = tt.loss })
-				time.Sleep(inForceLarge)
+				time.Sleep(inForceSmall)
 				for i := range tt.rounds {
 					var err error
 					m.group.Go(func() error {
@@ -171,3 +171,16 @@
 		assert.Equal(t, m.settled(2), 9)
 	})
 }
+
+// A document that is accepted before any instance has polled again must still be told as accepted, also when a third
+// of the calls are lost.
+func TestFirstDocumentIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 400, 1)
+		defer m.stop()
+		m.set(func() { m.loss = 0.33 })
+		time.Sleep(time.Second)
+		_, err := m.propose(0, 1)
+		assert.NilError(t, err)
+	})
+}
--- a/sardctl/apply.go
+++ b/sardctl/apply.go
@@ -109,6 +109,9 @@
 		}
 		w.row("VERSION", "DIGEST", "AUTHOR", "NOTE")
 		w.row(v.Version, short(v.Digest), v.Author, note)
+		if len(v.Changes) > 0 {
+			w.section()
+		}
 		for _, change := range v.Changes {
 			w.row(change)
 		}
@@ -120,6 +123,7 @@
 	if len(plan) == 0 {
 		return
 	}
+	w.section()
 	w.row("DATA CENTRE", "ACCOUNT", "GUARANTEES")
 	for _, share := range plan {
 		for _, account := range share.Accounts {
--- a/sardctl/session.go
+++ b/sardctl/session.go
@@ -84,6 +84,12 @@
 // rows writes cells in columns.
 type rows struct{ *tabwriter.Writer }
 
+// section ends the columns so far and starts others below an empty line.
+func (t *rows) section() {
+	fmt.Fprintln(t)
+	_ = t.Flush()
+}
+
 func (t *rows) row(cells ...any) {
 	texts := make([]string, len(cells))
 	for i, cell := range cells {
--- a/sardctl/status.go
+++ b/sardctl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/oper"
@@ -17,7 +18,9 @@
 	}
 	return c.session.print(view, func(w *rows) {
 		printInstances(w, view)
+		w.section()
 		printDomains(w, view)
+		w.section()
 		for _, s := range view.Shortages {
 			w.row(fmt.Sprintf("SHORT: %s lacks %d cells of %d accelerators in %s", s.Account, s.Missing, s.Accelerators, s.DataCentre))
 		}
@@ -35,7 +38,7 @@
 		if in.NotReady != "" {
 			ready = in.NotReady
 		}
-		w.row(in.Name, in.DataCentre, in.State, ready, in.Version, short(in.Digest), in.InForceFor, in.Domains)
+		w.row(in.Name, in.DataCentre, in.State, ready, in.Version, short(in.Digest), in.InForceFor.Std().Round(time.Millisecond), in.Domains)
 	}
 }
 
