Remember workers that are missing from the platform's list for a while

Ruled out: the worker's unreachability itself; lost workers still count in the engine. Conclusion: an instance that starts while the worker is missing does not remember it; the engine needs a grace too.

--- a/sard/domain/manager.go
+++ b/sard/domain/manager.go
@@ -74,7 +74,8 @@
 type Manager struct {
 	cfg Config
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	memory memory
 	// topology has the workers of each data centre in the order in which they stand.
 	topology  map[ident.DataCentre][]fleet.Worker
 	accepted  config.Accepted
@@ -130,12 +131,12 @@
 
 // SetTopology takes the platform's list of workers over.
 func (m *Manager) SetTopology(workers []fleet.Worker) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	byDomain := map[ident.DataCentre][]fleet.Worker{}
-	for _, w := range workers {
+	for _, w := range m.memory.merge(time.Now(), workers) {
 		byDomain[w.DataCentre] = append(byDomain[w.DataCentre], w)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	for dc := range m.topology {
 		if _, ok := byDomain[dc]; !ok {
 			byDomain[dc] = nil
