Archive ended jobs in the object store before they are pruned

Cause: the object store's settings were read and used for nothing, and ended jobs were forgotten after the retention. Change: a pruned job is first written to the object store, one object a job, and read back from there by Get; a job that can't be written stays in the table. sardbench runs the suites of standin/costs too.

--- a/sard/gang/domain.go
+++ b/sard/gang/domain.go
@@ -13,6 +13,7 @@
 	"github.com/sardineline/sardineline/sard/fleet"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/lease"
+	"github.com/sardineline/sardineline/sard/object"
 	"github.com/sardineline/sardineline/sard/place"
 	"github.com/sardineline/sardineline/sard/table"
 	"github.com/sardineline/sardineline/sard/worker"
@@ -37,6 +38,8 @@
 	Engine Engine
 	// Workers returns the client of a worker.
 	Workers func(name ident.Worker, address string) worker.Client
+	// Archive keeps ended jobs after the retention; nil means that they are forgotten then.
+	Archive object.Store
 	// Logger gets a line for each placement decision; nil means none.
 	Logger hclog.Logger
 	// Registerer takes the domain's metrics; nil means none.
--- a/sard/gang/domain_test.go
+++ b/sard/gang/domain_test.go
@@ -16,6 +16,7 @@
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/lease"
+	"github.com/sardineline/sardineline/sard/object"
 	"github.com/sardineline/sardineline/sard/place"
 	"github.com/sardineline/sardineline/sard/table"
 	"github.com/sardineline/sardineline/sard/worker"
@@ -33,6 +34,8 @@
 	group   errgroup.Group
 	// client returns the client of a worker.
 	client func(name ident.Worker, address string) worker.Client
+	// archive keeps ended jobs; nil for none.
+	archive object.Store
 	// front wraps the table for one instance; nil for none.
 	front func(table.Store) table.Store
 }
@@ -82,7 +85,7 @@
 	h := &holder{held: held, crash: cancel, done: make(chan struct{})}
 	h.domain = gang.New(gang.Config{
 		DataCentre: dc, Store: store, Lease: held, Engine: place.New(place.Config{}), Logger: s.logger(),
-		Workers: s.client,
+		Workers: s.client, Archive: s.archive,
 	})
 	h.domain.Configure(place.Configure{
 		Objective: place.Objective{CompletionTime: 1, Fragmentation: 1},
--- a/sard/gang/prune.go
+++ b/sard/gang/prune.go
@@ -10,7 +10,7 @@
 // maxPruned is how many jobs are pruned at once; each takes two writes.
 const maxPruned = (table.MaxBatch - 1) / 2
 
-// prune removes ended jobs and their idempotency keys after the retention.
+// prune archives ended jobs after the retention, and then removes them and their idempotency keys.
 func (d *Domain) prune(ctx context.Context) {
 	d.mu.Lock()
 	var old []*job
@@ -20,6 +20,7 @@
 		}
 	}
 	d.mu.Unlock()
+	old = d.archive(ctx, old)
 	var writes []table.Write
 	for _, j := range old {
 		writes = append(writes, table.Delete{Key: jobKey(j.record.ID), If: table.AtRevision{Revision: j.revision}})
--- a/sard/gang/service.go
+++ b/sard/gang/service.go
@@ -180,8 +180,17 @@
 	return fault.New(fault.Conflict, "submit job", "", "the idempotency key %q belongs to another submission", key)
 }
 
-// Get returns a job of the account.
-func (d *Domain) Get(_ context.Context, account ident.Account, id ident.Job) (View, error) {
+// Get returns a job of the account, also one that was archived.
+func (d *Domain) Get(ctx context.Context, account ident.Account, id ident.Job) (View, error) {
+	view, err := d.recent(account, id)
+	if fault.Is(err, fault.NotFound) {
+		return d.archived(ctx, account, id)
+	}
+	return view, err
+}
+
+// recent returns a job of the account that is in memory.
+func (d *Domain) recent(account ident.Account, id ident.Job) (View, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	j, err := d.find(account, id)
--- a/sardbench/main.go
+++ b/sardbench/main.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/sardineline/sardineline/sard/bench"
+	"github.com/sardineline/sardineline/standin/costs"
 )
 
 // version is set when the program is built.
@@ -39,7 +41,7 @@
 		fmt.Fprintln(os.Stdout, version)
 		return 0
 	}
-	over := bench.Run(os.Stdout, bench.Suites, opts.Suite)
+	over := bench.Run(os.Stdout, slices.Concat(bench.Suites, costs.Suites), opts.Suite)
 	known, err := bench.ReadKnown(opts.Known)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/fleet"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/object"
 	"github.com/sardineline/sardineline/sard/oper"
 	"github.com/sardineline/sardineline/sard/peer"
 	"github.com/sardineline/sardineline/sard/place"
@@ -38,7 +39,9 @@
 	promises *prometheus.CounterVec
 	traffic  *traffic
 
-	store   *table.Client
+	store *table.Client
+	// archive keeps ended jobs; nil without an object store.
+	archive object.Store
 	fleet   *fleet.Client
 	roster  *roster.Roster
 	link    *peer.Link
@@ -115,6 +118,20 @@
 	if err != nil {
 		return err
 	}
+	if s.Object.Endpoint != "" {
+		d.archive, err = object.New(object.Config{
+			Endpoint:  s.Object.Endpoint,
+			Region:    s.Object.Region,
+			AccessKey: s.Object.AccessKey,
+			SecretKey: s.Object.SecretKey,
+			Bucket:    s.Object.Bucket,
+			Dial:      d.traffic.dialer("object"),
+			Metrics:   d.registry,
+		})
+		if err != nil {
+			return err
+		}
+	}
 	d.fleet, err = fleet.New(fleet.Config{
 		Endpoint: s.Fleet.URL,
 		Dial:     d.traffic.dialer("fleet"),
--- a/sardined/domains.go
+++ b/sardined/domains.go
@@ -86,6 +86,7 @@
 		Lease:      held.(*keptLease).Held,
 		Engine:     place.New(place.Config{}),
 		Workers:    o.worker,
+		Archive:    o.daemon.archive,
 		Logger:     o.daemon.log.Named("gang"),
 		Registerer: o.daemon.registry,
 	})
