--- a/sard/bench/registry.go
+++ b/sard/bench/registry.go
@@ -15,4 +15,5 @@
 	{"place.badworkers", BadWorkers},
 	{"place.rackloss", RackLoss},
 	{"place.decision", Decisions},
+	{"document.spread", Documents},
 }
