--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -11,8 +11,15 @@
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
-// maxTries bounds the attempts of one request.
-const maxTries = 4
+// Settings of retries.
+const (
+	// maxTries bounds the attempts of one request, those that were refused not counted.
+	maxTries = 4
+	// maxRefusals bounds the refused attempts of one request.
+	maxRefusals = 20
+	// retryPause is half the mean pause before the first retry. It doubles with each try.
+	retryPause = 2 * time.Millisecond
+)
 
 // call is a request on its way.
 type call struct {
@@ -24,6 +31,12 @@
 	need time.Duration
 	// spent is set once the body has been read away, so that it cannot be sent again.
 	spent bool
+	// refusals counts the attempts that were refused.
+	refusals int
+	// failed are the servers at which attempts have failed.
+	failed []*backend
+	// sent is set once a byte may have left.
+	sent bool
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 }
@@ -49,7 +62,7 @@
 	}
 	c := &call{Request: q, route: route}
 	c.deadline, _ = ctx.Deadline()
-	result := r.settle(ctx, c)
+	result := r.honest(c, r.settle(ctx, c))
 	r.report(c, result)
 	answer, ok := result.(Answered)
 	if !ok {
@@ -114,6 +127,7 @@
 		class:    c.route.Class,
 		deadline: c.deadline,
 		need:     c.need,
+		failed:   c.failed,
 		granted:  make(chan grant, 1),
 	}
 }
@@ -122,9 +136,9 @@
 func (r *Router) forward(ctx context.Context, c *call) Result {
 	for try := 1; ; try++ {
 		start := time.Now()
-		s, refused := r.wait(ctx, c.ticket(), try > 1)
-		if refused != nil {
-			return c.without(refused)
+		s, notRun := r.wait(ctx, c.ticket(), try > 1)
+		if notRun != nil {
+			return c.without(notRun)
 		}
 		r.metrics.waits.Observe(time.Since(start).Seconds())
 		r.log.Info("request routed", "request", c.ID, "account", c.Account, "route", c.route.Name,
@@ -133,6 +147,12 @@
 		if result := r.conclude(ctx, c, end, try); result != nil {
 			return result
 		}
+		if _, busy := end.(refused); busy {
+			c.refusals++
+			continue
+		}
+		c.failed = append(c.failed, s.backend)
+		pause(ctx, jitter(retryPause<<len(c.failed)))
 	}
 }
 
@@ -146,7 +166,7 @@
 
 // conclude turns the end of an attempt into the result, or returns nil for another try.
 func (r *Router) conclude(ctx context.Context, c *call, end attemptEnd, try int) Result {
-	again := try < maxTries && ctx.Err() == nil && !c.spent
+	again := try-c.refusals < maxTries && c.refusals < maxRefusals && ctx.Err() == nil && !c.spent
 	switch end := end.(type) {
 	case answered:
 		if again && end.failing && c.route.Class == ident.Idempotent && r.mayRetry() {
--- a/standin/costs/costs.go
+++ b/standin/costs/costs.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/bench"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/table"
 	"github.com/sardineline/sardineline/standin/faults"
@@ -23,23 +24,22 @@
 	Endpoint string
 	// Calls is the number of calls of a figure; 0 means 2,000.
 	Calls int
-}
-
-// Figure is a measured value.
-type Figure struct {
-	Name  string
-	Value float64
-	Unit  string
+	// Records are the sizes of the lists; nil means 1,000, 5,000 and 17,000.
+	Records []int
+	// Workers are the sizes of the fleet; nil means 50, 500 and 3,400.
+	Workers []int
+	// Settles is the number of lost answers, ten times that of late ones; 0 means 50.
+	Settles int
 }
 
 const (
-	defaultCalls = 2000
-	unlimited    = 1e9
-	settleCalls  = 50
+	defaultCalls   = 2000
+	defaultSettles = 50
+	unlimited      = 1e9
 )
 
-// bench is a client with a table service, when it is in this process.
-type bench struct {
+// rig is a client with a table service, when it is in this process.
+type rig struct {
 	meter
 	client *table.Client
 	faults *faults.Set
@@ -47,12 +47,26 @@
 	group  errgroup.Group
 }
 
-// Table measures the table's client.
-func Table(ctx context.Context, config Config) ([]Figure, error) {
-	if config.Calls == 0 {
-		config.Calls = defaultCalls
+func (c Config) withDefaults() Config {
+	if c.Calls == 0 {
+		c.Calls = defaultCalls
+	}
+	if c.Records == nil {
+		c.Records = []int{1000, 5000, 17000}
+	}
+	if c.Workers == nil {
+		c.Workers = []int{50, 500, 3400}
 	}
-	b := &bench{faults: faults.New(1)}
+	if c.Settles == 0 {
+		c.Settles = defaultSettles
+	}
+	return c
+}
+
+// Table measures the table's client.
+func Table(ctx context.Context, config Config) ([]bench.Figure, error) {
+	config = config.withDefaults()
+	b := &rig{faults: faults.New(1)}
 	if err := b.open(config.Endpoint); err != nil {
 		return nil, err
 	}
@@ -60,7 +74,7 @@
 	return figures, errors.Join(err, b.close())
 }
 
-func (b *bench) open(endpoint string) error {
+func (b *rig) open(endpoint string) error {
 	if endpoint == "" {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -81,7 +95,7 @@
 	return err
 }
 
-func (b *bench) close() error {
+func (b *rig) close() error {
 	b.client.Close()
 	if b.server == nil {
 		return nil
