End jobs that fail at the start, pause between attempts, close a domain before its group

Cause: a part that failed in its Start was taken for a failed call: no worker was blamed, so the engine placed the job on the same worker again without end and without a pause. TestFailingJobEnds had not met it: its job was refused at once as it could not be checkpointed. Under the race detector a submission could start work in a domain whose group had ended. Change: the failure of a part goes before that of the call that met it; a worker that refuses a part as bad is blamed; a second passes before a failed gang is placed again; a domain closes before its group can end. Ended parts whose end is durable are named in Forget. TestFailingJobEnds uses jobs that are placed and expects 3 attempts, the archive test sets its fault through an atomic (a race of the test alone, as strict as before).

--- a/sard/gang/archive_test.go
+++ b/sard/gang/archive_test.go
@@ -1,6 +1,7 @@
 package gang_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,20 +20,27 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1, 2)
 		archive := &object.Memory{}
+		var down atomic.Bool
+		archive.Fail = func(string, bool) error {
+			if down.Load() {
+				return fault.New(fault.Unavailable, "put", "object store", "down")
+			}
+			return nil
+		}
 		s.archive = archive
 		h := s.hold("i1").serving()
 		view := h.submit(t, "k1", job(8, "run 1s"))
 		time.Sleep(time.Minute)
 		assert.Equal(t, h.get(t, view.ID).State, ident.Succeeded)
 
-		archive.Fail = func(string, bool) error { return fault.New(fault.Unavailable, "put", "object store", "down") }
+		down.Store(true)
 		time.Sleep(gang.DefaultRetention + time.Hour)
 		items, err := s.store.List(t.Context(), table.BackgroundPriority, "jobs/"+string(dc), "")
 		assert.NilError(t, err)
 		assert.Equal(t, len(items), 1)
 		assert.Equal(t, h.get(t, view.ID).State, ident.Succeeded)
 
-		archive.Fail = nil
+		down.Store(false)
 		time.Sleep(5 * time.Minute)
 		items, err = s.store.List(t.Context(), table.BackgroundPriority, "jobs/"+string(dc), "")
 		assert.NilError(t, err)
--- a/sard/gang/attempt.go
+++ b/sard/gang/attempt.go
@@ -85,7 +85,6 @@
 		return
 	}
 	if e := a.reserveAll(ctx); e != nil {
-		_ = sleep(ctx, reservePause)
 		a.end(ctx, *e)
 		return
 	}
@@ -102,7 +101,7 @@
 // launch starts a committed attempt everywhere and supervises it.
 func (a *attempt) launch(ctx context.Context) {
 	if e := a.startAll(ctx); e != nil {
-		a.end(ctx, *e)
+		a.end(ctx, a.cause(*e))
 		return
 	}
 	a.enter(confirmed)
@@ -111,7 +110,7 @@
 	d.apply(place.Started{Job: a.job.record.ID, Attempt: a.number})
 	d.mu.Unlock()
 	if e := a.confirmAll(ctx); e != nil {
-		a.end(ctx, *e)
+		a.end(ctx, a.cause(*e))
 		return
 	}
 	a.supervise(ctx)
@@ -191,6 +190,16 @@
 	return a.asked
 }
 
+// cause gives the failure of a part, if one has failed, before that of the call that met it.
+func (a *attempt) cause(e ending) ending {
+	a.domain.mu.Lock()
+	defer a.domain.mu.Unlock()
+	if failed := a.failure(); len(failed.blamed) > 0 {
+		return *failed
+	}
+	return e
+}
+
 // failure tells of the parts that have ended too early. The caller holds mu.
 func (a *attempt) failure() *ending {
 	e := &ending{result: place.Requeued}
--- a/sard/gang/domain.go
+++ b/sard/gang/domain.go
@@ -129,6 +129,7 @@
 		case <-d.config.Lease.Lost():
 			cancel()
 		}
+		d.close()
 		return nil
 	})
 	group.Go(func() error {
@@ -143,13 +144,17 @@
 		return d.tick(ctx)
 	})
 	err := group.Wait()
-	d.mu.Lock()
-	d.ready, d.closed = false, true
-	d.mu.Unlock()
 	d.metrics.close()
 	return err
 }
 
+// close lets nothing new start, so that the group can come to its end.
+func (d *Domain) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ready, d.closed = false, true
+}
+
 // Ready tells whether the domain has recovered and decides.
 func (d *Domain) Ready() bool {
 	d.mu.Lock()
--- a/sard/gang/end.go
+++ b/sard/gang/end.go
@@ -23,6 +23,9 @@
 		a.stop(ctx, s)
 		return nil
 	})
+	if e.result == place.Requeued && e.grace == 0 {
+		_ = sleep(ctx, requeuePause)
+	}
 	if ctx.Err() != nil {
 		return
 	}
--- a/sard/gang/fault_test.go
+++ b/sard/gang/fault_test.go
@@ -140,14 +140,23 @@
 }
 
 func TestFailingJobEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, 2, 8)
-		h := s.hold("i1").serving()
-		view := h.submit(t, "", gang.Spec{Kind: "pricing", Accelerators: 8, Command: "fail"})
-		time.Sleep(time.Hour)
-		got := h.get(t, view.ID)
-		assert.Equal(t, got.State, ident.Failed)
-		assert.Assert(t, got.Reason != "")
-		s.end(h)
-	})
+	tests := []struct{ name, command string }{
+		{"fails at the start", "fail"},
+		{"refused by every worker", "refuse"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 2, 8)
+				h := s.hold("i1").serving()
+				view := h.submit(t, "", gang.Spec{Kind: "pricing", Accelerators: 8, Command: test.command, Checkpointable: true})
+				time.Sleep(time.Hour)
+				got := h.get(t, view.ID)
+				assert.Equal(t, got.State, ident.Failed)
+				assert.Equal(t, got.Attempt, ident.Attempt(3))
+				assert.Assert(t, got.Reason != "")
+				s.end(h)
+			})
+		})
+	}
 }
--- a/sard/gang/launch.go
+++ b/sard/gang/launch.go
@@ -116,9 +116,10 @@
 	}
 }
 
-// blame tells whether a failed call speaks against the worker.
+// blame tells whether a failed call speaks against the worker, or against the job when many workers refuse it.
 func blame(s *share, err error) []ident.Worker {
-	if fault.Is(err, fault.Internal) || fault.Is(err, fault.OutcomeUnknown) {
+	switch fault.KindOf(err) {
+	case fault.Internal, fault.Invalid, fault.OutcomeUnknown:
 		return []ident.Worker{s.member.name}
 	}
 	return nil
--- a/sard/gang/member.go
+++ b/sard/gang/member.go
@@ -33,6 +33,8 @@
 	shares map[*share]struct{}
 	// failing tells that the last poll failed; the next one does not wait at the worker.
 	failing bool
+	// forget are ended parts whose attempts are over, so that the worker need not report them any more.
+	forget []worker.Part
 	// strays are unknown parts that are being stopped.
 	strays map[worker.Part]bool
 }
@@ -151,6 +153,7 @@
 		Lease:  ident.Duration(longLease),
 		Seen:   m.seen,
 		Wait:   ident.Duration(pollWait),
+		Forget: m.forget,
 	}
 	if m.failing {
 		req.Wait = 0
@@ -209,6 +212,7 @@
 		d.log.Info("worker back", "Worker", m.name)
 		d.apply(place.WorkerBack{Worker: m.name})
 	}
+	m.forget = nil
 	if report.Unchanged {
 		return
 	}
@@ -223,8 +227,12 @@
 		}
 	}
 	for part, p := range said {
-		if p.State <= ident.PartRunning && !d.expected(m, part) {
+		switch {
+		case d.expected(m, part):
+		case p.State <= ident.PartRunning:
 			d.stopStray(m, part)
+		default:
+			m.forget = append(m.forget, part)
 		}
 	}
 }
--- a/sard/gang/recover.go
+++ b/sard/gang/recover.go
@@ -42,7 +42,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	resumed := d.restore()
-	d.ready = true
+	d.ready = !d.closed
 	for _, m := range d.members {
 		d.watch(m)
 	}
--- a/sard/gang/timing.go
+++ b/sard/gang/timing.go
@@ -15,8 +15,8 @@
 	callPause = 500 * time.Millisecond
 	// reserveLimit bounds how long the parts of a gang may take to be reserved.
 	reserveLimit = shortLease / 2
-	// reservePause is the pause before a gang that could not be reserved is placed again.
-	reservePause = time.Second
+	// requeuePause is the pause before a gang that failed is placed again.
+	requeuePause = time.Second
 	// stopLimit bounds one try of stopping a part.
 	stopLimit = 12 * time.Second
 	// witnessLimit is how old the acceptance of the epoch by most workers may be while the domain lease is lapsed.
--- a/sard/gang/worker_test.go
+++ b/sard/gang/worker_test.go
@@ -18,9 +18,11 @@
 	spec    worker.Spec
 	expires time.Time
 	ends    time.Time
+	// forgotten parts are left out of reports.
+	forgotten bool
 }
 
-// fakeWorker is a worker in memory that honours epochs and leases. A part's Command is its run time, or "fail".
+// fakeWorker is a worker in memory that honours epochs and leases. A part's Command is its run time, "fail" or "refuse".
 type fakeWorker struct {
 	name   ident.Worker
 	ledger *ledger
@@ -132,7 +134,9 @@
 func (w *fakeWorker) reportLocked() worker.Report {
 	report := worker.Report{Worker: w.name, Epoch: w.epoch, Sequence: w.sequence}
 	for _, p := range w.parts {
-		report.Parts = append(report.Parts, p.report)
+		if !p.forgotten {
+			report.Parts = append(report.Parts, p.report)
+		}
 	}
 	return report
 }
@@ -147,6 +151,9 @@
 
 func (w *fakeWorker) Reserve(ctx context.Context, req worker.ReserveRequest) (worker.Report, error) {
 	return w.call(ctx, "reserve", req.Epoch, func() error {
+		if req.Spec.Command == "refuse" {
+			return w.refuse("reserve", worker.BadRequest)
+		}
 		p, ok := w.parts[req.Part]
 		if ok && p.report.State > ident.PartReserved {
 			return nil
@@ -204,6 +211,13 @@
 				w.arm(p)
 			}
 		}
+		for _, part := range req.Forget {
+			p, ok := w.parts[part]
+			if !ok || p.report.State <= ident.PartRunning {
+				return w.refuse("renew", worker.BadRequest)
+			}
+			p.forgotten = true
+		}
 		changed = w.changed
 		return nil
 	})
