--- a/sard/bench/registry.go
+++ b/sard/bench/registry.go
@@ -19,4 +19,5 @@
 	{"route.load", OfferedLoads},
 	{"route.failing", FailingServers},
 	{"route.waiting", WaitingMemory},
+	{"document.spread", Documents},
 }
