--- a/sard/caller/stream_test.go
+++ b/sard/caller/stream_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
@@ -96,3 +97,28 @@
 	assert.Assert(t, strings.Contains(string(answer), "Sardine-Outcome: NotRun"), string(answer))
 	assert.NilError(t, conn.Close())
 }
+
+// TestSlowCallersHoldNoSlot starts more requests than there are slots, whose bodies do not come, and then a whole one.
+func TestSlowCallersHoldNoSlot(t *testing.T) {
+	api := startAPI(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "priced")
+	})
+	for range 20 {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(api.URL, "http://"))
+		assert.NilError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /r/settle HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+token+
+			"\r\nContent-Length: 100\r\nExpect: 100-continue\r\n\r\n")
+		assert.NilError(t, err)
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		assert.NilError(t, err)
+		assert.Equal(t, line, "HTTP/1.1 100 Continue\r\n", "the body is being read")
+		_, err = io.WriteString(conn, "slow")
+		assert.NilError(t, err)
+	}
+	got, err := call(t, http.MethodPost, api.URL+"/r/settle", "claim")
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "priced")
+}
