--- a/sard/config/propose_test.go
+++ b/sard/config/propose_test.go
@@ -148,3 +148,24 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// The answer is lost and the table takes no more writes, so that only reading back can tell what happened.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	calls := 0
+	store := &table.Memory{Fail: func(op string, after bool) error {
+		if op != "apply" {
+			return nil
+		}
+		calls++
+		if calls == 1 {
+			return nil
+		}
+		if after {
+			return fault.New(fault.OutcomeUnknown, "apply batch", "table", "played")
+		}
+		return fault.New(fault.Unavailable, "apply batch", "table", "played")
+	}}
+	v, err := config.New(config.Config{Store: store}).Propose(t.Context(), proposal(1, 0, "t"))
+	assert.NilError(t, err)
+	assert.Equal(t, v.Version, ident.Version(1))
+}
--- a/sard/config/spread_test.go
+++ b/sard/config/spread_test.go
@@ -184,3 +184,19 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Eight of nine instances don't reach the table, and no exchange is due before the push.
+func TestPushAloneSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newRunningMesh(t)
+		defer m.stop()
+		m.cutAll()
+		m.set(func() { m.cut[0] = false })
+		m.group.Go(func() error {
+			_, err := m.propose(0, 2)
+			return err
+		})
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, m.settled(2), 9)
+	})
+}
