--- a/sard/bench/registry.go
+++ b/sard/bench/registry.go
@@ -15,5 +15,9 @@
 	{"place.badworkers", BadWorkers},
 	{"place.rackloss", RackLoss},
 	{"place.decision", Decisions},
+	{"route.added", AddedTime},
+	{"route.load", OfferedLoads},
+	{"route.failing", FailingServers},
+	{"route.waiting", WaitingMemory},
 	{"document.spread", Documents},
 }
