--- /dev/null
+++ b/sard/oper/server_test.go
@@ -0,0 +1,79 @@
+package oper_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/config"
+	"github.com/sardineline/sardineline/sard/creds"
+	"github.com/sardineline/sardineline/sard/oper"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+const document = "Accounts: [{Name: north}]"
+
+func newAPI(t *testing.T) *echo.Echo {
+	t.Helper()
+	tokens, err := creds.NewTokens([]creds.Entry{
+		{Sha256: creds.Hash("operator"), Operator: "ana"},
+		{Sha256: creds.Hash("account"), Account: "north"},
+	})
+	assert.NilError(t, err)
+	e := echo.New()
+	agent := config.New(config.Config{Store: &table.Memory{}})
+	oper.New(oper.Config{Tokens: tokens, Agent: agent}).Register(e)
+	return e
+}
+
+func TestCalls(t *testing.T) {
+	e := newAPI(t)
+	put := http.Header{oper.HeaderBasedOn: {`"0"`}, oper.HeaderToken: {"t"}}
+	calls := []struct {
+		name   string
+		method string
+		path   string
+		token  string
+		header http.Header
+		body   string
+		status int
+		want   string
+	}{
+		{"no token", http.MethodGet, oper.PathDocument, "", nil, "", http.StatusUnauthorized, ""},
+		{"a client account's token", http.MethodPut, oper.PathDocument, "account", put, document, http.StatusUnauthorized, ""},
+		{"none in force", http.MethodGet, oper.PathDocument, "operator", nil, "", http.StatusNotFound, `"Kind":"NotFound"`},
+		{"no version", http.MethodPut, oper.PathDocument, "operator", nil, document, http.StatusBadRequest, "is no version"},
+		{"no write token", http.MethodPut, oper.PathDocument, "operator", http.Header{oper.HeaderBasedOn: {`"0"`}}, document, http.StatusBadRequest, "a token is needed"},
+		{"problems", http.MethodPut, oper.PathDocument, "operator", put, "Acounts: 1", http.StatusBadRequest, `"Line":1,"Column":1,"Path":"Acounts"`},
+		{"too large", http.MethodPut, oper.PathDocument, "operator", put, strings.Repeat("#", oper.MaxBodyBytes+1), http.StatusBadRequest, "too large"},
+		{"check", http.MethodPost, oper.PathCheck, "operator", nil, document, http.StatusOK, `"Version":1`},
+		{"accept", http.MethodPut, oper.PathDocument, "operator", put, document, http.StatusOK, `"Author":"ana"`},
+		{"again", http.MethodPut, oper.PathDocument, "operator", put, document, http.StatusOK, `"Version":1`},
+		{"conflict", http.MethodPut, oper.PathDocument, "operator", http.Header{oper.HeaderBasedOn: {`"0"`}, oper.HeaderToken: {"u"}}, "Accounts: [{Name: south}]", http.StatusConflict, `"Winner":{"Version":1`},
+		{"in force", http.MethodGet, oper.PathDocument, "operator", nil, "", http.StatusOK, `"Document":{"Objective"`},
+		{"history", http.MethodGet, oper.PathHistory, "operator", nil, "", http.StatusOK, `"BasedOn":0`},
+		{"history out of bounds", http.MethodGet, oper.PathHistory + "?Limit=0", "operator", nil, "", http.StatusBadRequest, "Limit must be"},
+		{"unknown version", http.MethodGet, oper.PathVersions + "/7", "operator", nil, "", http.StatusNotFound, "version 7"},
+		{"unknown key", http.MethodPost, oper.PathRestore, "operator", nil, `{"Verison":1}`, http.StatusBadRequest, "Verison"},
+		{"restore needs a version", http.MethodPost, oper.PathRestore, "operator", nil, `{}`, http.StatusBadRequest, "Version is needed"},
+		{"proof", http.MethodGet, oper.PathProof, "operator", nil, "", http.StatusOK, `"Instances":1`},
+		{"promote without proof", http.MethodPost, oper.PathPromote, "operator", nil, `{"Document":{"Accounts":[{"Name":"south"}]},"BasedOn":1,"Token":"p"}`, http.StatusForbidden, "the proof is of digest"},
+	}
+	for _, tt := range calls {
+		t.Run(tt.name, func(t *testing.T) {
+			r := httptest.NewRequest(tt.method, tt.path, strings.NewReader(tt.body))
+			for name, values := range tt.header {
+				r.Header[name] = values
+			}
+			r.Header.Set("Authorization", "Bearer "+tt.token)
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, r)
+			assert.Equal(t, w.Code, tt.status, w.Body.String())
+			assert.Assert(t, strings.Contains(w.Body.String(), tt.want), w.Body.String())
+		})
+	}
+}
