Look a domain's holder up again while the domain changes hands

Ruled out: waiting for the whole of a takeover, up to 7 s; a caller is told sooner when to come back.

--- a/sard/domain/contend.go
+++ b/sard/domain/contend.go
@@ -62,12 +62,7 @@
 
 // pause waits for about the time between two looks at whose turn it is.
 func pause(ctx context.Context) {
-	timer := time.NewTimer(turnPause/2 + rand.N(turnPause))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = sleep(ctx, turnPause/2+rand.N(turnPause))
 }
 
 // isTurn tells whether this instance is the first of the live instances, but for the holder, to take a domain.
@@ -185,7 +180,7 @@
 		return "", fault.Wrap(err, fault.Unavailable, step, peer).After(comeBack)
 	}
 	if name == "" || name == m.cfg.Self.Name {
-		return "", fault.New(fault.Unavailable, step, peer, "no instance holds the domain").After(comeBack)
+		return "", fault.New(fault.Fenced, step, peer, "no instance holds the domain")
 	}
 	member, ok := m.cfg.Roster.Find(name)
 	if !ok {
--- a/sard/domain/jobs.go
+++ b/sard/domain/jobs.go
@@ -19,6 +19,9 @@
 const (
 	// comeBack is when a caller should try again after no holder of a domain was reached.
 	comeBack = 2 * time.Second
+	// lookUps is how often the holder of a domain that changes hands is looked up again, after lookUpPause each.
+	lookUps     = 5
+	lookUpPause = 300 * time.Millisecond
 	// generatedKey starts the keys of submissions that came without one.
 	generatedKey = "sardined/"
 )
@@ -146,11 +149,17 @@
 	return reply.(peer.Explanation).Explanation, nil
 }
 
-// ask has the holder of a domain serve a message: this instance itself or, over the peer link, another one. A
-// holder that turns out to have lost the domain is looked up once more.
+// ask has the holder of a domain serve a message: this instance itself or, over the peer link, another one. While
+// the domain changes hands, the holder is looked up again a few times.
 func (m *Manager) ask(ctx context.Context, dc ident.DataCentre, message peer.Message) (peer.Message, error) {
 	reply, err := m.askHolder(ctx, dc, message, false)
-	if fault.Is(err, fault.Fenced) {
+	for range lookUps {
+		if !fault.Is(err, fault.Fenced) {
+			return reply, err
+		}
+		if sleep(ctx, lookUpPause) != nil {
+			break
+		}
 		reply, err = m.askHolder(ctx, dc, message, true)
 	}
 	if fault.Is(err, fault.Fenced) {
@@ -159,6 +168,18 @@
 	return reply, err
 }
 
+// sleep waits, and fails when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (m *Manager) askHolder(ctx context.Context, dc ident.DataCentre, message peer.Message, fresh bool) (peer.Message, error) {
 	if h := m.holding(dc); h != nil {
 		return serve(ctx, h, message)
