Count the router's broken promises and keep answers out of the log

Cause: the router's OnBreach was not wired; net/http logs up to 4 KB of an unsolicited answer. Change: both in sardined. Measured: go test ./sardined passes. Conclusion: none.

--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -179,6 +179,7 @@
 		Log:        d.log.Named("route"),
 		Registerer: d.registry,
 		OnLeaving:  func(server ident.Server) { d.roster.MarkServer(server) },
+		OnBreach:   d.breach,
 	})
 }
 
--- a/sardined/main.go
+++ b/sardined/main.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -41,6 +43,8 @@
 		_, _ = os.Stdout.WriteString("sardined " + version + "\n")
 		return exitStopped
 	}
+	// net/http writes the bytes of unsolicited answers to the standard logger; they belong to callers.
+	stdlog.SetOutput(io.Discard)
 	log := hclog.New(&hclog.LoggerOptions{Name: "sardined", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON})
 	if err := serve(s, log); err != nil {
 		log.Error("instance failed", "error", err)
