Open an instance's listeners and connections through one network

Cause: an instance could only run on real sockets, so that no test could run several of them in virtual time. The router's refused steps were only logged: its OnBreach was not wired, so they neither counted as broken promises of the instance nor kept a proof back. Change: a network of Listen and DialContext, by default TCP, is handed to newDaemon; all listeners and dialers use it. Connections to backend servers go over it as well, uncounted as before. OnBreach of the router counts in the instance. Conclusion: whole instances can be run on a network in memory.

--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 // daemon is an entry instance with all its parts.
 type daemon struct {
 	settings settings
+	network  network
 	log      hclog.Logger
 	registry *prometheus.Registry
 	promises *prometheus.CounterVec
@@ -55,16 +57,16 @@
 	broken atomic.Uint64
 }
 
-// newDaemon puts an instance together. Its peer link lives until ctx ends.
-func newDaemon(ctx context.Context, s settings, log hclog.Logger) (*daemon, error) {
-	d := &daemon{settings: s, log: log, registry: prometheus.NewRegistry()}
+// newDaemon puts an instance together whose connections go over a network. Its peer link lives until ctx ends.
+func newDaemon(ctx context.Context, s settings, over network, log hclog.Logger) (*daemon, error) {
+	d := &daemon{settings: s, network: over, log: log, registry: prometheus.NewRegistry()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.promises = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sardine_promise_breaches_total",
 		Help: "Steps that were refused because they would have broken a promise, and broken promises that were seen.",
 	}, []string{"promise"})
 	d.registry.MustRegister(d.promises)
-	d.traffic = newTraffic(d.registry)
+	d.traffic = newTraffic(over, d.registry)
 	tokens, err := creds.LoadTokens(s.Secrets.Tokens)
 	if err != nil {
 		return nil, err
@@ -158,13 +160,20 @@
 func (d *daemon) newRouter() {
 	d.router = route.New(route.Config{
 		Instance:   ident.Instance(d.settings.Instance),
+		Dial:       d.dialServer,
 		Store:      d.store,
 		Log:        d.log.Named("route"),
 		Registerer: d.registry,
 		OnLeaving:  func(server ident.Server) { d.roster.MarkServer(server) },
+		OnBreach:   d.breach,
 	})
 }
 
+// dialServer opens a connection to a backend server.
+func (d *daemon) dialServer(ctx context.Context, address string) (net.Conn, error) {
+	return d.network.DialContext(ctx, "tcp", address)
+}
+
 // membership counts the instances for the configuration agent.
 func (d *daemon) membership() config.Membership {
 	all, heard := d.roster.Counts()
--- a/sardined/listen.go
+++ b/sardined/listen.go
@@ -29,7 +29,7 @@
 
 // listen opens a socket. A nil secure means plain HTTP.
 func (d *daemon) listen(name, address string, h http.Handler, secure *tls.Config) (*listener, error) {
-	socket, err := net.Listen("tcp", address)
+	socket, err := d.network.Listen(address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "listen for "+name, address)
 	}
--- a/sardined/main.go
+++ b/sardined/main.go
@@ -54,7 +54,7 @@
 	defer stop()
 	linked, unlink := context.WithCancel(context.Background())
 	defer unlink()
-	d, err := newDaemon(linked, s, log)
+	d, err := newDaemon(linked, s, &tcp{}, log)
 	if err != nil {
 		return err
 	}
--- a/sardined/tls_test.go
+++ b/sardined/tls_test.go
@@ -64,7 +64,7 @@
 			secure, err := mine.Server(tt.mutual)
 			assert.NilError(t, err)
 			hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") })
-			l, err := (&daemon{}).listen("test", "127.0.0.1:0", hello, secure)
+			l, err := (&daemon{network: &tcp{}}).listen("test", "127.0.0.1:0", hello, secure)
 			assert.NilError(t, err)
 			var group errgroup.Group
 			group.Go(l.serve)
--- a/sardined/traffic.go
+++ b/sardined/traffic.go
@@ -8,10 +8,13 @@
 )
 
 // traffic counts the bytes of control connections, without the headers of TCP and IP.
-type traffic struct{ bytes *prometheus.CounterVec }
+type traffic struct {
+	network network
+	bytes   *prometheus.CounterVec
+}
 
-func newTraffic(registry prometheus.Registerer) *traffic {
-	t := &traffic{bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+func newTraffic(over network, registry prometheus.Registerer) *traffic {
+	t := &traffic{network: over, bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sardine_control_bytes_total",
 		Help: "Bytes of control connections by peer (table, fleet, worker, instance) and direction (sent, received).",
 	}, []string{"peer", "direction"})}
@@ -21,9 +24,8 @@
 
 // dialer returns a function that opens counted connections.
 func (t *traffic) dialer(peer string) func(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := t.network.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
