--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -147,3 +147,16 @@
 	}
 	return false
 }
+
+// RunsOf counts the runs of requests to a path.
+func (l *Ledger) RunsOf(path string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.requests {
+		if r.Path == path {
+			n += r.Runs
+		}
+	}
+	return n
+}
