Send a gang that can't be checkpointed only where it is guaranteed

Cause: such a gang was sent to the next domain when the one with its guarantee had no holder for a moment, or to a domain that had it free, and failed there for good, though the account's guarantee holds it. Change: a domain without a guarantee that holds the gang is no choice when another has one. A guarantee that a new document's plan moves to another domain after the job was accepted still fails the job; not tested.

--- a/sard/domain/choose.go
+++ b/sard/domain/choose.go
@@ -49,3 +49,13 @@
 func (c candidate) pressure() float64 {
 	return float64(c.load.Waiting) / float64(max(c.load.Total, 1))
 }
+
+// firm leaves only the domains that guarantee a gang, when there are any: a gang that can't be checkpointed fails
+// in all others.
+func firm(all []candidate) []candidate {
+	guaranteed := slices.DeleteFunc(slices.Clone(all), func(c candidate) bool { return !c.guaranteed })
+	if len(guaranteed) == 0 {
+		return all
+	}
+	return guaranteed
+}
--- a/sard/domain/jobs.go
+++ b/sard/domain/jobs.go
@@ -76,6 +76,9 @@
 	for _, load := range m.Loads() {
 		all = append(all, candidate{load: load, guaranteed: m.guarantees(load.DataCentre, account, spec.Accelerators)})
 	}
+	if !spec.Checkpointable {
+		all = firm(all)
+	}
 	chosen := choose(spec.Accelerators, all)
 	if len(chosen) == 0 {
 		return m.Domains()
--- a/sardined/outage_test.go
+++ b/sardined/outage_test.go
@@ -124,3 +124,41 @@
 	}
 	return sum
 }
+
+// TestGuaranteedJobWaitsForItsDomain submits a job that can't be checkpointed while the holder of the only domain
+// with its guarantee is being replaced.
+func TestGuaranteedJobWaitsForItsDomain(t *testing.T) {
+	inSystem(t, 1, instances, func(s *system) {
+		l := newLoad(s)
+		s.kill(s.holder(s.guaranteed("pricing")))
+		l.submit(gang.Spec{Kind: "k", Accelerators: 16, Command: "run 5s"})
+		l.settle(10 * time.Minute)
+		assert.Check(t, len(l.ended[ident.Succeeded]) == l.jobs, "ended %s", l.ends())
+	})
+}
+
+// guaranteed returns the domain in which an account has its guarantees.
+func (s *system) guaranteed(account ident.Account) ident.DataCentre {
+	for _, share := range s.at(0).daemon.agent.Current().Plan {
+		for _, a := range share.Accounts {
+			if a.Name == account && len(a.Guarantees) > 0 {
+				return share.DataCentre
+			}
+		}
+	}
+	s.t.Fatalf("%s has no guarantee", account)
+	return ""
+}
+
+// holder returns the instance that holds a domain.
+func (s *system) holder(dc ident.DataCentre) int {
+	for _, i := range s.live() {
+		for _, dom := range s.at(i).daemon.domains.Statuses() {
+			if dom.DataCentre == dc {
+				return i
+			}
+		}
+	}
+	s.t.Fatalf("nobody holds %s", dc)
+	return 0
+}
