--- a/sard/route/backend.go
+++ b/sard/route/backend.go
@@ -113,3 +113,12 @@
 	b.closeIdle(0)
 	return fresh
 }
+
+// update takes what may change of a server over. Its name and address are read without the lock and never written
+// again.
+func (b *backend) update(s fleet.Server) {
+	b.server.DataCentre = s.DataCentre
+	b.server.Slots = s.Slots
+	b.server.Connections = s.Connections
+	b.server.State = s.State
+}
--- a/sard/route/router.go
+++ b/sard/route/router.go
@@ -305,10 +305,10 @@
 			b.gone = true
 			b.closeIdle(0)
 		}
-		b = &backend{}
+		b = &backend{server: s}
 		r.backends[s.Name] = b
 	}
-	b.server = s
+	b.update(s)
 	if s.State == ident.Leaving {
 		b.closeIdle(0)
 	}
