--- a/sard/config/spread.go
+++ b/sard/config/spread.go
@@ -180,15 +180,19 @@
 	})
 }
 
-// pushLoop tells all neighbours of each new document.
+// pushLoop tells all neighbours of each new document. One that does not answer holds up no later push.
 func (a *Agent) pushLoop(ctx context.Context) error {
+	var group errgroup.Group
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return group.Wait()
 		case <-a.fresh:
 		}
-		a.exchangeAll(ctx, a.neighbours())
+		group.Go(func() error {
+			a.exchangeAll(ctx, a.neighbours())
+			return nil
+		})
 	}
 }
 
--- a/sard/config/spread_test.go
+++ b/sard/config/spread_test.go
@@ -200,3 +200,21 @@
 		assert.Equal(t, m.settled(2), 9)
 	})
 }
+
+// A peer that does not answer must not hold up the push of the next document to the others.
+func TestLostPeerDoesNotDelayThePush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newRunningMesh(t)
+		defer m.stop()
+		m.cutAll()
+		m.set(func() { m.cut[0], m.side[8] = false, 1 })
+		_, err := m.propose(0, 2)
+		assert.NilError(t, err)
+		m.group.Go(func() error {
+			_, err := m.propose(0, 3)
+			return err
+		})
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, m.settled(3), 8)
+	})
+}
