--- a/sard/oper/server_test.go
+++ b/sard/oper/server_test.go
@@ -58,7 +58,7 @@
 		{"history", http.MethodGet, oper.PathHistory, "operator", nil, "", http.StatusOK, `"BasedOn":0`},
 		{"history out of bounds", http.MethodGet, oper.PathHistory + "?Limit=0", "operator", nil, "", http.StatusBadRequest, "Limit must be"},
 		{"unknown version", http.MethodGet, oper.PathVersions + "/7", "operator", nil, "", http.StatusNotFound, "version 7"},
-		{"unknown key", http.MethodPost, oper.PathRestore, "operator", nil, `{"Verison":1}`, http.StatusBadRequest, "Verison"},
+		{"unknown key", http.MethodPost, oper.PathRestore, "operator", nil, `{"OldVersion":1}`, http.StatusBadRequest, "OldVersion"},
 		{"restore needs a version", http.MethodPost, oper.PathRestore, "operator", nil, `{}`, http.StatusBadRequest, "Version is needed"},
 		{"proof", http.MethodGet, oper.PathProof, "operator", nil, "", http.StatusOK, `"Instances":1`},
 		{"promote without proof", http.MethodPost, oper.PathPromote, "operator", nil, `{"Document":{"Accounts":[{"Name":"south"}]},"BasedOn":1,"Token":"p"}`, http.StatusForbidden, "the proof is of digest"},
