Ask for a confirmed version before a request is taken; leave unchanged reports out

Cause: a process that was paused for long acted on an old document until something asked Ready; workers' reports were sent whole when nothing had changed; wrapped errors told their step twice. Change: caller.Config.Serving, set to the agent's Ready; Report.Unchanged in the stand-in's workers; fault.Wrap keeps the cause as it is; the agent's metrics are registered. Measured: TestStaleInstanceTakesNothing fails without the check (the request is routed) and passes with it; tests of caller, fault, standin/worker, sardctl and gang pass. Conclusion: an instance that can't confirm its version takes nothing, at once.

--- a/sard/caller/jobs.go
+++ b/sard/caller/jobs.go
@@ -19,10 +19,13 @@
 type CancelRequest struct{ Jobs []ident.Job }
 
 // jobsAPI serves the jobs of client accounts.
-type jobsAPI struct{ jobs gang.Service }
+type jobsAPI struct {
+	serving func() error
+	jobs    gang.Service
+}
 
 func registerJobs(e *echo.Echo, cfg Config) {
-	api := jobsAPI{jobs: cfg.Jobs}
+	api := jobsAPI{serving: cfg.Serving, jobs: cfg.Jobs}
 	g := e.Group("/v1/jobs", cfg.Tokens.RequireAccount, middleware.BodyLimit(maxJobBody))
 	g.POST("", api.submit)
 	g.GET("", api.list)
@@ -33,6 +36,9 @@
 }
 
 func (a jobsAPI) submit(c echo.Context) error {
+	if err := a.serving(); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "take job", "").After(comeBack)
+	}
 	var spec gang.Spec
 	if err := decode(c, "read job", &spec); err != nil {
 		return err
--- a/sard/caller/requests.go
+++ b/sard/caller/requests.go
@@ -29,18 +29,26 @@
 // readMargin is how long after the deadline of a request its body may still be read.
 const readMargin = time.Second
 
+// comeBack is when a caller should try again after the instance took nothing.
+const comeBack = time.Second
+
 // requestsAPI forwards requests to backend servers.
 type requestsAPI struct {
-	router *route.Router
-	log    hclog.Logger
+	serving func() error
+	router  *route.Router
+	log     hclog.Logger
 }
 
 func registerRequests(e *echo.Echo, cfg Config) {
-	api := requestsAPI{router: cfg.Router, log: cfg.Log}
+	api := requestsAPI{serving: cfg.Serving, router: cfg.Router, log: cfg.Log}
 	e.Any(requestPrefix+"/*", api.forward, cfg.Tokens.RequireAccount)
 }
 
 func (a requestsAPI) forward(c echo.Context) error {
+	if err := a.serving(); err != nil {
+		f := fault.Wrap(err, fault.Unavailable, "take request", "").After(comeBack)
+		return writeOutcome(c, ident.NotRun, http.StatusServiceUnavailable, f)
+	}
 	r := c.Request()
 	request := route.Request{
 		Account: creds.AccountOf(c),
--- a/sard/caller/requests_test.go
+++ b/sard/caller/requests_test.go
@@ -13,6 +13,7 @@
 	"github.com/sardineline/sardineline/sard/caller"
 	"github.com/sardineline/sardineline/sard/creds"
 	"github.com/sardineline/sardineline/sard/envdoc"
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/fleet"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/route"
@@ -134,3 +135,25 @@
 		})
 	}
 }
+
+func TestStaleInstanceTakesNothing(t *testing.T) {
+	tokens, err := creds.NewTokens([]creds.Entry{{Sha256: creds.Hash("token"), Account: "north"}})
+	assert.NilError(t, err)
+	stale := func() error { return fault.New(fault.Unavailable, "check readiness", "", "version not confirmed") }
+	api := caller.New(caller.Config{Jobs: &jobs{}, Router: route.New(route.Config{}), Tokens: tokens, Serving: stale})
+	tests := []struct{ path, outcome string }{
+		{"/r/quotes", "NotRun"},
+		{"/v1/jobs", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, tt.path, nil)
+			r.Header.Set("Authorization", "Bearer token")
+			w := httptest.NewRecorder()
+			api.ServeHTTP(w, r)
+			assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, w.Header().Get(caller.HeaderOutcome), tt.outcome)
+			assert.Equal(t, w.Header().Get("Retry-After"), "1")
+		})
+	}
+}
--- a/sard/fault/fault.go
+++ b/sard/fault/fault.go
@@ -57,7 +57,7 @@
 
 // Wrap gives err a kind, a step and a peer.
 func Wrap(err error, kind Kind, step, peer string) *Error {
-	return &Error{Step: step, Peer: peer, Kind: kind, cause: eris.Wrap(err, step)}
+	return &Error{Step: step, Peer: peer, Kind: kind, cause: err}
 }
 
 // After returns a copy of e that tells when to try again.
--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -172,6 +172,7 @@
 		OnBreach:     d.breach,
 		Logger:       d.log,
 	})
+	d.registry.MustRegister(d.agent)
 }
 
 func (d *daemon) newRouter() {
@@ -248,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	api := caller.New(caller.Config{Jobs: d.domains, Router: d.router, Tokens: tokens, Log: d.log.Named("caller")})
+	api := caller.New(caller.Config{Jobs: d.domains, Router: d.router, Serving: d.agent.Ready, Tokens: tokens, Log: d.log.Named("caller")})
 	oper.New(oper.Config{Tokens: tokens, Agent: d.agent, Jobs: d.domains, Status: d, Drain: d}).Register(api)
 	d.registerHealth(api)
 	health := echo.New()
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -125,7 +125,11 @@
 	if r := w.admit(in.Epoch); r != nil {
 		return nil, r
 	}
-	return w.report(), nil
+	report := w.report()
+	if in.Seen > 0 && in.Seen == report.Sequence {
+		report.Unchanged, report.Parts = true, nil
+	}
+	return report, nil
 }
 
 // await holds a call until the report differs from the seen one or the wait is over. It lets go of the lock
