--- a/sard/bench/burst.go
+++ b/sard/bench/burst.go
@@ -35,6 +35,7 @@
 		name := "burst." + s.name
 		figures = append(figures,
 			Figure{name + ".makespan_ratio", ratio(ours.makespan, bound), "x bound", Most(maxMakespanRatio)},
+			Figure{name + ".makespan_ratio_other_seeds", worstMakespan(s), "x bound", Most(maxMakespanRatio)},
 			Figure{name + ".mean_of_fifo", ratio(mean(ours.completions), mean(first.completions)), "x fifo", Most(maxMeanOfFIFO)},
 			Figure{name + ".mean_of_backfill", ratio(mean(ours.completions), mean(back.completions)), "x backfill", Most(maxMeanOfBackfill)},
 			Figure{name + ".fragmentation", ours.fragmentation, "share", Most(maxFragmentation)},
@@ -47,6 +48,16 @@
 	return figures
 }
 
+// worstMakespan is the largest ratio over bursts of other seeds.
+func worstMakespan(s site) float64 {
+	worst := 0.0
+	for _, other := range []uint64{1, 2, 3} {
+		w := newGenerator(s, other).closing()
+		worst = max(worst, ratio(play(s, w, engine()).makespan, w.lowerBound(s.accelerators())))
+	}
+	return worst
+}
+
 // common are the figures of every workload.
 func (r result) common(name string) []Figure {
 	return []Figure{
--- a/sard/place/claim.go
+++ b/sard/place/claim.go
@@ -8,10 +8,17 @@
 
 // accept runs a gang within a guarantee, at once or when its victims have ended.
 func (e *Engine) accept(g *gang, o offer) {
-	if o.region != nil && !e.ledger.move(o.grant, o.home, o.region) {
-		return
+	if o.region != nil {
+		e.again = true
+		e.memo = memo{}
+		if !e.ledger.move(o.grant, o.home, o.region) {
+			return
+		}
+	}
+	if o.grant != nil {
+		e.dropBorrowers(o.parts)
+		e.ledger.join(g, o.grant)
 	}
-	e.ledger.join(g, o.grant)
 	if err := e.auditClaim(g, o.parts); err != nil {
 		e.leave(g)
 		e.breached(g, err)
@@ -19,12 +26,12 @@
 	}
 	e.unwait(g)
 	if len(o.victims) == 0 {
-		e.commit(g, o.parts, fmt.Sprintf("guarantee of %d", o.grant.size))
+		e.commit(g, o.parts, g.basis())
 		return
 	}
 	g.parts, g.phase = o.parts, phaseClaiming
-	g.last = fmt.Sprintf("claimed %d accelerators of its guarantee of %d", g.size(), o.grant.size)
-	e.ledger.hold(g.parts)
+	g.last = fmt.Sprintf("claimed %d accelerators: %s", g.size(), g.basis())
+	e.ledger.hold(g)
 	e.claims = append(e.claims, g)
 	for _, v := range o.victims {
 		if v.phase == phasePlaced {
@@ -33,13 +40,22 @@
 	}
 }
 
+// basis tells on what ground a gang gets its accelerators.
+func (g *gang) basis() string {
+	if g.grant == nil {
+		return "reserved cell"
+	}
+	return fmt.Sprintf("guarantee of %d", g.grant.size)
+}
+
 // reclaim takes a gang's accelerators back; g is whom for, nil for a move.
 func (e *Engine) reclaim(v, g *gang) {
 	d := Reclaim{Job: v.ID, Attempt: v.Attempt, Grace: e.grace, Reason: "moved to make room for large gangs"}
 	if g != nil {
 		d.For = g.ID
+		d.Guaranteed = g.grant != nil
 		d.Grace = e.graceFor(g)
-		d.Reason = fmt.Sprintf("%s claims its guarantee of %d for %s", g.Account, g.grant.size, g.ID)
+		d.Reason = fmt.Sprintf("claimed by %s of %s: %s", g.ID, g.Account, g.basis())
 	}
 	v.phase = phaseReclaiming
 	v.last = "reclaimed: " + d.Reason
@@ -68,7 +84,7 @@
 			e.breached(g, err)
 			continue
 		}
-		e.commit(g, g.parts, fmt.Sprintf("reclaimed guarantee of %d", g.grant.size))
+		e.commit(g, g.parts, "claimed "+g.basis())
 	}
 }
 
@@ -80,6 +96,17 @@
 	g.parts = nil
 }
 
+// dropBorrowers makes gangs wait again that claim some of parts beyond their guarantees.
+func (e *Engine) dropBorrowers(parts []share) {
+	for _, g := range slices.Clone(e.claims) {
+		if g.grant == nil && g.overlaps(parts) {
+			e.dropClaim(g)
+			e.wait(g)
+			e.again = true
+		}
+	}
+}
+
 // dropBrokenClaims makes gangs wait again whose claimed accelerators went out of service or are no longer in a
 // smallest cell in service.
 func (e *Engine) dropBrokenClaims() {
--- a/sard/place/config.go
+++ b/sard/place/config.go
@@ -19,7 +19,7 @@
 	DefaultRunTime time.Duration
 	// ReserveAfter is how long a job waits before it may hold a reservation by age; 0 means 10 min.
 	ReserveAfter time.Duration
-	// MaxAge is how long a job waits before it goes first whatever the load; 0 means 6 h.
+	// MaxAge is how long a job waits before it goes first whatever the load; 0 means 12 h.
 	MaxAge time.Duration
 	// MoveCost is the accelerator time that a checkpoint and a restart cost; 0 means 1 min.
 	MoveCost time.Duration
@@ -40,7 +40,7 @@
 	orDuration(&c.UrgentGrace, 5*time.Second)
 	orDuration(&c.DefaultRunTime, time.Hour)
 	orDuration(&c.ReserveAfter, 10*time.Minute)
-	orDuration(&c.MaxAge, 6*time.Hour)
+	orDuration(&c.MaxAge, 12*time.Hour)
 	orDuration(&c.MoveCost, time.Minute)
 	orDuration(&c.ProbePause, time.Minute)
 	orDuration(&c.MaxProbePause, 10*time.Minute)
--- a/sard/place/decision.go
+++ b/sard/place/decision.go
@@ -31,9 +31,11 @@
 	Job     ident.Job
 	Attempt ident.Attempt
 	// For is the job that needs the accelerators; empty for a move by compaction.
-	For    ident.Job
-	Grace  time.Duration
-	Reason string
+	For ident.Job
+	// Guaranteed tells that For claims its account's guarantee.
+	Guaranteed bool
+	Grace      time.Duration
+	Reason     string
 }
 
 // Stop ends an attempt at once.
--- a/sard/place/engine.go
+++ b/sard/place/engine.go
@@ -34,6 +34,8 @@
 	runTimes runTimes
 	load     load
 	memo     memo
+	// again asks for another pass over the queue.
+	again bool
 	// resettle asks for another try to bind the grants that are short.
 	resettle   bool
 	nextSettle time.Time
--- a/sard/place/export_test.go
+++ b/sard/place/export_test.go
@@ -28,6 +28,12 @@
 	return list
 }
 
+// Claims tells whether a job's accelerators are being reclaimed for it.
+func (e *Engine) Claims(id ident.Job) bool {
+	g, ok := e.gangs[id]
+	return ok && g.phase == phaseClaiming
+}
+
 // Consistent compares the indexes with sums made anew and returns the first worker that differs, or "".
 func (e *Engine) Consistent() string {
 	l := e.ledger
--- a/sard/place/gang.go
+++ b/sard/place/gang.go
@@ -44,6 +44,8 @@
 
 	// done is the run time of earlier attempts that was kept by checkpoints.
 	done time.Duration
+	// patience is how long the gang waits until it counts as aged.
+	patience time.Duration
 	// critical gangs would end last if they waited for their turn.
 	critical bool
 	// notBefore holds a gang back after a refused decision.
--- a/sard/place/ledger.go
+++ b/sard/place/ledger.go
@@ -8,6 +8,8 @@
 	alive uint64
 	// used are those of placed gangs; held are those that claims wait for.
 	used, held uint64
+	// sure are those of held that are claimed within guarantees; a guarantee may take the others.
+	sure uint64
 	// firm are those of gangs that can't be reclaimed by other accounts.
 	firm uint64
 	// bound are those in the regions of guarantees; pinned those in regions that are in use.
@@ -107,16 +109,22 @@
 }
 
 // hold keeps what a claim waits for from all others.
-func (l *ledger) hold(parts []share) {
-	for _, p := range parts {
-		l.slots[p.worker].held |= p.set
+func (l *ledger) hold(g *gang) {
+	for _, p := range g.parts {
+		s := &l.slots[p.worker]
+		s.held |= p.set
+		if g.grant != nil {
+			s.sure |= p.set
+		}
 		l.touch(p.worker)
 	}
 }
 
 func (l *ledger) unhold(parts []share) {
 	for _, p := range parts {
-		l.slots[p.worker].held &^= p.set
+		s := &l.slots[p.worker]
+		s.held &^= p.set
+		s.sure &^= p.set
 		l.touch(p.worker)
 	}
 }
--- a/sard/place/load.go
+++ b/sard/place/load.go
@@ -12,6 +12,14 @@
 	loadAge = time.Second
 	// largeClass is the first size class whose cells are counted apart: 17 to 32 accelerators.
 	largeClass = 5
+	// scarceCells is the number of cells up to which a large class gets its share of the domain from the start.
+	scarceCells = 4
+	// patienceFactor is how many times the work before it a job may wait until it counts as aged.
+	patienceFactor = 4
+	// classRank puts larger classes first among critical gangs.
+	classRank = 0
+	// laneShare is the part of its share of work that a scarce class runs on at least.
+	laneShare = 1.5
 )
 
 // load sums the work of the domain.
@@ -19,6 +27,11 @@
 	at time.Time
 	// horizon is the time that all work needs when nothing is idle.
 	horizon time.Duration
+	// work is the accelerator-seconds that are left, in all and from each size class on.
+	work  float64
+	above [classes]float64
+	// running is the number of accelerators of running gangs from each size class on.
+	running [classes]int
 	// chains is, for each large class, the time that its gangs and larger ones need on the cells that hold them.
 	chains [classes]time.Duration
 	dirty  bool
@@ -35,10 +48,13 @@
 
 // order brings the queue into the order of turns: urgent gangs, aged ones, critical ones, then the least work first.
 func (e *Engine) order() {
-	if !e.load.at.IsZero() && e.now.Sub(e.load.at) < loadAge && !e.load.dirty {
+	old := e.load.at.IsZero() || e.now.Sub(e.load.at) >= loadAge
+	if !old && !e.load.dirty {
 		return
 	}
-	e.sumLoad()
+	if old {
+		e.sumLoad()
+	}
 	for _, a := range e.accounts {
 		a.largestWaiting = 0
 	}
@@ -84,11 +100,14 @@
 func (e *Engine) rank(g *gang) {
 	g.estimate = e.runTimes.estimate(g)
 	waited := e.now.Sub(g.Submitted)
-	g.aged = waited > e.config.MaxAge || (waited > e.config.ReserveAfter && waited > e.load.horizon)
+	if g.patience == 0 {
+		g.patience = min(max(e.config.ReserveAfter, patienceFactor*e.load.horizon), e.config.MaxAge)
+	}
+	g.aged = waited > g.patience
 	g.critical = e.isCritical(g)
 	area := g.estimate.Seconds() * math.Pow(float64(g.size()), e.sizeExponent())
 	if g.critical {
-		g.key = -area
+		g.key = -area - float64(class(g.size()))*classRank
 		return
 	}
 	g.key = area / g.account.weight / (1 + waited.Seconds()/e.config.ReserveAfter.Seconds())
@@ -108,7 +127,17 @@
 		return true
 	}
 	k := class(g.size())
-	return k >= largeClass && float64(e.load.chains[k]) >= slack*float64(e.load.horizon)
+	return k >= largeClass && (float64(e.load.chains[k]) >= slack*float64(e.load.horizon) || e.lags(k))
+}
+
+// lags tells whether gangs of a scarce class run on less than their share of the domain. Left to the end they
+// would find nothing to run beside them.
+func (e *Engine) lags(k int) bool {
+	if e.ledger.cells(k) > scarceCells {
+		return false
+	}
+	share := laneShare * e.load.above[k] / max(1, e.load.work) * float64(e.ledger.capacity)
+	return float64(e.load.running[k]) < share
 }
 
 // slack is the share of the horizon from which on work counts as critical.
@@ -129,13 +158,20 @@
 	for _, g := range e.waiting {
 		add(g, g.estimate)
 	}
+	e.load.running = [classes]int{}
 	for _, g := range e.placed {
 		add(g, g.end(e.now).Sub(e.now))
+		e.load.running[class(g.size())] += g.size()
 	}
 	e.load.horizon = seconds(work / max(1, float64(e.ledger.capacity)))
+	e.load.work = work
 	chain := 0.0
-	for k := classes - 1; k >= largeClass; k-- {
+	for k := classes - 1; k >= 0; k-- {
 		chain += byClass[k]
+		e.load.above[k] = chain
+		if k < classes-1 {
+			e.load.running[k] += e.load.running[k+1]
+		}
 		e.load.chains[k] = seconds(chain / max(1, float64(e.ledger.cells(k)<<k)))
 	}
 }
--- a/sard/place/offer.go
+++ b/sard/place/offer.go
@@ -27,20 +27,21 @@
 	region []share
 }
 
-// offer finds the guarantee of the gang's account in which it costs the least to run it.
-func (e *Engine) offer(g *gang) (offer, bool) {
+// offer finds the guarantee of the gang's account in which it costs the least to run it. closed tells which nodes
+// to leave out; nil for none.
+func (e *Engine) offer(g *gang, closed func(v int32) bool) (offer, bool) {
 	if len(g.account.grants) == 0 {
 		return offer{}, false
 	}
-	key := e.memoKey(g)
+	key := e.memoKey(g, closed != nil)
 	if _, failed := e.memo[key]; failed {
 		return offer{}, false
 	}
-	best, ok := e.offerUsed(g)
+	best, ok := e.offerUsed(g, closed)
 	if ok && len(best.victims) == 0 {
 		return best, true
 	}
-	if o, found := e.offerUnused(g); found && (!ok || o.lost < best.lost) {
+	if o, found := e.offerUnused(g, closed); found && (!ok || o.lost < best.lost) {
 		best, ok = o, true
 	}
 	if !ok {
@@ -50,11 +51,11 @@
 }
 
 // offerUsed looks in the guarantees that other gangs of the account use, the smallest first.
-func (e *Engine) offerUsed(g *gang) (offer, bool) {
+func (e *Engine) offerUsed(g *gang, closed func(v int32) bool) (offer, bool) {
 	var best offer
 	found := false
 	for _, r := range g.account.grants {
-		if !r.inUse() || !r.admits(g) || r.size-r.taken() < g.size() && !g.mayEvictOwn() {
+		if !r.inUse() || !r.admits(g) || r.size-r.taken() < g.size() && !g.mayEvictOwn() || (closed != nil && closed(r.home)) {
 			continue
 		}
 		avail := e.reclaimable(g, r)
@@ -71,7 +72,7 @@
 }
 
 // offerUnused looks in the guarantees that nobody uses; one of each size stands for the others.
-func (e *Engine) offerUnused(g *gang) (offer, bool) {
+func (e *Engine) offerUnused(g *gang, closed func(v int32) bool) (offer, bool) {
 	var best offer
 	found := false
 	last := 0
@@ -80,7 +81,7 @@
 			continue
 		}
 		last = r.size
-		o, ok := e.offerAnew(g, r)
+		o, ok := e.offerAnew(g, r, closed)
 		if ok && (!found || o.lost < best.lost) {
 			best, found = o, true
 		}
@@ -93,7 +94,7 @@
 
 // admits tells whether a gang may use the grant.
 func (r *grant) admits(g *gang) bool {
-	return r.bound() && r.size >= g.size() && (r.kept == nil || r.kept == g)
+	return r.bound() && r.size >= g.size() && (r.kept == nil || r.kept == g || g.Urgent)
 }
 
 // taken is the number of accelerators that the grant's users have or claim.
@@ -121,7 +122,7 @@
 	sets := make(map[int32]uint64, len(r.region))
 	for _, p := range r.region {
 		s := &e.ledger.slots[p.worker]
-		set := p.set & s.alive &^ s.held
+		set := p.set & s.alive &^ s.sure
 		for _, v := range s.gangs {
 			if !e.yields(v, g) {
 				set &^= v.on(p.worker)
@@ -157,10 +158,10 @@
 }
 
 // offerAnew weighs where an unused guarantee could be bound so that the gang gets its place.
-func (e *Engine) offerAnew(g *gang, r *grant) (offer, bool) {
+func (e *Engine) offerAnew(g *gang, r *grant, closed func(v int32) bool) (offer, bool) {
 	var best offer
 	found := false
-	for _, s := range e.homes(g, r) {
+	for _, s := range e.homes(g, r, closed) {
 		limited := s.limit(e.ledger.unheld)
 		o, ok := e.pickIn(g, s, limited)
 		if !ok || (found && o.lost >= best.lost) {
@@ -182,9 +183,9 @@
 	return best, found
 }
 
-// unheld returns the loose accelerators that no claim holds.
+// unheld returns the loose accelerators that no claim within a guarantee holds.
 func (l *ledger) unheld(w int32) uint64 {
-	return l.loose.mask[w] &^ l.slots[w].held
+	return l.loose.mask[w] &^ l.slots[w].sure
 }
 
 // home is a cell in which a guarantee could be bound.
@@ -195,9 +196,9 @@
 
 // homes returns the cells that promise to be the cheapest, the best first, and that of the present region, from
 // which no other guarantee has to give way.
-func (e *Engine) homes(g *gang, r *grant) []spot {
+func (e *Engine) homes(g *gang, r *grant, closed func(v int32) bool) []spot {
 	var top []home
-	e.ledger.loose.visit(r.size, nil, func(s spot) {
+	e.ledger.loose.visit(r.size, closed, func(s spot) {
 		h := home{spot: s, cost: e.homeCost(g, r, s)}
 		if len(top) == candidateHomes && !h.cost.less(top[len(top)-1].cost) {
 			return
@@ -210,7 +211,7 @@
 	for _, h := range top {
 		spots = append(spots, h.spot)
 	}
-	if own, ok := e.ledger.topo.spotAround(r.region, r.size); ok {
+	if own, ok := e.ledger.topo.spotAround(r.region, r.size); ok && (closed == nil || !closed(own.node)) {
 		spots = append(spots, own)
 	}
 	return spots
@@ -295,7 +296,7 @@
 	nd := &l.topo.nodes[s.node]
 	for w := nd.first; w < nd.last; w++ {
 		mask := limited(w)
-		allowed[w] = mask & l.free.mask[w]
+		allowed[w] = mask & (l.free.mask[w] | l.slots[w].held&^l.slots[w].used)
 		have += int(ones(allowed[w]))
 		for _, v := range l.slots[w].gangs {
 			if set := v.on(w) & mask; set != 0 {
--- a/sard/place/reserve.go
+++ b/sard/place/reserve.go
@@ -12,6 +12,8 @@
 	agedReservations     = 3
 	// reserveTries bounds the searches for a cell in one pass.
 	reserveTries = 2
+	// claimCost weighs lost work against the time for which a reserved cell would stay partly idle.
+	claimCost = 20
 )
 
 // reservation keeps a cell for a gang, or clear for a while after gangs were moved out of it. Gangs that end
@@ -87,7 +89,7 @@
 		if !topo.minimal(v, g.size()) || e.reservedNear(v) {
 			continue
 		}
-		at, possible := e.ready(v, g.size())
+		at, possible := e.ready(v, g.size(), g.Checkpointable)
 		if possible && (!ok || at.Before(ready)) {
 			node, ready, ok = v, at, true
 		}
@@ -108,8 +110,8 @@
 	n  int
 }
 
-// ready estimates when n accelerators of node v are free.
-func (e *Engine) ready(v int32, n int) (time.Time, bool) {
+// ready estimates when n accelerators of node v are free. With moving, gangs that can be moved count as free.
+func (e *Engine) ready(v int32, n int, moving bool) (time.Time, bool) {
 	l := e.ledger
 	free := int(l.free.cells[v].count)
 	if free >= n {
@@ -119,11 +121,19 @@
 	nd := &l.topo.nodes[v]
 	for w := nd.first; w < nd.last; w++ {
 		for _, g := range l.slots[w].gangs {
-			if set := g.on(w) & l.slots[w].alive; set != 0 {
+			set := g.on(w) & l.slots[w].alive
+			switch {
+			case set == 0:
+			case moving && e.movable(g):
+				free += int(ones(set))
+			default:
 				ends = append(ends, ending{at: g.end(e.now), n: int(ones(set))})
 			}
 		}
 	}
+	if free >= n {
+		return e.now, true
+	}
 	slices.SortFunc(ends, func(a, b ending) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.n, b.n)) })
 	for _, r := range ends {
 		if free += r.n; free >= n {
@@ -143,19 +153,19 @@
 		if r.gang.phase != phaseWaiting || r.gang.tier() == tierPlain {
 			return true
 		}
-		at, possible := e.ready(r.node, r.gang.size())
+		at, possible := e.ready(r.node, r.gang.size(), true)
 		r.ready = at
 		return !possible
 	})
 }
 
-// closedTo tells which nodes are closed to a gang by the reservations of others; nil for none.
-func (e *Engine) closedTo(g *gang) func(v int32) bool {
+// closedTo tells which nodes are closed to a gang by the reservations of others; nil for none. Borrowing gangs that
+// can be moved away later may enter for a while.
+func (e *Engine) closedTo(g *gang, borrowing bool) func(v int32) bool {
 	var closed []int32
 	ends := e.now.Add(g.estimate)
 	for _, r := range e.reserved {
-		backfills := r.gang != nil && !ends.After(r.ready) && e.now.Before(r.closes)
-		if r.gang != g && !backfills {
+		if r.gang != g && !e.backfills(r, ends) && (!borrowing || !e.passes(r, g)) {
 			closed = append(closed, r.node)
 		}
 	}
@@ -172,3 +182,55 @@
 		return false
 	}
 }
+
+// backfills tells whether a gang that ends at a time does not delay a reservation.
+func (e *Engine) backfills(r *reservation, ends time.Time) bool {
+	return r.gang != nil && !ends.After(r.ready) && e.now.Before(r.closes)
+}
+
+// passes tells whether a gang may run in a reserved cell until it is moved.
+func (e *Engine) passes(r *reservation, g *gang) bool {
+	return r.gang != nil && g.Checkpointable && !g.Urgent && r.ready.Sub(e.now) > moveRest
+}
+
+// claimReserved moves gangs out of the cell that is reserved for g, when nothing else is in the way and waiting for
+// their ends would cost more.
+func (e *Engine) claimReserved(g *gang) {
+	i := slices.IndexFunc(e.reserved, func(r *reservation) bool { return r.gang == g })
+	if i < 0 || g.phase != phaseWaiting {
+		return
+	}
+	r := e.reserved[i]
+	avail := e.clearable(r.node)
+	var best offer
+	found := false
+	e.ledger.topo.spots(r.node, g.size(), avail, func(s spot) {
+		if o, ok := e.pickVictims(g.size(), s, avail); ok && (!found || o.lost < best.lost) {
+			best, found = o, true
+		}
+	})
+	if !found {
+		return
+	}
+	natural, _ := e.ready(r.node, g.size(), false)
+	if natural.Sub(e.now).Seconds()*float64(g.size()) > best.lost*claimCost {
+		e.accept(g, best)
+	}
+}
+
+// clearable returns the accelerators of a node's workers that are free or used by gangs that can be moved.
+func (e *Engine) clearable(v int32) masks {
+	sets := map[int32]uint64{}
+	nd := &e.ledger.topo.nodes[v]
+	for w := nd.first; w < nd.last; w++ {
+		s := &e.ledger.slots[w]
+		set := s.alive &^ s.held
+		for _, g := range s.gangs {
+			if !e.movable(g) && g.phase != phaseReclaiming {
+				set &^= g.on(w)
+			}
+		}
+		sets[w] = set
+	}
+	return func(w int32) uint64 { return sets[w] }
+}
--- a/sard/place/schedule.go
+++ b/sard/place/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/sardineline/sardineline/sard/ident"
 )
@@ -13,24 +14,44 @@
 	account      *account
 	size         int
 	urgent, aged bool
+	// fixed gangs can't be checkpointed.
+	fixed bool
 	// kept gangs have a guarantee kept for them.
 	kept bool
+	// open searches leave out what is reserved for others.
+	open bool
 }
 
-func (e *Engine) memoKey(g *gang) memoKey {
-	return memoKey{account: g.account, size: g.size(), urgent: g.Urgent, aged: g.aged, kept: e.keeps(g)}
+func (e *Engine) memoKey(g *gang, open bool) memoKey {
+	return memoKey{
+		account: g.account, size: g.size(), urgent: g.Urgent, aged: g.aged,
+		fixed: !g.Checkpointable, kept: e.keeps(g), open: open,
+	}
 }
 
+// maxPasses bounds how often the queue is gone through for one event.
+const maxPasses = 10
+
 // schedule gives every waiting gang its turn.
 func (e *Engine) schedule() {
-	e.order()
+	for range maxPasses {
+		e.order()
+		e.renewReservations()
+		e.pass()
+		if !e.again {
+			break
+		}
+	}
+	e.probe()
+}
+
+// pass gives every waiting gang one turn. It sets again when something moved for which earlier turns may have failed.
+func (e *Engine) pass() {
 	e.memo = memo{}
-	e.renewReservations()
-	turns := append([]*gang(nil), e.waiting...)
-	for _, g := range turns {
+	e.again = false
+	for _, g := range slices.Clone(e.waiting) {
 		e.turn(g)
 	}
-	e.probe()
 }
 
 // turn places a gang, claims accelerators for it, or leaves it waiting.
@@ -38,7 +59,8 @@
 	if e.now.Before(g.notBefore) || e.refuseHopeless(g) {
 		return
 	}
-	o, ok := e.offer(g)
+	closed := e.closedTo(g, false)
+	o, ok := e.offer(g, closed)
 	if ok && len(o.victims) == 0 {
 		e.accept(g, o)
 		return
@@ -46,18 +68,25 @@
 	if g.Checkpointable && e.borrow(g) {
 		return
 	}
+	if closed != nil && !ok {
+		o, ok = e.offer(g, nil)
+	}
 	if ok {
 		e.accept(g, o)
 		return
 	}
-	if g.tier() > tierPlain {
+	if g.Urgent && g.Checkpointable {
+		e.claimUrgent(g)
+	}
+	if g.phase == phaseWaiting && g.tier() > tierPlain {
 		e.reserve(g)
+		e.claimReserved(g)
 	}
 }
 
 // borrow places a gang on free accelerators beyond its account's guarantees.
 func (e *Engine) borrow(g *gang) bool {
-	s, ok := e.freeSpot(g)
+	s, ok := e.freeSpot(g, e.closedTo(g, true))
 	if !ok {
 		return false
 	}
@@ -67,7 +96,7 @@
 
 // freeSpot chooses the free cell that breaks the least: none that is whole, little left over, a crowded
 // neighbourhood.
-func (e *Engine) freeSpot(g *gang) (spot, bool) {
+func (e *Engine) freeSpot(g *gang, closed func(v int32) bool) (spot, bool) {
 	var found spot
 	best, ok := cost{}, false
 	see := func(s spot) {
@@ -76,7 +105,7 @@
 			found, best, ok = s, c, true
 		}
 	}
-	if closed := e.closedTo(g); closed != nil || len(g.blamed) > 0 {
+	if closed != nil || len(g.blamed) > 0 {
 		e.ledger.free.visit(g.size(), closed, see)
 	} else {
 		e.ledger.free.visitKinds(g.size(), see)
