--- /dev/null
+++ b/sard/bench/spread.go
@@ -0,0 +1,198 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardineline/sardineline/sard/config"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/table"
+)
+
+const (
+	// spreadDelay is the one-way latency between instances.
+	spreadDelay = time.Millisecond
+	// spreadLimit bounds the spread of one change.
+	spreadLimit = 20 * time.Second
+)
+
+// SpreadConfig sets up MeasureSpread.
+type SpreadConfig struct {
+	Instances int
+	// Changes is the number of documents, one after the other.
+	Changes int
+	// Rest is how long the cost without changes is counted. MeasureSpread takes three times as long and more.
+	Rest time.Duration
+}
+
+// SpreadResult is what the spread of documents over a number of instances cost.
+type SpreadResult struct {
+	// InForce is the time from the proposal of a change to the moment at which an instance has it in force, for
+	// all changes and instances, in ascending order.
+	InForce []time.Duration
+	// Told is the time from the proposal to its answer, in ascending order.
+	Told []time.Duration
+	// Rest is what all instances did in a second without changes, Change what they did more for one change.
+	Rest   SpreadCost
+	Change SpreadCost
+}
+
+// SpreadCost counts the work of all instances together.
+type SpreadCost struct {
+	TableReads float64
+	// Calls are the reports and fetches that were sent.
+	Calls float64
+	// Bytes are those of all calls and answers, as CBOR.
+	Bytes float64
+}
+
+// spreadNet joins the agents in memory, with a delay each way.
+type spreadNet struct {
+	cfg    SpreadConfig
+	agents []*config.Agent
+	bytes  atomic.Int64
+}
+
+// spreadPeer is the net as one instance sees it.
+type spreadPeer struct {
+	net    *spreadNet
+	others []ident.Instance
+}
+
+// MeasureSpread runs the agents of some instances and spreads changes. It takes its time from the clock of the runtime, so
+// that tests can run it in virtual time.
+func MeasureSpread(ctx context.Context, cfg SpreadConfig) (SpreadResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	net := &spreadNet{cfg: cfg}
+	store := &table.Memory{}
+	names := make([]ident.Instance, cfg.Instances)
+	for i := range names {
+		names[i] = spreadName(i)
+	}
+	for i, name := range names {
+		net.agents = append(net.agents, config.New(config.Config{
+			Instance: name, Store: store, Peers: spreadPeer{net: net, others: slices.Delete(slices.Clone(names), i, i+1)},
+			Membership: func() config.Membership { return config.Membership{Listed: cfg.Instances, Reachable: cfg.Instances} },
+		}))
+	}
+	var group errgroup.Group
+	for _, a := range net.agents {
+		group.Go(func() error { return a.Run(ctx) })
+	}
+	result, err := net.measure(ctx)
+	cancel()
+	_ = group.Wait()
+	return result, err
+}
+
+func (net *spreadNet) measure(ctx context.Context) (SpreadResult, error) {
+	var r SpreadResult
+	if err := net.change(ctx, &r); err != nil {
+		return r, err
+	}
+	r = SpreadResult{}
+	time.Sleep(net.cfg.Rest)
+	before := net.cost()
+	time.Sleep(net.cfg.Rest)
+	r.Rest = net.cost().less(before).times(1 / net.cfg.Rest.Seconds())
+	before, began := net.cost(), time.Now()
+	for range net.cfg.Changes {
+		if err := net.change(ctx, &r); err != nil {
+			return r, err
+		}
+	}
+	time.Sleep(net.cfg.Rest)
+	rest := r.Rest.times(time.Since(began).Seconds())
+	r.Change = net.cost().less(before).less(rest).times(1 / float64(net.cfg.Changes))
+	slices.Sort(r.InForce)
+	slices.Sort(r.Told)
+	return r, nil
+}
+
+// change spreads one document and waits until it is in force everywhere and its acceptance is told.
+func (net *spreadNet) change(ctx context.Context, r *SpreadResult) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadLimit)
+	defer cancel()
+	version := net.agents[0].Current().Version
+	acceptor := net.agents[int(version)%len(net.agents)]
+	began := time.Now()
+	_, err := acceptor.Propose(ctx, config.Proposal{
+		Content: fmt.Appendf(nil, "Accounts: [{Name: north, Weight: %d}]", version+1),
+		BasedOn: version, Author: "bench", Token: ident.WriteToken(fmt.Sprint(version)),
+	})
+	r.Told = append(r.Told, time.Since(began))
+	if err != nil {
+		return err
+	}
+	for _, a := range net.agents {
+		for a.Current().Version == version {
+			if ctx.Err() != nil {
+				return fault.Wrap(ctx.Err(), fault.Unavailable, "spread document", "")
+			}
+			time.Sleep(spreadDelay)
+		}
+		r.InForce = append(r.InForce, a.Current().Since.Sub(began))
+	}
+	return nil
+}
+
+func (net *spreadNet) cost() SpreadCost {
+	c := SpreadCost{Bytes: float64(net.bytes.Load())}
+	for _, a := range net.agents {
+		counts := a.Counts()
+		c.TableReads += float64(counts.HeadReads + counts.RecordReads)
+		c.Calls += float64(counts.ExchangesSent + counts.Fetches)
+	}
+	return c
+}
+
+func (c SpreadCost) less(d SpreadCost) SpreadCost {
+	return SpreadCost{TableReads: c.TableReads - d.TableReads, Calls: c.Calls - d.Calls, Bytes: c.Bytes - d.Bytes}
+}
+
+func (c SpreadCost) times(x float64) SpreadCost {
+	return SpreadCost{TableReads: c.TableReads * x, Calls: c.Calls * x, Bytes: c.Bytes * x}
+}
+
+func spreadName(i int) ident.Instance {
+	return ident.Instance(fmt.Sprintf("instance-%03d", i))
+}
+
+// Neighbours lists all other instances.
+func (p spreadPeer) Neighbours() []ident.Instance { return p.others }
+
+func (p spreadPeer) find(name ident.Instance) *config.Agent {
+	var i int
+	_, _ = fmt.Sscanf(string(name), "instance-%d", &i)
+	return p.net.agents[i]
+}
+
+// Exchange carries a report to a peer and its answer back.
+func (p spreadPeer) Exchange(_ context.Context, peer ident.Instance, mine config.Report) (config.Report, error) {
+	p.net.carry(mine)
+	theirs := p.find(peer).Exchange(mine)
+	p.net.carry(theirs)
+	return theirs, nil
+}
+
+// Fetch carries a record back.
+func (p spreadPeer) Fetch(_ context.Context, peer ident.Instance, version ident.Version) ([]byte, error) {
+	p.net.carry(version)
+	body, err := p.find(peer).RecordOf(version)
+	p.net.carry(body)
+	return body, err
+}
+
+// carry counts a message and takes the time of one way.
+func (net *spreadNet) carry(message any) {
+	encoded, _ := cbor.Marshal(message)
+	net.bytes.Add(int64(len(encoded)))
+	time.Sleep(spreadDelay)
+}
--- a/sard/worker/wire.go
+++ b/sard/worker/wire.go
@@ -23,6 +23,8 @@
 	Checkpoint string
 	// Checkpointable tells that the task can write checkpoints.
 	Checkpointable bool
+	// Parts is the number of the gang's parts on all workers; 0 when not told.
+	Parts int
 }
 
 // FenceRequest raises the worker's epoch. The answer is a Report.
@@ -57,6 +59,9 @@
 	Lease  ident.Duration
 	Seen   uint64
 	Wait   ident.Duration
+	// Forget are ended parts whose end is recorded: the worker leaves them out of its reports. It still refuses
+	// to run them again.
+	Forget []Part
 }
 
 // CheckpointRequest asks a part to write a checkpoint. The answer is a CheckpointReply.
@@ -103,7 +108,11 @@
 	Epoch  ident.Epoch
 	// Sequence rises with each change of a part's state.
 	Sequence uint64
-	Parts    []PartReport
+	// Unchanged tells that nothing has changed since the Sequence that a RenewRequest has Seen; Parts is then left
+	// out. A worker may set it only in an answer to RenewRequest, and never for a sequence of an earlier start of
+	// the worker.
+	Unchanged bool `json:",omitempty"`
+	Parts     []PartReport
 }
 
 // ErrorCode is why a worker refused a call.
