Take many waiting jobs in by one event

Cause: after a takeover each waiting job cost a pass over the queue (docs/CAPACITY.md, rebuild). Change: SubmitAll adds jobs and decides once. Conclusion: the life of jobs can use it after a takeover; a test shows one pass places what fits.

--- a/sard/place/engine.go
+++ b/sard/place/engine.go
@@ -89,6 +89,10 @@
 		return e.regain(ev.Worker)
 	case Submit:
 		return e.submit(ev.Job)
+	case SubmitAll:
+		for _, job := range ev.Jobs {
+			e.submit(job)
+		}
 	case Restore:
 		return e.restore(ev)
 	case Started:
--- a/sard/place/engine_test.go
+++ b/sard/place/engine_test.go
@@ -183,3 +183,11 @@
 	_, err = place.Plan(accounts, sites)
 	assert.ErrorContains(t, err, "client account south: 1 of 2 cells of 32 accelerators can't be placed")
 }
+
+func TestSubmitAllDecidesOnce(t *testing.T) {
+	e := place.New(place.Config{})
+	out := script(e, place.Topology{Workers: workers(2)},
+		place.SubmitAll{Jobs: []place.Job{job("a", "north", 8), job("b", "north", 8), job("c", "north", 8)}})
+	assert.Equal(t, len(out), 2)
+	assert.Equal(t, e.Summary().Waiting, 1)
+}
--- a/sard/place/event.go
+++ b/sard/place/event.go
@@ -60,6 +60,9 @@
 // Submit adds a job that waits to be placed.
 type Submit struct{ Job Job }
 
+// SubmitAll adds many jobs at once, such as those that wait after a takeover, and decides once.
+type SubmitAll struct{ Jobs []Job }
+
 // Job is what the engine knows of a job.
 type Job struct {
 	ID      ident.Job
@@ -124,6 +127,7 @@
 func (WorkerLost) event() {}
 func (WorkerBack) event() {}
 func (Submit) event()     {}
+func (SubmitAll) event()  {}
 func (Restore) event()    {}
 func (Started) event()    {}
 func (Ended) event()      {}
