--- a/sard/place/engine.go
+++ b/sard/place/engine.go
@@ -34,6 +34,8 @@
 	runTimes runTimes
 	load     load
 	memo     memo
+	// again asks for another pass over the queue.
+	again bool
 	// resettle asks for another try to bind the grants that are short.
 	resettle   bool
 	nextSettle time.Time
@@ -87,6 +89,10 @@
 		return e.regain(ev.Worker)
 	case Submit:
 		return e.submit(ev.Job)
+	case SubmitAll:
+		for _, job := range ev.Jobs {
+			e.submit(job)
+		}
 	case Restore:
 		return e.restore(ev)
 	case Started:
