Hand no domain over while the table is down

Cause: 30 s after it took a domain, a holder that is not the first choice gave it up, also in an outage of the table. Nobody could take it then, the workers' leases were not renewed, and running gangs were stopped after a minute and ran again after the outage. Change: a holder yields only when the table answers a read. Conclusion: mended for the yield by preference. A planned stop during an outage still gives its domains up.

--- a/sard/domain/contend.go
+++ b/sard/domain/contend.go
@@ -124,12 +124,12 @@
 	return h.Run(ctx)
 }
 
-// yield ends a holding whose instance is not the first choice for the domain.
+// yield ends a holding whose instance is not the first choice for the domain, but for outages of the table.
 func (m *Manager) yield(ctx context.Context, dc ident.DataCentre, h *holding) {
 	if ctx.Err() != nil {
 		return
 	}
-	if first := m.preference(dc); len(first) > 0 && first[0] != m.cfg.Self.Name {
+	if first := m.preference(dc); len(first) > 0 && first[0] != m.cfg.Self.Name && m.canRead(ctx, dc) {
 		m.cfg.Logger.Info("domain handed over to a preferred instance", "domain", dc, "to", first[0])
 		h.end()
 		return
@@ -137,6 +137,14 @@
 	time.AfterFunc(settleTime, func() { m.yield(ctx, dc, h) })
 }
 
+// canRead tells whether the table answers. While it does not, nobody could take a domain that is given up.
+func (m *Manager) canRead(ctx context.Context, dc ident.DataCentre) bool {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, err := m.cfg.Holder(ctx, dc)
+	return err == nil
+}
+
 func (m *Manager) isLeaving() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
