Keep borrowing gangs from moving each other for ever

Change: a gang claims a reserved cell only from gangs of at most half its size, and gangs that were moved, or moved others, rest for a time that doubles with each move.

--- a/sard/bench/spread.go
+++ b/sard/bench/spread.go
@@ -123,10 +123,14 @@
 	version := net.agents[0].Current().Version
 	acceptor := net.agents[int(version)%len(net.agents)]
 	began := time.Now()
-	_, err := acceptor.Propose(ctx, config.Proposal{
+	proposal := config.Proposal{
 		Content: fmt.Appendf(nil, "Accounts: [{Name: north, Weight: %d}]", version+1),
 		BasedOn: version, Author: "bench", Token: ident.WriteToken(fmt.Sprint(version)),
-	})
+	}
+	_, err := acceptor.Propose(ctx, proposal)
+	for fault.Is(err, fault.OutcomeUnknown) && ctx.Err() == nil {
+		_, err = acceptor.Propose(ctx, proposal)
+	}
 	r.Told = append(r.Told, time.Since(began))
 	if err != nil {
 		return err
--- a/sard/place/claim.go
+++ b/sard/place/claim.go
@@ -33,8 +33,12 @@
 	g.last = fmt.Sprintf("claimed %d accelerators: %s", g.size(), g.basis())
 	e.ledger.hold(g)
 	e.claims = append(e.claims, g)
+	if g.grant == nil {
+		e.displace(g)
+	}
 	for _, v := range o.victims {
 		if v.phase == phasePlaced {
+			e.displace(v)
 			e.reclaim(v, g)
 		}
 	}
--- a/sard/place/compact.go
+++ b/sard/place/compact.go
@@ -9,6 +9,8 @@
 	moveHorizon = 30 * time.Minute
 	// moveRest is how long a gang is left where it is after a move.
 	moveRest = 10 * time.Minute
+	// maxRestDoublings bounds the doublings of moveRest.
+	maxRestDoublings = 6
 	// clearMargin is how long a cell is kept clear beyond the grace of the gangs that move out of it.
 	clearMargin = 10 * time.Second
 )
@@ -62,7 +64,7 @@
 		}
 	}
 	for _, g := range best.moved {
-		g.moved = e.now
+		e.displace(g)
 		e.reclaim(g, nil)
 	}
 	if len(best.moved) > 0 {
@@ -125,10 +127,25 @@
 	return max(0, 1-float64(moved)/max(1, free))
 }
 
-// movable tells whether compaction may move a gang.
+// displace notes that a gang was moved, or that it moved others.
+func (e *Engine) displace(g *gang) {
+	g.moved = e.now
+	g.moves++
+}
+
+// rests tells whether a gang is left where it is after a move. The rest doubles with each move, so that gangs can't
+// keep moving each other.
+func (e *Engine) rests(g *gang) bool {
+	if g.moves == 0 {
+		return false
+	}
+	return e.now.Sub(g.moved) <= moveRest<<min(g.moves-1, maxRestDoublings)
+}
+
+// movable tells whether a gang may be moved to make room.
 func (e *Engine) movable(g *gang) bool {
 	return g.phase == phasePlaced && g.grant == nil && g.Checkpointable && !g.Urgent && g.probe == none &&
-		!g.started.IsZero() && (g.moved.IsZero() || e.now.Sub(g.moved) > moveRest) &&
+		!g.started.IsZero() && !e.rests(g) &&
 		g.end(e.now).Sub(e.now) > 2*e.config.MoveCost
 }
 
--- a/sard/place/engine_test.go
+++ b/sard/place/engine_test.go
@@ -191,3 +191,41 @@
 	assert.Equal(t, len(out), 2)
 	assert.Equal(t, e.Summary().Waiting, 1)
 }
+
+// TestBorrowersDoNotKeepMovingEachOther keeps the case of a large gang and two smaller ones that fill the same cells:
+// each in turn found that claiming the other's cells cost less than waiting.
+func TestBorrowersDoNotKeepMovingEachOther(t *testing.T) {
+	e := place.New(place.Config{})
+	at := epoch
+	apply := func(ev place.Event) int {
+		reclaims := 0
+		queue := []place.Event{ev}
+		for len(queue) > 0 {
+			next := queue[0]
+			queue = queue[1:]
+			for _, d := range e.Apply(at, next) {
+				switch d := d.(type) {
+				case place.Place:
+					queue = append(queue, place.Started{Job: d.Job, Attempt: d.Attempt})
+				case place.Reclaim:
+					reclaims++
+					queue = append(queue, place.Ended{Job: d.Job, Attempt: d.Attempt, Result: place.Requeued})
+				}
+			}
+		}
+		return reclaims
+	}
+	apply(place.Configure{Objective: place.Objective{CompletionTime: 1, Fragmentation: 1}, Accounts: []place.Account{{Name: "north"}}})
+	apply(place.Topology{Workers: workers(8)})
+	reclaims := 0
+	for _, n := range []ident.Accelerators{32, 32, 64} {
+		reclaims += apply(place.Submit{Job: job(fmt.Sprintf("j%d-%d", n, reclaims+int(at.Sub(epoch))), "north", n)})
+		at = at.Add(time.Millisecond)
+	}
+	for range 2 * 60 * 60 {
+		at = at.Add(500 * time.Millisecond)
+		reclaims += apply(place.Tick{})
+	}
+	t.Logf("%d reclaims in an hour", reclaims)
+	assert.Assert(t, reclaims <= 10, reclaims)
+}
--- a/sard/place/gang.go
+++ b/sard/place/gang.go
@@ -37,8 +37,9 @@
 	aged bool
 	// blamed are the workers on which attempts failed.
 	blamed []int32
-	// moved is when the gang was last moved by compaction.
+	// moved is when the gang was last moved to make room, or last moved others; moves counts how often.
 	moved time.Time
+	moves int
 	// probe is the quarantined worker that the gang probes, or none.
 	probe int32
 
--- a/sard/place/reserve.go
+++ b/sard/place/reserve.go
@@ -193,15 +193,16 @@
 	return r.gang != nil && g.Checkpointable && !g.Urgent && r.ready.Sub(e.now) > moveRest
 }
 
-// claimReserved moves gangs out of the cell that is reserved for g, when nothing else is in the way and waiting for
-// their ends would cost more.
+// claimReserved moves gangs of at most half its size out of the cell that is reserved for g, when nothing else is in
+// the way and waiting for their ends would cost more. A gang never makes room for one of about its own size, which
+// would gain nothing and could come back to claim the cell in turn.
 func (e *Engine) claimReserved(g *gang) {
 	i := slices.IndexFunc(e.reserved, func(r *reservation) bool { return r.gang == g })
 	if i < 0 || g.phase != phaseWaiting {
 		return
 	}
 	r := e.reserved[i]
-	avail := e.clearable(r.node)
+	avail := e.clearable(r.node, g.size()/2)
 	var best offer
 	found := false
 	e.ledger.topo.spots(r.node, g.size(), avail, func(s spot) {
@@ -218,15 +219,16 @@
 	}
 }
 
-// clearable returns the accelerators of a node's workers that are free or used by gangs that can be moved.
-func (e *Engine) clearable(v int32) masks {
+// clearable returns the accelerators of a node's workers that are free or used by gangs up to a size that can be
+// moved.
+func (e *Engine) clearable(v int32, largest int) masks {
 	sets := map[int32]uint64{}
 	nd := &e.ledger.topo.nodes[v]
 	for w := nd.first; w < nd.last; w++ {
 		s := &e.ledger.slots[w]
 		set := s.alive &^ s.held
 		for _, g := range s.gangs {
-			if !e.movable(g) && g.phase != phaseReclaiming {
+			if g.phase != phaseReclaiming && (g.size() > largest || !e.movable(g)) {
 				set &^= g.on(w)
 			}
 		}
