Deny no job while another holder may know it

Change: without a valid lease a job that is not in memory, and a list, are answered with Unavailable and Retry-After; a job that is in memory is still shown. Measured: TestLapsedHolderDeniesNoJob failed before (NotFound, not Unavailable) and passes. Conclusion: during an outage of the table single jobs can be read, lists can't.

--- a/sard/gang/outage_test.go
+++ b/sard/gang/outage_test.go
@@ -111,3 +111,26 @@
 		}
 	})
 }
+
+// The old holder loses the table and all workers, so that it does not learn of its successor.
+func TestLapsedHolderDeniesNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newContest(t, 2)
+		old, next := c.holder()
+		domain := old.current()
+		old.link.set(false, true)
+		for name := range c.workers {
+			old.link.setCut(name, true)
+		}
+		time.Sleep(time.Minute)
+		view, err := next.current().Submit(t.Context(), "acme", "k", gang.Spec{Kind: "short", Accelerators: 8, Command: "1m", Checkpointable: true})
+		assert.NilError(t, err)
+		c.accepted["k"] = view.ID
+		_, err = domain.Get(t.Context(), "acme", view.ID)
+		assert.Equal(t, fault.KindOf(err), fault.Unavailable)
+		_, err = domain.List(t.Context(), "acme")
+		assert.Equal(t, fault.KindOf(err), fault.Unavailable)
+		c.settle()
+		assert.DeepEqual(t, c.end(), []string(nil))
+	})
+}
--- a/sard/gang/service.go
+++ b/sard/gang/service.go
@@ -206,10 +206,21 @@
 		return nil, fault.New(fault.Unavailable, "find job", "", "the domain is being recovered").After(takeoverRetryAfter)
 	}
 	j, ok := d.jobs[id]
-	if !ok || account != "" && j.record.Account != account {
-		return nil, fault.New(fault.NotFound, "find job", "", "no job %s", id)
+	if ok && (account == "" || j.record.Account == account) {
+		return j, nil
 	}
-	return j, nil
+	if err := d.complete("find job"); err != nil {
+		return nil, err
+	}
+	return nil, fault.New(fault.NotFound, "find job", "", "no job %s", id)
+}
+
+// complete fails when another holder may have accepted jobs that this one does not know.
+func (d *Domain) complete(step string) error {
+	if err := d.config.Lease.Check(); err != nil {
+		return fault.Wrap(err, fault.Unavailable, step, "").After(outageRetryAfter)
+	}
+	return nil
 }
 
 // List returns the account's jobs, the newest first.
@@ -219,6 +230,9 @@
 	if !d.ready {
 		return nil, fault.New(fault.Unavailable, "list jobs", "", "the domain is being recovered").After(takeoverRetryAfter)
 	}
+	if err := d.complete("list jobs"); err != nil {
+		return nil, err
+	}
 	var views []View
 	for _, j := range d.jobs {
 		if account == "" || j.record.Account == account {
