--- a/sard/place/random_test.go
+++ b/sard/place/random_test.go
@@ -365,7 +365,7 @@
 
 func TestRandomEventsLong(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		if err := play(rapid.SliceOfN(opGen(), 1000, 2000).Draw(rt, "ops")); err != nil {
+		if err := play(rapid.SliceOfN(opGen(), 1000, 3000).Draw(rt, "ops")); err != nil {
 			rt.Fatalf("%v", err)
 		}
 	})
