Let workers' usage lag and the stand-in's machines come back before they are called

Cause: the stand-in's workers told their usage without a lag; TestControl called a machine in the moment in which its port opens again, and failed in 7 of 12 runs without the race detector, before this change too.

--- a/sard/worker/wire.go
+++ b/sard/worker/wire.go
@@ -98,7 +98,7 @@
 	Accelerators ident.AcceleratorSet
 	// Message tells why a part failed.
 	Message string
-	// Ran is the time for which the part has run.
+	// Ran is the time for which the part has run. It may lag behind.
 	Ran ident.Duration
 }
 
--- a/standin/setup/environment.go
+++ b/standin/setup/environment.go
@@ -19,6 +19,8 @@
 	Seed uint64 `yaml:"Seed"`
 	// Lag is how far the fleet list lies back.
 	Lag ident.Duration `yaml:"Lag"`
+	// UsageLag is how far the usage in workers' reports lies back.
+	UsageLag ident.Duration `yaml:"UsageLag"`
 	// CheckpointTime is how long a worker takes to write a checkpoint.
 	CheckpointTime ident.Duration `yaml:"CheckpointTime"`
 	// Accelerators is the number in each worker; 0 means 8.
--- a/standin/worker/part.go
+++ b/standin/worker/part.go
@@ -53,14 +53,15 @@
 	return left * fullSpeed / time.Duration(p.percent)
 }
 
-func (p *part) report(now time.Time) wire.PartReport {
+// report tells the part's state now and its usage as it was at a time that lies back.
+func (p *part) report(asOf time.Time) wire.PartReport {
 	ran := time.Duration(0)
 	if !p.started.IsZero() {
-		end := p.ended
-		if p.live() {
-			end = now
+		end := asOf
+		if !p.live() && p.ended.Before(asOf) {
+			end = p.ended
 		}
-		ran = end.Sub(p.started)
+		ran = max(end.Sub(p.started), 0)
 	}
 	return wire.PartReport{
 		Part:         p.name,
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -21,6 +21,8 @@
 	Accelerators ident.Accelerators
 	// CheckpointTime is how long a checkpoint takes to write.
 	CheckpointTime time.Duration
+	// UsageLag is how far the usage in reports lies back.
+	UsageLag time.Duration
 	// Faults are the faults that are on; nil for none.
 	Faults *faults.Set
 	// Ledger records what runs; nil for none.
@@ -175,11 +177,11 @@
 }
 
 func (w *Worker) report() wire.Report {
-	now := time.Now()
+	asOf := time.Now().Add(-w.config.UsageLag)
 	r := wire.Report{Worker: w.config.Name, Epoch: w.epoch, Sequence: w.sequence}
 	for _, p := range w.parts {
 		if !p.forgotten {
-			r.Parts = append(r.Parts, p.report(now))
+			r.Parts = append(r.Parts, p.report(asOf))
 		}
 	}
 	return r
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -242,3 +242,15 @@
 		assert.Equal(t, time.Since(begun), time.Minute)
 	})
 }
+
+func TestUsageLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.worker = worker.New(worker.Config{Name: "w0", Accelerators: 8, UsageLag: 3 * time.Second, Faults: r.faults, Ledger: r.ledger})
+		r.begin("run 10s", "")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, r.state().Ran, ident.Duration(0))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, r.state().Ran, ident.Duration(time.Second))
+	})
+}
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -84,6 +84,7 @@
 			DataCentre:     m.DataCentre,
 			Accelerators:   m.Accelerators,
 			CheckpointTime: config.Environment.CheckpointTime.Std(),
+			UsageLag:       config.Environment.UsageLag.Std(),
 			Faults:         w.Faults,
 			Ledger:         w.Ledger,
 			Log:            config.Log,
--- a/standin/world/world_test.go
+++ b/standin/world/world_test.go
@@ -99,6 +99,7 @@
 		assert.Equal(t, call("GET", w.Ports.Server(0)+"/quotes/1", nil, nil), http.StatusOK)
 		die["Off"] = true
 		assert.Equal(t, call("POST", w.Ports.Control()+"/v1/faults", die, &reply), http.StatusOK)
+		synctest.Wait()
 		assert.Equal(t, call("POST", w.Ports.Worker(0)+"/v1/report", worker.FenceRequest{}, nil), http.StatusOK)
 		bad := map[string]any{"Peer": "Worker", "Kind": "Slow"}
 		assert.Equal(t, call("POST", w.Ports.Control()+"/v1/faults", bad, nil), http.StatusBadRequest)
