Count a domain's accelerators in one place

Cause: the admission of jobs summed a domain's accelerators beside Manager.size, and looked the largest guarantee of an account up twice. Change: the admission calls size, whose caller now holds the lock; the guarantee is looked up once. Behaviour is as it was. Measured: make lint clean; go test -race ./sard/domain ./sardined passes.

--- a/sard/domain/jobs.go
+++ b/sard/domain/jobs.go
@@ -67,9 +67,9 @@
 	if len(m.topology) == 0 {
 		return fault.New(fault.Unavailable, step, "", "no workers are known yet").After(comeBack)
 	}
-	if !spec.Checkpointable && spec.Accelerators > m.largestGuarantee(account) {
+	if largest := m.largestGuarantee(account); !spec.Checkpointable && spec.Accelerators > largest {
 		return fault.New(fault.Invalid, step, "", "a job that can't be checkpointed runs only within a guarantee; the largest of %s is %d, the gang needs %d",
-			account, m.largestGuarantee(account), spec.Accelerators)
+			account, largest, spec.Accelerators)
 	}
 	if largest := m.largest(spec.DataCentre); spec.Accelerators > largest {
 		return fault.New(fault.Invalid, step, "", "no data centre in question has more than %d accelerators, the gang needs %d", largest, spec.Accelerators)
@@ -95,13 +95,9 @@
 // lock.
 func (m *Manager) largest(dc ident.DataCentre) ident.Accelerators {
 	var most ident.Accelerators
-	for name, workers := range m.topology {
-		var n ident.Accelerators
-		for _, w := range workers {
-			n += w.Accelerators
-		}
+	for name := range m.topology {
 		if dc == "" || dc == name {
-			most = max(most, n)
+			most = max(most, m.size(name))
 		}
 	}
 	return most
--- a/sard/domain/loads.go
+++ b/sard/domain/loads.go
@@ -57,17 +57,17 @@
 	}
 	hb, ok := m.heard(dc)
 	if !ok {
+		m.mu.Lock()
 		total := m.size(dc)
+		m.mu.Unlock()
 		return roster.DomainLoad{DataCentre: dc, Total: total, Free: total, LargestFree: total}
 	}
 	i := slices.IndexFunc(hb.Domains, func(l roster.DomainLoad) bool { return l.DataCentre == dc })
 	return hb.Domains[i]
 }
 
-// size returns the number of accelerators of a domain.
+// size returns the number of accelerators of a domain. The caller holds the lock.
 func (m *Manager) size(dc ident.DataCentre) ident.Accelerators {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	var total ident.Accelerators
 	for _, w := range m.topology[dc] {
 		total += w.Accelerators
