--- /dev/null
+++ b/sard/elect/held.go
@@ -0,0 +1,132 @@
+package elect
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+)
+
+// Held is a lease that this process holds.
+type Held struct {
+	candidate *Candidate
+	owner     store.Version
+
+	mu      sync.Mutex
+	renewed clock.Instant
+	beats   uint64
+	lost    bool
+}
+
+// Epoch returns the epoch under which the lease is held. Later holders have higher ones.
+func (h *Held) Epoch() ident.Epoch {
+	return ident.Epoch(h.owner)
+}
+
+// Fence is the condition that holds while no other instance has taken the lease.
+func (h *Held) Fence() store.Expectation {
+	return store.Expectation{Key: key(ownerName), Version: h.owner}
+}
+
+// Check tells whether it is safe to decide or send at this moment. It must be asked right before each send, as the
+// process may have been paused. It fails with Unavailable when the lease could have lapsed, after which a renewal may
+// make it safe again, and with Fenced when it is lost.
+func (h *Held) Check() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lost {
+		return fault.New(fault.Fenced, "check lease", "", "epoch %d is superseded", h.owner)
+	}
+	if age := clock.Since(h.renewed); age > h.safe() {
+		return fault.New(fault.Unavailable, "check lease", "store", "last renewed %v ago", age)
+	}
+	return nil
+}
+
+// Lapsed returns for how long Check has failed for want of a renewal; 0 while it is safe to act.
+func (h *Held) Lapsed() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(0, clock.Since(h.renewed)-h.safe())
+}
+
+func (h *Held) safe() time.Duration {
+	return h.candidate.config.Term * safeShare / 100
+}
+
+// Superseded notes that another instance has been seen to hold the lease.
+func (h *Held) Superseded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lost = true
+}
+
+// keep renews the lease until ctx ends or it is lost.
+func (h *Held) keep(ctx context.Context) error {
+	for {
+		pause := h.candidate.config.Term / renewalsPerTerm
+		if err := h.renew(ctx); isLost(err) {
+			return err
+		} else if err != nil {
+			pause = retryPause
+		}
+		if clock.Sleep(ctx, pause) != nil {
+			return nil
+		}
+	}
+}
+
+// renew writes the beat.
+func (h *Held) renew(ctx context.Context) error {
+	h.mu.Lock()
+	lost := h.lost
+	h.beats++
+	beats := h.beats
+	h.mu.Unlock()
+	if lost {
+		return fault.New(fault.Fenced, "renew lease", "", "epoch %d is superseded", h.owner)
+	}
+	sent := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := h.candidate.config.Store.Apply(ctx, store.Tx{
+		Expect: []store.Expectation{h.Fence()},
+		Put:    []store.Put{{Key: key(beatName), Value: beatValue(beats)}},
+	})
+	if fault.Is(err, fault.Conflict) {
+		h.Superseded()
+	}
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renewed = max(h.renewed, sent)
+	return nil
+}
+
+// release gives the lease up, so that others need not wait for the end of its term.
+func (h *Held) release() {
+	h.mu.Lock()
+	lost := h.lost
+	h.lost = true
+	h.mu.Unlock()
+	if lost {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_, err := h.candidate.config.Store.Apply(ctx, store.Tx{
+		Expect: []store.Expectation{h.Fence()},
+		Put:    []store.Put{{Key: key(ownerName)}},
+	})
+	if err != nil {
+		h.candidate.config.Logger.Warn("lease not released, others wait for its term", "epoch", h.owner, "error", err)
+		return
+	}
+	h.candidate.config.Logger.Info("lease released", "epoch", h.owner)
+}
--- /dev/null
+++ b/sard/entry/state.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// State tells where a job is. It fails with NotFound when no such job exists, and with Denied when it is another
+// account's; an empty account may see all.
+func (d *Desk) State(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+	progress, err := d.progress(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	if progress != nil {
+		return progress.State, permit(account, progress.Account)
+	}
+	job, _, err := d.open(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	if job == nil {
+		return d.late(ctx, account, id)
+	}
+	if job.Cancelled {
+		return ident.Cancelled, permit(account, job.Account)
+	}
+	return ident.Queued, permit(account, job.Account)
+}
+
+// late looks again for a job that ended between the readings of its two rows.
+func (d *Desk) late(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+	progress, err := d.progress(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	if progress == nil {
+		return 0, fault.New(fault.NotFound, "read state", "", "no job %s", id)
+	}
+	return progress.State, permit(account, progress.Account)
+}
+
+func permit(account, owner ident.Account) error {
+	if account == "" || account == owner {
+		return nil
+	}
+	return fault.New(fault.Denied, "read state", "", "the job is another account's")
+}
+
+// Cancel makes sure that nothing of a job runs any more. It fails with NotFound when no such job exists.
+func (d *Desk) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
+	return d.insist(ctx, func(ctx context.Context) error {
+		job, version, err := d.open(ctx, id)
+		if err != nil {
+			return err
+		}
+		if job == nil {
+			// An ended job has nothing left to cancel.
+			_, err := d.late(ctx, account, id)
+			return err
+		}
+		if err := permit(account, job.Account); err != nil || job.Cancelled {
+			return err
+		}
+		return d.markCancelled(ctx, job, version)
+	})
+}
+
+func (d *Desk) markCancelled(ctx context.Context, job *work.Job, version store.Version) error {
+	job.Cancelled = true
+	value, err := work.Encode(work.Entry{Job: job})
+	if err != nil {
+		return err
+	}
+	_, err = d.config.Store.Apply(ctx, store.Tx{
+		Expect: []store.Expectation{{Key: work.JobKey(job.ID), Version: version}},
+		Put:    []store.Put{{Key: work.JobKey(job.ID), Value: value}},
+	})
+	if fault.Is(err, fault.Conflict) {
+		// The row changed after it was read: read it again.
+		return fault.Wrap(err, fault.OutcomeUnknown, "cancel", "store")
+	}
+	return err
+}
+
+// Waiting counts the accepted jobs of a queue of which no part was started.
+func (d *Desk) Waiting(ctx context.Context, queue work.QueueName) (int, error) {
+	listing, err := d.list(ctx, work.WaitRange(queue))
+	return len(listing.Rows), err
+}
+
+// progress reads how far a job has come; nil when nothing was recorded.
+func (d *Desk) progress(ctx context.Context, id ident.Job) (*work.Progress, error) {
+	listing, err := d.list(ctx, store.One(work.RunKey(id)))
+	if err != nil || len(listing.Rows) == 0 {
+		return nil, err
+	}
+	var p work.Progress
+	if err := work.Decode(listing.Rows[0].Value, &p); err != nil {
+		return nil, err
+	}
+	return &p, nil
+}
+
+// open reads the record of an open job; nil when there is none.
+func (d *Desk) open(ctx context.Context, id ident.Job) (*work.Job, store.Version, error) {
+	listing, err := d.list(ctx, store.One(work.JobKey(id)))
+	if err != nil || len(listing.Rows) == 0 {
+		return nil, 0, err
+	}
+	var e work.Entry
+	if err := work.Decode(listing.Rows[0].Value, &e); err != nil {
+		return nil, 0, err
+	}
+	if e.Refused {
+		return nil, 0, nil
+	}
+	return e.Job, listing.Rows[0].Version, nil
+}
+
+// list reads a range, and tries again until ctx ends: a read changes nothing.
+func (d *Desk) list(ctx context.Context, r store.Range) (store.Listing, error) {
+	for {
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		listing, err := d.config.Store.List(bounded, r)
+		cancel()
+		if err == nil || fault.Is(err, fault.Invalid) {
+			return listing, err
+		}
+		if clock.Sleep(ctx, retryPause) != nil {
+			return listing, err
+		}
+	}
+}
--- /dev/null
+++ b/sard/pool/decide.go
@@ -0,0 +1,194 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// Decide returns the orders that follow from all that was told since the last call.
+func (e *Engine) Decide(now time.Time, nowMs int64) []Decision {
+	for _, j := range e.jobs {
+		j.terms = e.config.Terms(j.Job)
+		if !j.state.Terminal() {
+			e.wake(j, now, nowMs)
+		}
+	}
+	e.haltStalled(now)
+	r := newRound(e, now)
+	for _, g := range e.queue(now) {
+		r.serve(g)
+	}
+	out := e.out
+	e.out = nil
+	return out
+}
+
+// haltStalled stops attempts that make no progress, so that they run elsewhere.
+func (e *Engine) haltStalled(now time.Time) {
+	for _, n := range e.nodes {
+		for _, p := range n.sorted() {
+			g := p.group
+			if g.phase != placed || g.spec().Lasting || !g.watch.stalled(now) {
+				continue
+			}
+			e.Distrust(n.Life.Worker, now, firstQuarantine)
+			g.phase = ending
+			e.haltGroup(g, ReasonStalled)
+		}
+	}
+}
+
+// claim is how much of a worker's capacity is left for the groups that come later in the round.
+type claim struct {
+	// free is not used and not promised.
+	free work.Amount
+	// soon is free once what is being stopped is gone.
+	soon work.Amount
+}
+
+// round serves the waiting groups once, in order.
+type round struct {
+	engine *Engine
+	now    time.Time
+	claims []claim
+	// misses are demands of single parts that did not fit.
+	misses map[miss]bool
+}
+
+// miss is a demand that did not fit, so that equal ones need not be tried.
+type miss struct {
+	service work.Service
+	need    work.Amount
+	label   string
+	rack    ident.Rack
+}
+
+func newRound(e *Engine, now time.Time) *round {
+	r := &round{engine: e, now: now, claims: make([]claim, len(e.nodes)), misses: map[miss]bool{}}
+	for i, n := range e.nodes {
+		free := n.free()
+		r.claims[i] = claim{free: free, soon: free.Plus(n.leaving)}
+	}
+	return r
+}
+
+// serve places a group, or promises it capacity that is being freed, or has capacity freed for it.
+func (r *round) serve(g *group) {
+	m := miss{service: g.job.terms.Service, need: g.demand(), label: g.spec().Label, rack: g.spec().DataRack}
+	single := len(g.parts) == 1 && g.job.terms.Priority != work.Guaranteed
+	if single && r.misses[m] {
+		return
+	}
+	if nodes := r.pack(g, r.free); nodes != nil {
+		r.place(g, nodes)
+		return
+	}
+	if single {
+		r.misses[m] = true
+	}
+	if g.job.terms.Priority != work.Guaranteed {
+		return
+	}
+	if nodes := r.pack(g, r.soon); nodes != nil {
+		r.promise(g, nodes)
+		return
+	}
+	r.reclaim(g)
+}
+
+func (r *round) free(n *node) work.Amount { return r.claims[n.index].free }
+func (r *round) soon(n *node) work.Amount { return r.claims[n.index].soon }
+
+// promise keeps capacity on nodes for a group.
+func (r *round) promise(g *group, nodes []*node) {
+	for _, n := range nodes {
+		c := &r.claims[n.index]
+		c.free = c.free.Minus(g.demand())
+		c.soon = c.soon.Minus(g.demand())
+	}
+}
+
+// place starts a new attempt of a group.
+func (r *round) place(g *group, nodes []*node) {
+	r.promise(g, nodes)
+	g.attempt++
+	g.phase = placed
+	g.startedAt, g.savedAt = r.now, r.now
+	g.watch = watch{}
+	j := g.job
+	j.begun = true
+	j.state = ident.Running
+	r.engine.touch(j)
+	for i, n := range nodes {
+		p := &g.parts[i]
+		n.attach(p)
+		r.engine.out = append(r.engine.out, Start{
+			Attempt: p.attemptOf(), Worker: n.Life, Payload: j.Payload, Checkpoint: g.checkpoint,
+		})
+	}
+}
+
+// queue returns the groups that may be placed, the most urgent first.
+func (e *Engine) queue(now time.Time) []*group {
+	e.cover()
+	var open []*group
+	for _, j := range e.jobs {
+		if !j.state.Terminal() {
+			open = append(open, j.open(now)...)
+		}
+	}
+	urgencies := make(map[*job]urgency, len(e.jobs))
+	for _, g := range open {
+		if _, ok := urgencies[g.job]; !ok {
+			urgencies[g.job] = g.job.urgency(now)
+		}
+	}
+	slices.SortFunc(open, func(a, b *group) int {
+		if c := urgencies[a.job].compare(urgencies[b.job]); c != 0 {
+			return c
+		}
+		return compareGroup(a, b)
+	})
+	return open
+}
+
+// open returns the groups of a job that wait and whose turn has come.
+func (j *job) open(now time.Time) []*group {
+	var found []*group
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			if o.steps[s].open == 0 || !o.ready(j, s) {
+				continue
+			}
+			for _, g := range o.steps[s].groups {
+				if g.phase == waiting && !now.Before(g.retryAt) {
+					found = append(found, g)
+				}
+			}
+		}
+	}
+	return found
+}
+
+// cover marks the guaranteed jobs that their accounts' guarantees cover, the oldest first.
+func (e *Engine) cover() {
+	var guaranteed []*job
+	for _, j := range e.jobs {
+		j.covered = false
+		if j.terms.Priority == work.Guaranteed && !j.state.Terminal() {
+			guaranteed = append(guaranteed, j)
+		}
+	}
+	slices.SortFunc(guaranteed, compareAge)
+	used := map[ident.Account]ident.Accelerators{}
+	for _, j := range guaranteed {
+		need := j.accelerators()
+		if used[j.Account]+need <= e.config.Guarantee(j.Account) {
+			used[j.Account] += need
+			j.covered = true
+		}
+	}
+}
--- /dev/null
+++ b/sard/pool/events.go
@@ -0,0 +1,140 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// retryPause is how long a group that failed waits before it is placed again.
+const retryPause = 50 * time.Millisecond
+
+// current returns the part of an attempt when the attempt is the newest and may run, else nil.
+func (e *Engine) current(a work.Attempt) *part {
+	j := e.jobs[a.Part.Job]
+	if j == nil {
+		return nil
+	}
+	p := j.find(a.Part)
+	if p == nil || p.group.attempt != a.Number || p.node == nil {
+		return nil
+	}
+	return p
+}
+
+// Expects tells whether an attempt may run on a worker as far as the engine knows.
+func (e *Engine) Expects(a work.Attempt, worker ident.Worker) bool {
+	p := e.current(a)
+	return p != nil && p.node.Life.Worker == worker
+}
+
+// Wanted tells whether an attempt is still to run on a worker.
+func (e *Engine) Wanted(a work.Attempt, worker ident.Worker) bool {
+	p := e.current(a)
+	return p != nil && p.node.Life.Worker == worker && !p.halting
+}
+
+// Confirmed tells that a worker has taken an attempt.
+func (e *Engine) Confirmed(a work.Attempt) {
+	if p := e.current(a); p != nil {
+		p.running = true
+	}
+}
+
+// Running tells that a worker runs an attempt, how much of it is done, and its newest checkpoint.
+func (e *Engine) Running(a work.Attempt, percent int, saved work.Checkpoint, now time.Time) {
+	p := e.current(a)
+	if p == nil {
+		return
+	}
+	p.running = true
+	g := p.group
+	e.save(g, saved, now)
+	g.watch.see(percent, now)
+}
+
+// Doubt stops the group of an attempt, as it is not known whether it was started.
+func (e *Engine) Doubt(a work.Attempt) {
+	p := e.current(a)
+	if p == nil || p.halting {
+		return
+	}
+	if p.group.phase == placed {
+		p.group.phase = ending
+	}
+	e.haltGroup(p.group, ReasonDoubt)
+}
+
+// save notes a group's newest checkpoint.
+func (e *Engine) save(g *group, saved work.Checkpoint, now time.Time) {
+	if saved != "" && saved != g.checkpoint {
+		g.checkpoint = saved
+		g.savedAt = now
+	}
+}
+
+// Ended tells that an attempt has ended. Ends of attempts that are not the newest change nothing.
+func (e *Engine) Ended(a work.Attempt, how End, saved work.Checkpoint, now time.Time) {
+	if p := e.current(a); p != nil {
+		e.end(p, how, saved, now)
+	}
+}
+
+func (e *Engine) end(p *part, how End, saved work.Checkpoint, now time.Time) {
+	g, n := p.group, p.node
+	n.detach(p)
+	p.running = false
+	e.save(g, saved, now)
+	e.judge(n, g, how, now)
+	e.touch(g.job)
+	if g.phase == done || g.job.state.Terminal() {
+		e.retire(g.job)
+		return
+	}
+	if how == Done && !g.spec().Lasting {
+		e.complete(g)
+		return
+	}
+	if how == Failed {
+		g.failed = true
+		if g.failedOn == nil {
+			g.failedOn = map[ident.Worker]bool{}
+		}
+		g.failedOn[n.Life.Worker] = true
+	}
+	g.phase = ending
+	e.haltGroup(g, ReasonPartner)
+	if g.attached() == 0 {
+		e.settle(g, now)
+	}
+}
+
+// complete marks a group as done; parts of a gang that are still listed as running end with it.
+func (e *Engine) complete(g *group) {
+	g.phase = done
+	j := g.job
+	for _, o := range j.occurrences {
+		if o.number == g.occurrence {
+			o.steps[g.step].open--
+		}
+	}
+	if j.complete() {
+		j.state = ident.Succeeded
+		e.retire(j)
+	}
+}
+
+// settle decides what follows an attempt of which nothing is left.
+func (e *Engine) settle(g *group, now time.Time) {
+	if g.failed {
+		g.failures++
+	}
+	g.failed = false
+	if g.failures >= g.job.terms.Failures && !g.spec().Lasting {
+		e.finish(g.job, ident.Failed, ReasonFailed)
+		return
+	}
+	g.phase = waiting
+	g.retryAt = now.Add(retryPause)
+}
--- /dev/null
+++ b/sard/pool/pack.go
@@ -0,0 +1,191 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// room returns what may be used of a node.
+type room func(*node) work.Amount
+
+// pack returns a node for each part of a group, within the room, or nil.
+func (r *round) pack(g *group, within room) []*node {
+	candidates := r.candidates(g)
+	step := g.spec()
+	if step.DataRack != "" {
+		near := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return n.Rack != step.DataRack })
+		if nodes := r.packAny(g, near, within); nodes != nil {
+			return nodes
+		}
+		if !r.mayGoFar(g, near) {
+			return nil
+		}
+		return r.packAny(g, candidates, within)
+	}
+	if !step.SameRack {
+		return r.packAny(g, candidates, within)
+	}
+	return r.packRack(g, candidates, within)
+}
+
+// candidates returns the nodes that may run parts of a group.
+func (r *round) candidates(g *group) []*node {
+	var well, doubtful []*node
+	for _, n := range r.engine.nodes {
+		if !n.Accepting || !n.suits(g) || n.clashes(g.spec()) || !n.health.well(r.now) {
+			continue
+		}
+		if g.failedOn[n.Life.Worker] {
+			doubtful = append(doubtful, n)
+			continue
+		}
+		well = append(well, n)
+	}
+	if len(well) == 0 {
+		return doubtful
+	}
+	return well
+}
+
+// packRack looks for one rack that takes all parts, the one that is left with the least.
+func (r *round) packRack(g *group, candidates []*node, within room) []*node {
+	racks := byRack(candidates)
+	var best []*node
+	bestLeft := 0.0
+	for _, rack := range racks {
+		nodes := r.packAny(g, rack, within)
+		if nodes == nil {
+			continue
+		}
+		left := 0.0
+		for _, n := range rack {
+			left += share(within(n), n.Capacity)
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = nodes, left
+		}
+	}
+	if best != nil || !r.mayGoFar(g, largest(racks)) {
+		return best
+	}
+	return r.packAny(g, candidates, within)
+}
+
+// byRack groups nodes by rack, in the order of their first node.
+func byRack(nodes []*node) [][]*node {
+	var racks [][]*node
+	index := map[ident.Rack]int{}
+	for _, n := range nodes {
+		i, ok := index[n.Rack]
+		if !ok {
+			i = len(racks)
+			index[n.Rack] = i
+			racks = append(racks, nil)
+		}
+		racks[i] = append(racks[i], n)
+	}
+	return racks
+}
+
+func largest(racks [][]*node) []*node {
+	var found []*node
+	for _, rack := range racks {
+		if len(rack) > len(found) {
+			found = rack
+		}
+	}
+	return found
+}
+
+// mayGoFar tells whether a group may be placed away from its data, or on several racks, because the near nodes could
+// not take it even if they were empty.
+func (r *round) mayGoFar(g *group, near []*node) bool {
+	return r.packAny(g, near, func(n *node) work.Amount { return n.Capacity }) == nil
+}
+
+// fit is how many parts a node can take, and how much of it stays free then.
+type fit struct {
+	node  *node
+	parts int
+	left  float64
+}
+
+// packAny packs parts as tightly as it can.
+func (r *round) packAny(g *group, candidates []*node, within room) []*node {
+	want := len(g.parts)
+	fits := make([]fit, 0, len(candidates))
+	sum := 0
+	for _, n := range candidates {
+		avail := within(n)
+		parts := min(r.capacityFor(g, n, avail), want)
+		if parts == 0 {
+			continue
+		}
+		sum += parts
+		fits = append(fits, fit{node: n, parts: parts, left: share(avail.Minus(times(g.demand(), parts)), n.Capacity)})
+	}
+	if sum < want {
+		return nil
+	}
+	slices.SortFunc(fits, func(a, b fit) int {
+		return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.node.index, b.node.index))
+	})
+	nodes := make([]*node, 0, want)
+	for _, f := range fits {
+		for range min(f.parts, want-len(nodes)) {
+			nodes = append(nodes, f.node)
+		}
+	}
+	return nodes
+}
+
+// capacityFor returns how many parts of a group fit into an amount on a node.
+func (r *round) capacityFor(g *group, n *node, avail work.Amount) int {
+	demand := g.demand()
+	if !demand.Fits(avail) {
+		return 0
+	}
+	parts := unbounded
+	if demand.CPU > 0 {
+		parts = min(parts, int(avail.CPU/demand.CPU))
+	}
+	if demand.Memory > 0 {
+		parts = min(parts, int(avail.Memory/demand.Memory))
+	}
+	if demand.Accelerators > 0 {
+		parts = min(parts, int(avail.Accelerators/demand.Accelerators))
+	}
+	if most := g.spec().MaxPerWorker; most > 0 {
+		parts = min(parts, max(0, most-n.count(g)))
+	}
+	return parts
+}
+
+// unbounded is more parts than any group has.
+const unbounded = 1 << 30
+
+func times(a work.Amount, n int) work.Amount {
+	return work.Amount{
+		CPU:          a.CPU * work.MilliCores(n),
+		Memory:       a.Memory * work.MiB(n),
+		Accelerators: a.Accelerators * ident.Accelerators(n),
+	}
+}
+
+// share returns how much of a capacity an amount is, summed over the resources.
+func share(a, capacity work.Amount) float64 {
+	sum := 0.0
+	if capacity.CPU > 0 {
+		sum += float64(a.CPU) / float64(capacity.CPU)
+	}
+	if capacity.Memory > 0 {
+		sum += float64(a.Memory) / float64(capacity.Memory)
+	}
+	if capacity.Accelerators > 0 {
+		sum += float64(a.Accelerators) / float64(capacity.Accelerators)
+	}
+	return sum
+}
--- /dev/null
+++ b/sard/pool/record.go
@@ -0,0 +1,189 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// Change is a job whose record is to be written.
+type Change struct {
+	Job      ident.Job
+	Queue    work.QueueName
+	Progress work.Progress
+	// Begun tells that a part was placed.
+	Begun bool
+}
+
+// Changes returns up to limit jobs whose records are out of date, those first that changed first, and counts them as
+// written. Written must be called once they are.
+func (e *Engine) Changes(limit int) []Change {
+	count := min(limit, len(e.dirty))
+	changes := make([]Change, 0, count)
+	for _, j := range e.dirty[:count] {
+		j.dirty = false
+		changes = append(changes, Change{Job: j.ID, Queue: j.Queue, Progress: j.progress(), Begun: j.begun})
+	}
+	e.dirty = slices.Delete(e.dirty, 0, count)
+	return changes
+}
+
+// Written tells that changes were recorded. Ended jobs of which nothing may run any more are forgotten.
+func (e *Engine) Written(changes []Change) {
+	for _, c := range changes {
+		if j := e.jobs[c.Job]; j != nil {
+			e.retire(j)
+		}
+	}
+}
+
+// progress makes the record of a job.
+func (j *job) progress() work.Progress {
+	p := work.Progress{State: j.state, Account: j.Account, Queue: j.Queue}
+	if j.state.Terminal() {
+		return p
+	}
+	lives := map[work.Life]int{}
+	j.groups(func(g *group) {
+		if g.attempt > 0 {
+			p.Groups = append(p.Groups, g.record(&p, lives))
+		}
+	})
+	return p
+}
+
+func (g *group) record(p *work.Progress, lives map[work.Life]int) work.Group {
+	r := work.Group{
+		Occurrence: g.occurrence, Step: g.step, First: g.first, Attempt: g.attempt,
+		Failures: g.failures, Done: g.phase == done,
+	}
+	if r.Done {
+		return r
+	}
+	r.Checkpoint = g.checkpoint
+	if g.failed {
+		// The failure counts even if the rest of the gang is not seen to end.
+		r.Failures++
+	}
+	if g.phase != placed {
+		return r
+	}
+	r.Placed = true
+	for i := range g.parts {
+		r.Workers = append(r.Workers, lifeIndex(p, lives, g.parts[i].node.Life))
+	}
+	return r
+}
+
+func lifeIndex(p *work.Progress, lives map[work.Life]int, life work.Life) int {
+	index, ok := lives[life]
+	if !ok {
+		index = len(p.Lives)
+		lives[life] = index
+		p.Lives = append(p.Lives, life)
+	}
+	return index
+}
+
+// restore takes up what was recorded of a job. Placed groups count as placed where they were; their parts are
+// confirmed, started or lost by what the workers tell.
+func (e *Engine) restore(j *job, p *work.Progress, now time.Time) {
+	j.begun = len(p.Groups) > 0
+	for _, r := range p.Groups {
+		part := j.find(work.Part{Occurrence: r.Occurrence, Step: r.Step, Index: r.First})
+		if part == nil {
+			continue
+		}
+		e.restoreGroup(part.group, r, p.Lives, now)
+	}
+	j.state = p.State
+	if j.complete() {
+		j.state = ident.Succeeded
+		e.touch(j)
+	}
+}
+
+func (e *Engine) restoreGroup(g *group, r work.Group, lives []work.Life, now time.Time) {
+	g.attempt, g.failures, g.checkpoint = r.Attempt, r.Failures, r.Checkpoint
+	if r.Done {
+		e.complete(g)
+		return
+	}
+	if !r.Placed {
+		if g.failures >= g.job.terms.Failures && !g.spec().Lasting {
+			e.finish(g.job, ident.Failed, ReasonFailed)
+		}
+		return
+	}
+	g.phase = placed
+	g.startedAt, g.savedAt = now, now
+	for i, index := range r.Workers {
+		n := e.nodeOf(lives[index])
+		n.attach(&g.parts[i])
+	}
+}
+
+// nodeOf returns the node of a recorded worker process. One that is not known any more is kept as a node that takes
+// nothing new, until it is known that nothing runs there.
+func (e *Engine) nodeOf(life work.Life) *node {
+	if n := e.byID[life.Worker]; n != nil && n.Life == life {
+		return n
+	}
+	for _, n := range e.nodes {
+		if n.Life == life {
+			return n
+		}
+	}
+	n := &node{Worker: Worker{Life: life}, index: len(e.nodes), parts: map[*part]struct{}{}}
+	e.nodes = append(e.nodes, n)
+	if e.byID[life.Worker] == nil {
+		e.byID[life.Worker] = n
+	}
+	return n
+}
+
+// Placements calls visit for each attempt that may run, and whether a worker has confirmed it.
+func (e *Engine) Placements(visit func(a work.Attempt, worker work.Life, running bool)) {
+	for _, n := range e.nodes {
+		for _, p := range n.sorted() {
+			visit(p.attemptOf(), n.Life, p.running)
+		}
+	}
+}
+
+// LoseLife tells that nothing of a worker's process runs any more.
+func (e *Engine) LoseLife(life work.Life, now time.Time) {
+	for _, n := range e.nodes {
+		if n.Life == life {
+			e.loseAll(n, now)
+		}
+	}
+}
+
+// Resend returns the start of an attempt that is still to run, for a holder that does not know whether it was sent.
+func (e *Engine) Resend(a work.Attempt) (Start, bool) {
+	p := e.current(a)
+	if p == nil || p.halting {
+		return Start{}, false
+	}
+	return Start{Attempt: a, Worker: p.node.Life, Payload: p.group.job.Payload, Checkpoint: p.group.checkpoint}, true
+}
+
+// Lives returns the worker processes on which something may run.
+func (e *Engine) Lives() []work.Life {
+	var lives []work.Life
+	for _, n := range e.nodes {
+		if len(n.parts) > 0 {
+			lives = append(lives, n.Life)
+		}
+	}
+	return lives
+}
+
+// Busy tells whether something may run on a worker process.
+func (e *Engine) Busy(life work.Life) bool {
+	n := e.byID[life.Worker]
+	return n != nil && n.Life == life && len(n.parts) > 0
+}
--- /dev/null
+++ b/sard/sched/follow.go
@@ -0,0 +1,126 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// listTimeout bounds the reading of a table.
+	listTimeout = 2 * time.Second
+	// feedWait is how long a feed waits for a change; a quiet feed is backed by a reading of the table.
+	feedWait = 2 * time.Second
+	// feedSlack is added to feedWait to bound a call of the feed.
+	feedSlack = time.Second
+	// relistPeriod lies between two readings of a table.
+	relistPeriod = 4 * time.Second
+	// followPause lies between a failed call and the next.
+	followPause = 100 * time.Millisecond
+)
+
+// load reads the records of jobs and the list of workers, and starts to follow them.
+func (s *Scheduler) load(ctx context.Context) error {
+	if err := s.loadProgress(ctx); err != nil {
+		return err
+	}
+	if err := s.loadJournal(ctx); err != nil {
+		return err
+	}
+	for _, table := range []string{s.config.WorkerTable, work.JobTable} {
+		listing, err := s.insist(ctx, table)
+		if err != nil {
+			return err
+		}
+		s.rowsChanged(rowsChanged{table: table, rows: listing.Rows, whole: true})
+		s.group.Go(func() error { return s.follow(ctx, table, listing.Version) })
+	}
+	s.recorded = nil
+	s.adopt()
+	s.config.Logger.Info("pool taken over", "epoch", s.lease.Epoch(), "workers", len(s.sessions),
+		"jobs", s.engine.Summary().Jobs, "placed_parts", s.engine.Summary().Placed, "took", clock.Since(s.started))
+	return nil
+}
+
+// loadProgress reads how far jobs have come.
+func (s *Scheduler) loadProgress(ctx context.Context) error {
+	listing, err := s.insist(ctx, work.RunTable)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	for _, row := range listing.Rows {
+		id := ident.Job(row.Key.Name)
+		p := &work.Progress{}
+		if err := work.Decode(row.Value, p); err != nil {
+			s.config.Logger.Error("progress record not readable, its job is left alone", "job", id, "error", err)
+			s.ended[id] = now.Add(s.config.Retention)
+			continue
+		}
+		if p.State.Terminal() {
+			s.ended[id] = now.Add(s.config.Retention)
+			continue
+		}
+		s.recorded[id] = p
+	}
+	return nil
+}
+
+// insist reads a table until it succeeds, ctx ends, or the lease is lost.
+func (s *Scheduler) insist(ctx context.Context, table string) (store.Listing, error) {
+	for {
+		listing, err := s.list(ctx, table)
+		if err == nil {
+			return listing, nil
+		}
+		if lost := s.lease.Check(); fault.Is(lost, fault.Fenced) {
+			return listing, lost
+		}
+		if clock.Sleep(ctx, followPause) != nil {
+			return listing, err
+		}
+	}
+}
+
+func (s *Scheduler) list(ctx context.Context, table string) (store.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return s.config.Store.List(ctx, store.Range{Table: table, Part: work.Shard})
+}
+
+// follow tells the loop of the changes of a table until ctx ends.
+func (s *Scheduler) follow(ctx context.Context, table string, after store.Version) error {
+	listed := clock.Now()
+	for ctx.Err() == nil {
+		if clock.Since(listed) > relistPeriod {
+			if listing, err := s.list(ctx, table); err == nil {
+				s.post(ctx, rowsChanged{table: table, rows: listing.Rows, whole: true})
+				after, listed = listing.Version, clock.Now()
+			}
+		}
+		changes, err := s.feed(ctx, table, after)
+		if err != nil {
+			if fault.Is(err, fault.NotFound) {
+				listed = clock.Never
+			}
+			_ = clock.Sleep(ctx, followPause)
+			continue
+		}
+		after = changes.Version
+		if len(changes.Rows) > 0 {
+			s.post(ctx, rowsChanged{table: table, rows: changes.Rows})
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) feed(ctx context.Context, table string, after store.Version) (store.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	return s.config.Store.Feed(ctx, table, after, feedWait)
+}
--- /dev/null
+++ b/sard/sched/journal.go
@@ -0,0 +1,238 @@
+package sched
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// batchJobs is the most jobs in a transaction: each takes up to three entries.
+	batchJobs = 32
+	// commitTimeout bounds a write of the journal.
+	commitTimeout = 800 * time.Millisecond
+	// commitPause lies between a failed write and the next.
+	commitPause = 40 * time.Millisecond
+	// pruneBatch is the most ended jobs whose records are deleted in one transaction.
+	pruneBatch = 30
+)
+
+// journalKey is the row that numbers the batches, so that a late copy of a batch can't undo a later one.
+var journalKey = store.Key{Table: "lease", Part: work.Shard, Name: "journal"}
+
+// journal writes the records of jobs, one batch at a time.
+type journal struct {
+	// version is that of the row at journalKey.
+	version store.Version
+	// starts wait for their record.
+	starts []pool.Start
+	// batch is being written, or nil.
+	batch *batch
+	count uint64
+}
+
+// batch is one transaction of the journal and what follows from it.
+type batch struct {
+	number  string
+	tx      store.Tx
+	changes []pool.Change
+	starts  []pool.Start
+	seen    map[ident.Worker]EndNumber
+	pruned  []ident.Job
+}
+
+func (s *Scheduler) loadJournal(ctx context.Context) error {
+	for {
+		listing, err := s.config.Store.List(ctx, store.One(journalKey))
+		if err == nil {
+			for _, row := range listing.Rows {
+				s.journal.version = row.Version
+			}
+			return nil
+		}
+		if lost := s.lease.Check(); fault.Is(lost, fault.Fenced) {
+			return lost
+		}
+		if clock.Sleep(ctx, followPause) != nil {
+			return err
+		}
+	}
+}
+
+// commit writes what has changed, unless a write is under way.
+func (s *Scheduler) commit(ctx context.Context) {
+	if s.journal.batch != nil {
+		return
+	}
+	b := s.newBatch()
+	if b == nil {
+		return
+	}
+	s.journal.batch = b
+	s.write(ctx, b)
+}
+
+// newBatch gathers what is to be written; nil when there is nothing.
+func (s *Scheduler) newBatch() *batch {
+	changes := s.engine.Changes(batchJobs)
+	pruned := s.expired()
+	if len(changes) == 0 && len(pruned) == 0 {
+		s.confirmSeen(s.seen())
+		return nil
+	}
+	s.journal.count++
+	b := &batch{
+		number:  strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.count, 10),
+		changes: changes,
+		pruned:  pruned,
+		seen:    s.seen(),
+	}
+	b.starts, s.journal.starts = s.recordedStarts(changes)
+	b.tx = store.Tx{
+		Expect: []store.Expectation{s.lease.Fence(), {Key: journalKey, Version: s.journal.version}},
+		Put:    []store.Put{{Key: journalKey, Value: []byte(b.number)}},
+	}
+	for _, c := range changes {
+		s.addChange(&b.tx, c)
+	}
+	for _, id := range pruned {
+		b.tx.Delete = append(b.tx.Delete, work.RunKey(id))
+	}
+	return b
+}
+
+// recordedStarts splits the waiting starts into those that changes record and the rest.
+func (s *Scheduler) recordedStarts(changes []pool.Change) (recorded, rest []pool.Start) {
+	jobs := map[ident.Job]bool{}
+	for _, c := range changes {
+		jobs[c.Job] = true
+	}
+	for _, start := range s.journal.starts {
+		if jobs[start.Attempt.Part.Job] {
+			recorded = append(recorded, start)
+			continue
+		}
+		rest = append(rest, start)
+	}
+	return recorded, rest
+}
+
+// addChange adds the record of a job to a transaction.
+func (s *Scheduler) addChange(tx *store.Tx, c pool.Change) {
+	if c.Progress.State.Terminal() {
+		c.Progress.EndedMs = time.Now().UnixMilli()
+		tx.Delete = append(tx.Delete, work.JobKey(c.Job))
+	}
+	if c.Begun || c.Progress.State.Terminal() {
+		tx.Delete = append(tx.Delete, work.WaitKey(c.Queue, c.Job))
+	}
+	value, err := work.Encode(c.Progress)
+	if err != nil {
+		s.config.Logger.Error("progress not encoded", "job", c.Job, "error", err)
+		return
+	}
+	tx.Put = append(tx.Put, store.Put{Key: work.RunKey(c.Job), Value: value})
+}
+
+// expired returns ended jobs whose state need not be kept any longer.
+func (s *Scheduler) expired() []ident.Job {
+	var found []ident.Job
+	now := time.Now()
+	for id, until := range s.ended {
+		if len(found) < pruneBatch && now.After(until) {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// write sends a batch.
+func (s *Scheduler) write(ctx context.Context, b *batch) {
+	s.start(ctx, func() event {
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		result, err := s.config.Store.Apply(ctx, b.tx)
+		if fault.Is(err, fault.Conflict) {
+			return s.conflict(b, result, err)
+		}
+		return committed{version: result.Version, err: err}
+	})
+}
+
+// conflict finds out whether a batch was refused because an earlier copy of it had taken effect.
+func (s *Scheduler) conflict(b *batch, result store.Result, err error) committed {
+	for _, row := range result.Current {
+		if row.Key == journalKey && string(row.Value) == b.number {
+			return committed{version: row.Version}
+		}
+	}
+	return committed{err: err}
+}
+
+// committed takes the outcome of a write in.
+func (s *Scheduler) committed(ctx context.Context, ev committed) {
+	b := s.journal.batch
+	if fault.Is(ev.err, fault.Conflict) {
+		s.lease.Superseded()
+		return
+	}
+	if ev.err != nil {
+		s.config.Logger.Warn("record not written, tried again", "batch", b.number, "jobs", len(b.changes), "error", ev.err)
+		s.rewrite(ctx, b)
+		return
+	}
+	s.journal.batch = nil
+	s.journal.version = ev.version
+	now := time.Now()
+	for _, c := range b.changes {
+		if c.Progress.State.Terminal() {
+			s.over(c, now)
+		}
+	}
+	for _, id := range b.pruned {
+		delete(s.ended, id)
+	}
+	s.engine.Written(b.changes)
+	s.confirmSeen(b.seen)
+	for _, start := range b.starts {
+		s.launch(ctx, start)
+	}
+}
+
+// rewrite sends a batch again after a pause.
+func (s *Scheduler) rewrite(ctx context.Context, b *batch) {
+	s.group.Go(func() error {
+		if clock.Sleep(ctx, commitPause) == nil {
+			s.write(ctx, b)
+		}
+		return nil
+	})
+}
+
+// seen returns the last end of each worker that the engine has taken in.
+func (s *Scheduler) seen() map[ident.Worker]EndNumber {
+	seen := map[ident.Worker]EndNumber{}
+	for id, w := range s.sessions {
+		if w.seen > w.confirmed {
+			seen[id] = w.seen
+		}
+	}
+	return seen
+}
+
+// confirmSeen lets workers forget ends whose consequences are recorded.
+func (s *Scheduler) confirmSeen(seen map[ident.Worker]EndNumber) {
+	for id, number := range seen {
+		if w := s.sessions[id]; w != nil && w.seen >= number {
+			w.confirmed = max(w.confirmed, number)
+			w.due = 0
+		}
+	}
+}
--- /dev/null
+++ b/sard/sched/peer.go
@@ -0,0 +1,129 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// WorkerClock is a time in milliseconds on a worker's own steady clock.
+type WorkerClock int64
+
+// EndNumber numbers the ends that a worker process lists, from 1.
+type EndNumber uint64
+
+// Entry is what the platform's list says of a worker.
+type Entry struct {
+	pool.Worker
+	Address    string
+	DataCentre ident.DataCentre
+	// Clock is the worker's clock when it reported; 0 when not told.
+	Clock WorkerClock
+}
+
+// Client sends orders to one worker. Errors are *fault.Error of the kinds Unavailable (nothing was done),
+// OutcomeUnknown, Invalid and Internal, or a *Refusal.
+type Client interface {
+	Start(ctx context.Context, o StartOrder) (Reply, error)
+	Stop(ctx context.Context, o StopOrder) (Reply, error)
+	Hold(ctx context.Context, o HoldOrder) (Report, error)
+}
+
+// StartOrder starts an attempt of a part. Sent again for an attempt that runs it changes nothing.
+type StartOrder struct {
+	Worker     work.Life
+	Attempt    work.Attempt
+	Payload    string
+	Checkpoint work.Checkpoint
+	Epoch      ident.Epoch
+	// Deadline is when all that runs on the worker is killed unless it is extended.
+	Deadline WorkerClock
+}
+
+// StopOrder stops an attempt. One that is not there yet is refused from then on.
+type StopOrder struct {
+	Worker  work.Life
+	Attempt work.Attempt
+	Epoch   ident.Epoch
+}
+
+// HoldOrder extends the lease of all that runs on a worker and asks for its lists.
+type HoldOrder struct {
+	Worker work.Life
+	Epoch  ident.Epoch
+	// Deadline is as in StartOrder; 0 extends nothing.
+	Deadline WorkerClock
+	// Seen is the last end that need not be listed again.
+	Seen EndNumber
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+}
+
+// Reply is the answer to an order.
+type Reply struct {
+	Clock WorkerClock
+	// Born is that of the process that answered; 0 when not told.
+	Born int64
+}
+
+// Report is the answer to a hold.
+type Report struct {
+	Reply
+	Running []RunningPart
+	Ended   []EndedPart
+}
+
+// RunningPart is an attempt that runs on a worker.
+type RunningPart struct {
+	Attempt    work.Attempt
+	Checkpoint work.Checkpoint
+	// Percent is how much of the work is done; of a lasting part, the share at which it works.
+	Percent int
+}
+
+// EndedPart is an attempt that ended on a worker.
+type EndedPart struct {
+	Number     EndNumber
+	Attempt    work.Attempt
+	How        pool.End
+	Checkpoint work.Checkpoint
+}
+
+//go:generate go tool stringer -type=Cause -output=cause_string.go
+
+// Cause is why a worker refused an order.
+type Cause int
+
+// The causes of refusals.
+const (
+	// Superseded is an epoch lower than one that the worker has seen.
+	Superseded Cause = iota
+	// Outdated is an attempt that is not higher than one that was stopped or has ended there.
+	Outdated
+	// Expired is a deadline that has passed.
+	Expired
+	// NoRoom is a lack of capacity.
+	NoRoom
+	// Unwell is a worker that takes nothing now.
+	Unwell
+	// OtherLife is a worker process other than the one that was meant.
+	OtherLife
+	// Unpermitted is a part that may not run there.
+	Unpermitted
+)
+
+// Refusal is an order that a worker refused and did not carry out.
+type Refusal struct {
+	Cause  Cause
+	Worker ident.Worker
+	Reply  Reply
+}
+
+// Error formats the refusal.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("order at worker %s: refused (%s)", r.Worker, r.Cause)
+}
--- /dev/null
+++ b/sard/sched/sched.go
@@ -0,0 +1,215 @@
+// Package sched runs a pool's scheduler in the instance that holds the lease: it follows jobs and workers, has
+// package pool decide, records each decision in the store, and only then sends it to the workers.
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/policy"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// Lease is the scheduler lease as it is held.
+type Lease interface {
+	Epoch() ident.Epoch
+	// Fence is the condition that holds while no other instance has taken the lease.
+	Fence() store.Expectation
+	// Check must be asked right before each decision or send.
+	Check() error
+	// Lapsed returns for how long Check has failed for want of a renewal.
+	Lapsed() time.Duration
+	// Superseded notes that another instance holds the lease.
+	Superseded()
+}
+
+// Config describes a scheduler.
+type Config struct {
+	Store store.Store
+	// WorkerTable is the table of the platform's list of workers.
+	WorkerTable string
+	// Entry decodes a row of WorkerTable.
+	Entry func(store.Row) (Entry, error)
+	// Open makes the client of a worker.
+	Open func(Entry) Client
+	// Policy returns the configuration in force, or nil.
+	Policy func() *policy.Policy
+	// WorkerLease is how long a worker runs on without a word of the scheduler.
+	WorkerLease time.Duration
+	// StopTime is the most that a worker takes to stop a part.
+	StopTime time.Duration
+	// Retention is how long the state of an ended job is kept.
+	Retention time.Duration
+	// FarFactor is how many times longer parts take far from their data or apart from their gang.
+	FarFactor float64
+	Logger    hclog.Logger
+}
+
+const (
+	// tickPeriod lies between two looks at what is due.
+	tickPeriod = 100 * time.Millisecond
+	// eventBuffer is how many events may wait for the loop.
+	eventBuffer = 256
+	// leaseGrace is how long workers' leases are renewed after the scheduler lease has lapsed.
+	leaseGrace = 3 * time.Second
+	// workerClockSlow is by how much a worker's clock may be slow, in percent.
+	workerClockSlow = 2
+	// lapseMargin is added to the time by which a worker's lease has surely lapsed.
+	lapseMargin = 100 * time.Millisecond
+)
+
+// Scheduler runs the pool while a lease is held.
+type Scheduler struct {
+	config   Config
+	lease    Lease
+	engine   *pool.Engine
+	sessions map[ident.Worker]*session
+	journal  journal
+	// orders are the attempts that were ordered to start or stop and are not known to have ended.
+	orders map[work.Attempt]*order
+	// recorded are the progress records read at the start, until their jobs are added.
+	recorded map[ident.Job]*work.Progress
+	// ended are jobs that are over, with the time from which their state need not be kept.
+	ended    map[ident.Job]time.Time
+	events   chan event
+	group    *errgroup.Group
+	started  clock.Instant
+	reported pool.Summary
+}
+
+// Run schedules until ctx ends or the lease is lost.
+func Run(ctx context.Context, lease Lease, config Config) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	s := &Scheduler{
+		config:   config,
+		lease:    lease,
+		sessions: map[ident.Worker]*session{},
+		orders:   map[work.Attempt]*order{},
+		recorded: map[ident.Job]*work.Progress{},
+		ended:    map[ident.Job]time.Time{},
+		events:   make(chan event, eventBuffer),
+		group:    group,
+		started:  clock.Now(),
+	}
+	s.engine = pool.New(pool.Config{Terms: s.terms, Guarantee: s.guarantee, FarFactor: config.FarFactor})
+	group.Go(func() error {
+		defer cancel()
+		return s.run(ctx)
+	})
+	return group.Wait()
+}
+
+func (s *Scheduler) run(ctx context.Context) error {
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case ev := <-s.events:
+			s.handle(ctx, ev)
+			s.drain(ctx)
+		}
+		if err := s.step(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// drain handles the events that wait already, so that one decision serves them all.
+func (s *Scheduler) drain(ctx context.Context) {
+	for range eventBuffer {
+		select {
+		case ev := <-s.events:
+			s.handle(ctx, ev)
+		default:
+			return
+		}
+	}
+}
+
+// step does what is due: decisions, records, and calls to workers.
+func (s *Scheduler) step(ctx context.Context) error {
+	err := s.lease.Check()
+	if fault.Is(err, fault.Fenced) {
+		return err
+	}
+	s.lapse()
+	if err == nil {
+		s.decide(ctx)
+		s.commit(ctx)
+	}
+	s.hold(ctx)
+	s.summarize()
+	return nil
+}
+
+// decide has the engine decide and sends the stops; starts wait for their record.
+func (s *Scheduler) decide(ctx context.Context) {
+	now := time.Now()
+	for _, d := range s.engine.Decide(now, now.UnixMilli()) {
+		switch d := d.(type) {
+		case pool.Start:
+			s.journal.starts = append(s.journal.starts, d)
+		case pool.Stop:
+			s.stop(ctx, d)
+		}
+	}
+}
+
+// post gives an event to the loop.
+func (s *Scheduler) post(ctx context.Context, ev event) {
+	select {
+	case s.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// start runs f in the background; the event that it returns is given to the loop.
+func (s *Scheduler) start(ctx context.Context, f func() event) {
+	s.group.Go(func() error {
+		s.post(ctx, f())
+		return nil
+	})
+}
+
+func (s *Scheduler) terms(j *work.Job) work.Terms {
+	if p := s.config.Policy(); p != nil {
+		if q := p.Queue(j.Queue); q != nil {
+			return q.Terms
+		}
+	}
+	return j.Terms
+}
+
+func (s *Scheduler) guarantee(account ident.Account) ident.Accelerators {
+	if p := s.config.Policy(); p != nil {
+		return p.Guarantee(account)
+	}
+	return 0
+}
+
+// summarize logs what the pool holds when it has changed.
+func (s *Scheduler) summarize() {
+	summary := s.engine.Summary()
+	if summary == s.reported || !s.config.Logger.IsDebug() {
+		return
+	}
+	s.reported = summary
+	s.config.Logger.Debug("pool", "jobs", summary.Jobs, "waiting_parts", summary.Waiting, "placed_parts", summary.Placed,
+		"workers", summary.Workers, "used", summary.Used, "accelerators", summary.Total)
+}
--- /dev/null
+++ b/sard/sched/session.go
@@ -0,0 +1,299 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// holdWait is how long a hold waits for an end at the worker.
+	holdWait = time.Second
+	// holdSlack is added to the wait of a hold to bound the call.
+	holdSlack = 700 * time.Millisecond
+	// holdRetry lies between a failed hold and the next.
+	holdRetry = 250 * time.Millisecond
+	// unseenPause lies between holds while ends wait for their record.
+	unseenPause = 500 * time.Millisecond
+	// silentLimit is how long a worker may be silent before it gets nothing new.
+	silentLimit = 1500 * time.Millisecond
+)
+
+// session is what the scheduler knows of a worker process and its lease.
+type session struct {
+	entry  Entry
+	client Client
+	// listed tells that the platform's list names the worker.
+	listed bool
+	// fenced tells that the worker has answered under this epoch.
+	fenced bool
+	// clock was read by the worker between clockSent and clockAt.
+	clock   WorkerClock
+	clockAt clock.Instant
+	// deadline is the latest that was ever sent.
+	deadline WorkerClock
+	// lapse is when everything on the worker is surely gone unless its lease is extended.
+	lapse clock.Instant
+	// holding tells that a hold is under way; due is when the next may be sent.
+	holding bool
+	due     clock.Instant
+	// unanswered tells that the last order with a deadline got no answer.
+	unanswered bool
+	answered   clock.Instant
+	// seen is the last end taken in, and confirmed the last one whose consequences are recorded.
+	seen, confirmed EndNumber
+	// acknowledged is the last confirmed end that the worker was told of.
+	acknowledged EndNumber
+	lost            bool
+}
+
+func (w *session) id() ident.Worker {
+	return w.entry.Life.Worker
+}
+
+// now returns the earliest that the worker's clock can show now; 0 when it is not known.
+func (w *session) now() WorkerClock {
+	if w.clock == 0 {
+		return 0
+	}
+	passed := clock.Since(w.clockAt) * (100 - workerClockSlow) / 100
+	return w.clock + WorkerClock(passed.Milliseconds())
+}
+
+// extend returns the deadline for an order, and notes it.
+func (w *session) extend(lease time.Duration) WorkerClock {
+	now := w.now()
+	if now == 0 {
+		return 0
+	}
+	if w.unanswered {
+		// An order that may not have arrived must not move the end of the lease.
+		return w.deadline
+	}
+	w.deadline = max(w.deadline, now+WorkerClock(lease.Milliseconds()))
+	left := time.Duration(w.deadline-now) * time.Millisecond
+	w.lapse = max(w.lapse, clock.Now().Add(left*100/(100-workerClockSlow)+lapseMargin))
+	return w.deadline
+}
+
+// read notes the worker's clock from an answer.
+func (w *session) read(reply Reply) {
+	if reply.Clock == 0 {
+		return
+	}
+	w.clock, w.clockAt = reply.Clock, clock.Now()
+	w.answered = w.clockAt
+	w.unanswered = false
+}
+
+// listed takes an entry of the platform's list in.
+func (s *Scheduler) listed(entry Entry) {
+	id := entry.Life.Worker
+	w := s.sessions[id]
+	if w == nil {
+		w = &session{entry: entry, answered: clock.Now(), lapse: s.inherited()}
+		s.sessions[id] = w
+		s.config.Logger.Debug("worker listed", "worker", id, "address", entry.Address, "rack", entry.Rack)
+	}
+	if w.client == nil || w.entry.Address != entry.Address {
+		w.client = s.config.Open(entry)
+	}
+	if w.entry.Life != entry.Life {
+		s.reborn(w, entry.Life)
+	}
+	w.entry, w.listed = entry, true
+	s.engine.SetWorker(s.view(w), time.Now())
+}
+
+// inherited is when the leases that an earlier holder gave have surely lapsed.
+func (s *Scheduler) inherited() clock.Instant {
+	lease := s.config.WorkerLease * 100 / (100 - workerClockSlow)
+	return s.started.Add(leaseGrace + lease + lapseMargin)
+}
+
+// reborn starts a session anew with another process of the worker.
+func (s *Scheduler) reborn(w *session, life work.Life) {
+	s.config.Logger.Info("worker started again", "worker", life.Worker, "born", life.Born, "was", w.entry.Life.Born)
+	for a, o := range s.orders {
+		if o.life == w.entry.Life {
+			delete(s.orders, a)
+		}
+	}
+	*w = session{entry: w.entry, client: w.client, listed: w.listed, answered: clock.Now()}
+	w.entry.Life = life
+}
+
+// unlisted notes that the platform's list does not name a worker any more. What runs there may run on.
+func (s *Scheduler) unlisted(id string) {
+	w := s.sessions[ident.Worker(id)]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	s.engine.DropWorker(w.id())
+	s.config.Logger.Info("worker not listed any more", "worker", id)
+}
+
+// view returns the worker as the engine is to see it.
+func (s *Scheduler) view(w *session) pool.Worker {
+	v := w.entry.Worker
+	v.Accepting = v.Accepting && w.listed && w.fenced && !w.silent()
+	return v
+}
+
+// silent tells that the worker has not answered for too long.
+func (w *session) silent() bool {
+	return w.unanswered && clock.Since(w.answered) > silentLimit
+}
+
+// hold sends the holds that are due.
+func (s *Scheduler) hold(ctx context.Context) {
+	lapsed := s.lease.Lapsed()
+	if lapsed > leaseGrace {
+		return
+	}
+	now := clock.Now()
+	for _, w := range s.sessions {
+		if w.holding || now.Before(w.due) || w.client == nil {
+			continue
+		}
+		busy := s.engine.Busy(w.entry.Life)
+		if w.fenced && !busy && w.confirmed == w.acknowledged && !w.unanswered {
+			continue
+		}
+		s.sendHold(ctx, w, busy)
+	}
+}
+
+func (s *Scheduler) sendHold(ctx context.Context, w *session, busy bool) {
+	order := HoldOrder{Worker: w.entry.Life, Epoch: s.lease.Epoch(), Seen: w.confirmed}
+	if busy || !w.fenced {
+		order.Deadline = w.extend(s.config.WorkerLease)
+	}
+	if busy && w.fenced && w.seen == w.confirmed && !w.unanswered {
+		order.Wait = holdWait
+	}
+	w.holding = true
+	w.acknowledged = max(w.acknowledged, w.confirmed)
+	client, life := w.client, w.entry.Life
+	sent := clock.Now()
+	s.start(ctx, func() event {
+		ctx, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
+		defer cancel()
+		report, err := client.Hold(ctx, order)
+		return holdAnswered{life: life, sent: sent, report: report, err: err}
+	})
+}
+
+// holdAnswered takes the answer of a worker in.
+func (s *Scheduler) holdAnswered(ctx context.Context, ev holdAnswered) {
+	w := s.sessions[ev.life.Worker]
+	if w == nil || w.entry.Life != ev.life {
+		return
+	}
+	w.holding = false
+	if ev.err != nil {
+		s.holdFailed(w, ev.err)
+		return
+	}
+	if born := ev.report.Born; born != 0 && born != ev.life.Born {
+		s.reborn(w, work.Life{Worker: ev.life.Worker, Born: born})
+	}
+	first := !w.fenced
+	w.fenced, w.lost = true, false
+	w.read(ev.report.Reply)
+	s.ends(w, ev.report)
+	s.runs(ctx, w, ev.report)
+	s.missing(ctx, w, ev, first)
+	w.due = clock.Now()
+	if w.seen > w.confirmed {
+		w.due = w.due.Add(unseenPause)
+	}
+	s.engine.SetWorker(s.view(w), time.Now())
+}
+
+// holdFailed notes a hold without an answer, or a refusal.
+func (s *Scheduler) holdFailed(w *session, err error) {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		s.refusedHold(w, refusal)
+		return
+	}
+	if !w.unanswered {
+		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago", clock.Since(w.answered), "error", err)
+	}
+	w.unanswered = true
+	w.due = clock.Now().Add(holdRetry)
+	s.engine.SetWorker(s.view(w), time.Now())
+}
+
+func (s *Scheduler) refusedHold(w *session, refusal *Refusal) {
+	s.config.Logger.Warn("worker refused a hold", "worker", w.id(), "cause", refusal.Cause.String())
+	if refusal.Cause == Superseded {
+		s.lease.Superseded()
+	}
+	if refusal.Cause == OtherLife && refusal.Reply.Born != 0 && refusal.Reply.Born != w.entry.Life.Born {
+		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born})
+		s.engine.SetWorker(s.view(w), time.Now())
+	}
+	w.due = clock.Now().Add(holdRetry)
+}
+
+// ends takes the ended attempts of a report in.
+func (s *Scheduler) ends(w *session, report Report) {
+	now := time.Now()
+	for _, end := range report.Ended {
+		if end.Number <= w.seen {
+			continue
+		}
+		w.seen = end.Number
+		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
+			"how", end.How.String(), "end", end.Number)
+		if s.engine.Expects(end.Attempt, w.id()) {
+			s.engine.Ended(end.Attempt, end.How, end.Checkpoint, now)
+		}
+		delete(s.orders, end.Attempt)
+	}
+}
+
+// runs takes the running attempts of a report in, and stops those that are not to run.
+func (s *Scheduler) runs(ctx context.Context, w *session, report Report) {
+	now := time.Now()
+	for _, r := range report.Running {
+		if s.engine.Wanted(r.Attempt, w.id()) {
+			s.engine.Running(r.Attempt, r.Percent, r.Checkpoint, now)
+			continue
+		}
+		s.stopUnwanted(ctx, w, r.Attempt)
+	}
+}
+
+// lapse gives up what ran on workers whose leases have surely lapsed.
+func (s *Scheduler) lapse() {
+	now := clock.Now()
+	for _, w := range s.sessions {
+		if w.silent() {
+			s.engine.DropWorker(w.id())
+		}
+		if w.lost || now.Before(w.lapse) || (!w.unanswered && w.fenced) || !s.engine.Busy(w.entry.Life) {
+			continue
+		}
+		w.lost = true
+		s.config.Logger.Warn("worker lost, its lease has lapsed", "worker", w.id(), "answered_ago", now.Sub(w.answered))
+		s.engine.LoseLife(w.entry.Life, time.Now())
+	}
+	if now.Before(s.inherited()) {
+		return
+	}
+	for _, life := range s.engine.Lives() {
+		if w := s.sessions[life.Worker]; w == nil || w.entry.Life != life {
+			s.config.Logger.Warn("recorded worker process lost, its lease has lapsed", "worker", life.Worker, "born", life.Born)
+			s.engine.LoseLife(life, time.Now())
+		}
+	}
+}
--- /dev/null
+++ b/sard/work/record.go
@@ -0,0 +1,102 @@
+package work
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+)
+
+// The tables of the scheduler's rows. All rows are in the part Shard, so that a transaction can hold them together.
+const (
+	JobTable  = "job"
+	WaitTable = "wait"
+	RunTable  = "run"
+	Shard     = ""
+)
+
+// waitSeparator lies between the queue and the job in the name of a row of WaitTable.
+const waitSeparator = "/"
+
+// JobKey is the key of an open job's record.
+func JobKey(id ident.Job) store.Key {
+	return store.Key{Table: JobTable, Part: Shard, Name: string(id)}
+}
+
+// RunKey is the key of a job's Progress.
+func RunKey(id ident.Job) store.Key {
+	return store.Key{Table: RunTable, Part: Shard, Name: string(id)}
+}
+
+// WaitKey is the key of the row that a job has until its first part is started.
+func WaitKey(queue QueueName, id ident.Job) store.Key {
+	return store.Key{Table: WaitTable, Part: Shard, Name: string(queue) + waitSeparator + string(id)}
+}
+
+// WaitRange selects the rows of a queue's jobs of which no part was started.
+func WaitRange(queue QueueName) store.Range {
+	return store.Prefix(WaitTable, Shard, string(queue)+waitSeparator)
+}
+
+// Entry is the value of a row of JobTable: an accepted job, or the refusal of one.
+type Entry struct {
+	// Refused tells that the id was given no job; a later submission may still take it.
+	Refused bool `cbor:",omitempty"`
+	Job     *Job `cbor:",omitempty"`
+}
+
+// Progress is how far a job has come.
+type Progress struct {
+	State   ident.JobState
+	Account ident.Account
+	Queue   QueueName
+	// Lives are the processes of workers that Groups name by index.
+	Lives []Life `cbor:",omitempty"`
+	// Groups are those that were ever placed.
+	Groups []Group `cbor:",omitempty"`
+	// EndedMs is the Unix time in milliseconds of the end, for the retention period; 0 while the job is open.
+	EndedMs int64 `cbor:",omitempty"`
+}
+
+// Life is one process of a worker. A worker that starts again has another Born.
+type Life struct {
+	_      struct{} `cbor:",toarray"`
+	Worker ident.Worker
+	// Born is the Unix time in milliseconds at which the process started, by the worker's own clock.
+	Born int64
+}
+
+// Group is the progress of parts that share their attempts: a gang, or a single part.
+type Group struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	// First is the index of the group's first part.
+	First    int
+	Attempt  ident.Attempt
+	Failures int
+	Done     bool
+	// Placed tells that the attempt may be running at Workers.
+	Placed     bool
+	Checkpoint Checkpoint
+	// Workers holds the index in Lives of each part's worker while the group is placed.
+	Workers []int
+}
+
+// Encode makes the value of a row.
+func Encode(record any) ([]byte, error) {
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode record", "")
+	}
+	return value, nil
+}
+
+// Decode reads the value of a row into record.
+func Decode(value []byte, record any) error {
+	if err := cbor.Unmarshal(value, record); err != nil {
+		return fault.Wrap(err, fault.Invalid, "decode record", "store")
+	}
+	return nil
+}
--- a/sardined/main.go
+++ b/sardined/main.go
@@ -25,7 +25,11 @@
 )
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	args := os.Args[1:]
+	if len(args) > 0 && args[0] == platformCommand {
+		os.Exit(runPlatform(args[1:]))
+	}
+	os.Exit(run(args))
 }
 
 func run(args []string) int {
--- /dev/null
+++ b/sardined/platform.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sardineline/sardineline/platform"
+	"github.com/sardineline/sardineline/platform/conf"
+)
+
+// platformCommand is the word that selects runPlatform.
+const platformCommand = "platform"
+
+// platformSettings are the flags of an instance on the users' platform. All else comes from the platform's file.
+type platformSettings struct {
+	Settings string          `long:"settings" description:"path of the platform's settings file; SARDINELINE_NODE_FILE is used when it is not given"`
+	Log      loggingSettings `group:"Logging" namespace:"log" env-namespace:"SARDINED_LOG"`
+}
+
+// runPlatform runs an entry instance on the users' platform.
+func runPlatform(args []string) int {
+	var s platformSettings
+	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "sardined " + platformCommand
+	_, err := parser.ParseArgs(args)
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		_, _ = os.Stdout.WriteString(help.Message + "\n")
+		return exitStopped
+	}
+	if err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		return exitSettings
+	}
+	if s.Settings == "" {
+		s.Settings = os.Getenv(conf.FileVariable)
+	}
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "sardined", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: os.Stdout,
+	})
+	instance, err := platform.New(s.Settings, log)
+	if err != nil {
+		log.Error("settings refused", "error", err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := instance.Run(ctx); err != nil {
+		log.Error("instance failed", "error", err)
+		return exitFailed
+	}
+	return exitStopped
+}
--- a/sardined/system_test.go
+++ b/sardined/system_test.go
@@ -30,7 +30,7 @@
 	"github.com/sardineline/sardineline/standin/world"
 )
 
-const platform = `
+const environment = `
 Lag: 1s
 CheckpointTime: 50ms
 NotRepeated: [/claims]
@@ -138,7 +138,7 @@
 }
 
 func newSystem(t *testing.T, seed uint64, n int, tokens string) *system {
-	env, err := setup.Parse([]byte(platform))
+	env, err := setup.Parse([]byte(environment))
 	assert.NilError(t, err)
 	env.Seed = seed
 	w, err := world.New(world.Config{Environment: env, Ports: setup.Ports{Host: "10.0.0.1", Base: 1000}})
