--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -67,12 +67,17 @@
 		// The failure counts even if the rest of the gang is not seen to end.
 		r.Failures++
 	}
-	if g.phase != placed {
+	r.Placed = g.attached() > 0
+	if !r.Placed {
 		return r
 	}
-	r.Placed = true
+	r.Ending = g.phase == ending
 	for i := range g.parts {
-		r.Workers = append(r.Workers, lifeIndex(p, lives, g.parts[i].node.Life))
+		index := work.NoWorker
+		if n := g.parts[i].node; n != nil {
+			index = lifeIndex(p, lives, n.Life)
+		}
+		r.Workers = append(r.Workers, index)
 	}
 	return r
 }
@@ -120,8 +125,13 @@
 	g.phase = placed
 	g.startedAt, g.savedAt = now, now
 	for i, index := range r.Workers {
-		n := e.nodeOf(lives[index])
-		n.attach(&g.parts[i])
+		if index != work.NoWorker {
+			e.nodeOf(lives[index]).attach(&g.parts[i])
+		}
+	}
+	if r.Ending {
+		g.phase = ending
+		e.haltGroup(g, ReasonPartner)
 	}
 }
 
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -49,7 +49,9 @@
 	seen, confirmed EndNumber
 	// acknowledged is the last confirmed end that the worker was told of.
 	acknowledged EndNumber
-	lost            bool
+	lost         bool
+	// strangers is how many attempts the worker runs that are not accounted for.
+	strangers int
 }
 
 func (w *session) id() ident.Worker {
@@ -142,7 +144,7 @@
 // view returns the worker as the engine is to see it.
 func (s *Scheduler) view(w *session) pool.Worker {
 	v := w.entry.Worker
-	v.Accepting = v.Accepting && w.listed && w.fenced && !w.silent()
+	v.Accepting = v.Accepting && w.listed && w.fenced && w.strangers == 0 && !w.silent()
 	return v
 }
 
@@ -163,7 +165,7 @@
 			continue
 		}
 		busy := s.engine.Busy(w.entry.Life)
-		if w.fenced && !busy && w.confirmed == w.acknowledged && !w.unanswered {
+		if w.fenced && !busy && w.strangers == 0 && w.confirmed == w.acknowledged && !w.unanswered {
 			continue
 		}
 		s.sendHold(ctx, w, busy)
@@ -264,7 +266,11 @@
 // runs takes the running attempts of a report in, and stops those that are not to run.
 func (s *Scheduler) runs(ctx context.Context, w *session, report Report) {
 	now := time.Now()
+	w.strangers = 0
 	for _, r := range report.Running {
+		if !s.engine.Expects(r.Attempt, w.id()) {
+			w.strangers++
+		}
 		if s.engine.Wanted(r.Attempt, w.id()) {
 			s.engine.Running(r.Attempt, r.Percent, r.Checkpoint, now)
 			continue
--- a/sard/work/job.go
+++ b/sard/work/job.go
@@ -2,8 +2,12 @@
 package work
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 )
 
@@ -152,6 +156,36 @@
 	Index      int
 }
 
+// partSeparator lies between the fields of a part's text.
+const partSeparator = "."
+
+// String formats p as job.occurrence.step.index.
+func (p Part) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", p.Job, p.Occurrence, p.Step, p.Index)
+}
+
+// MarshalText formats p as String does.
+func (p Part) MarshalText() ([]byte, error) {
+	return []byte(p.String()), nil
+}
+
+// ParsePart reads the text that Part.String makes.
+func ParsePart(text string) (Part, error) {
+	fields := strings.Split(text, partSeparator)
+	if len(fields) != 4 {
+		return Part{}, fault.New(fault.Invalid, "read part name", "", "%q has not four fields", text)
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(fields[i+1])
+		if err != nil {
+			return Part{}, fault.Wrap(err, fault.Invalid, "read part name", "")
+		}
+		numbers[i] = n
+	}
+	return Part{Job: ident.Job(fields[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
 // Attempt names one run of a part.
 type Attempt struct {
 	Part Part
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -77,13 +77,19 @@
 	Attempt  ident.Attempt
 	Failures int
 	Done     bool
-	// Placed tells that the attempt may be running at Workers.
-	Placed     bool
+	// Placed tells that parts of the attempt may be running at Workers.
+	Placed bool
+	// Ending tells that the attempt is to be stopped.
+	Ending     bool
 	Checkpoint Checkpoint
-	// Workers holds the index in Lives of each part's worker while the group is placed.
+	// Workers holds the index in Lives of each part's worker while the group is placed; NoWorker for parts that
+	// are gone.
 	Workers []int
 }
 
+// NoWorker stands for the worker of a part that surely does not run.
+const NoWorker = -1
+
 // Encode makes the value of a row.
 func Encode(record any) ([]byte, error) {
 	value, err := cbor.Marshal(record)
--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -44,7 +44,9 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "sardined", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: os.Stdout,
 	})
-	instance, err := platform.New(s.Settings, log)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	instance, err := platform.New(s.Settings, hangups, log)
 	if err != nil {
 		log.Error("settings refused", "error", err)
 		return exitSettings
