--- a/sard/pool/decide.go
+++ b/sard/pool/decide.go
@@ -16,7 +16,7 @@
 			e.wake(j, now, nowMs)
 		}
 	}
-	e.haltStalled(now)
+	e.moveStuck(now)
 	r := newRound(e, now)
 	for _, g := range e.queue(now) {
 		r.serve(g)
@@ -26,21 +26,6 @@
 	return out
 }
 
-// haltStalled stops attempts that make no progress, so that they run elsewhere.
-func (e *Engine) haltStalled(now time.Time) {
-	for _, n := range e.nodes {
-		for _, p := range n.sorted() {
-			g := p.group
-			if g.phase != placed || g.spec().Lasting || !g.watch.stalled(now) {
-				continue
-			}
-			e.Distrust(n.Life.Worker, now, firstQuarantine)
-			g.phase = ending
-			e.haltGroup(g, ReasonStalled)
-		}
-	}
-}
-
 // claim is how much of a worker's capacity is left for the groups that come later in the round.
 type claim struct {
 	// free is not used and not promised.
@@ -54,12 +39,16 @@
 	engine *Engine
 	now    time.Time
 	claims []claim
+	// held tells which nodes are kept free for guaranteed jobs.
+	held []bool
 	// misses are demands of single parts that did not fit.
 	misses map[miss]bool
 }
 
 // miss is a demand that did not fit, so that equal ones need not be tried.
 type miss struct {
+	// patient tells that the job leaves headroom.
+	patient bool
 	service work.Service
 	need    work.Amount
 	label   string
@@ -72,12 +61,14 @@
 		free := n.free()
 		r.claims[i] = claim{free: free, soon: free.Plus(n.leaving)}
 	}
+	r.held = e.hold(now)
 	return r
 }
 
 // serve places a group, or promises it capacity that is being freed, or has capacity freed for it.
 func (r *round) serve(g *group) {
 	m := miss{service: g.job.terms.Service, need: g.demand(), label: g.spec().Label, rack: g.spec().DataRack}
+	m.patient = g.job.leavesHeadroom(r.now)
 	single := len(g.parts) == 1 && g.job.terms.Priority != work.Guaranteed
 	if single && r.misses[m] {
 		return
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -28,8 +28,10 @@
 	nodes  []*node
 	byID   map[ident.Worker]*node
 	out    []Decision
-	// ended are jobs whose last record is to be written.
+	// dirty are jobs whose records are out of date.
 	dirty []*job
+	// demand follows what guaranteed jobs need.
+	demand demand
 }
 
 // New makes an Engine.
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -98,10 +98,7 @@
 	}
 	if how == Failed {
 		g.failed = true
-		if g.failedOn == nil {
-			g.failedOn = map[ident.Worker]bool{}
-		}
-		g.failedOn[n.Life.Worker] = true
+		g.avoid(n.Life.Worker)
 	}
 	g.phase = ending
 	e.haltGroup(g, ReasonPartner)
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -80,8 +80,18 @@
 	savedAt time.Time
 	// watch follows the progress of the current attempt.
 	watch watch
-	// failedOn are the workers on which the group has failed.
-	failedOn map[ident.Worker]bool
+	// avoided are the workers on which the group has failed, stood still or was slow.
+	avoided map[ident.Worker]bool
+	// moves counts the stops for standing still or being slow.
+	moves int
+}
+
+// avoid has the group placed elsewhere where that is possible.
+func (g *group) avoid(id ident.Worker) {
+	if g.avoided == nil {
+		g.avoided = map[ident.Worker]bool{}
+	}
+	g.avoided[id] = true
 }
 
 func (g *group) spec() *work.Step {
@@ -119,12 +129,24 @@
 	if g.spec().Checkpoints {
 		since = g.savedAt
 	}
-	need := g.demand()
-	weight := time.Duration(need.Accelerators)*coresPerAccelerator + time.Duration(need.CPU/milliCoresPerCore)
-	return now.Sub(since) * weight * time.Duration(len(g.parts))
+	return now.Sub(since) * time.Duration(demandWeight(g.demand())) * time.Duration(len(g.parts))
+}
+
+// stopCost weighs what is lost when the group is stopped now. Guaranteed jobs have little time, so they are stopped
+// only when nothing else helps.
+func (g *group) stopCost(now time.Time) time.Duration {
+	cost := g.lost(now) + restartTime*time.Duration(demandWeight(g.demand()))*time.Duration(len(g.parts))
+	if g.job.terms.Priority == work.Guaranteed {
+		return cost + guaranteedCost
+	}
+	return cost
 }
 
 const (
+	// restartTime is what a stop costs even when no work is lost.
+	restartTime = 500 * time.Millisecond
+	// guaranteedCost is far more than any work can be worth.
+	guaranteedCost = 1000 * time.Hour
 	// coresPerAccelerator weighs an accelerator against processor cores.
 	coresPerAccelerator = 8
 	milliCoresPerCore   = 1000
--- a/sard/pool/health.go
+++ b/sard/pool/health.go
@@ -12,8 +12,6 @@
 	// firstQuarantine is how long a failing worker is left alone; it doubles up to maxQuarantine.
 	firstQuarantine = 4 * time.Second
 	maxQuarantine   = 30 * time.Second
-	// stallLimit is how long an attempt may show no progress.
-	stallLimit = 3500 * time.Millisecond
 )
 
 // health tells how a worker has done lately.
@@ -58,23 +56,3 @@
 		n.health.until = now.Add(pause)
 	}
 }
-
-// watch follows the progress of an attempt.
-type watch struct {
-	percent  int
-	advanced time.Time
-	// seen tells that progress was ever reported.
-	seen bool
-}
-
-// see notes a report of progress.
-func (w *watch) see(percent int, now time.Time) {
-	if !w.seen || percent != w.percent {
-		*w = watch{percent: percent, advanced: now, seen: true}
-	}
-}
-
-// stalled tells whether an attempt has shown no progress for too long.
-func (w *watch) stalled(now time.Time) bool {
-	return w.seen && now.Sub(w.advanced) > stallLimit
-}
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -11,9 +11,21 @@
 // room returns what may be used of a node.
 type room func(*node) work.Amount
 
-// pack returns a node for each part of a group, within the room, or nil.
+// pack returns a node for each part of a group, within the room, or nil. Nodes that the group avoids are used only
+// when the others do not suffice.
 func (r *round) pack(g *group, within room) []*node {
 	candidates := r.candidates(g)
+	if len(g.avoided) > 0 {
+		others := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return g.avoided[n.Life.Worker] })
+		if nodes := r.packNear(g, others, within); nodes != nil {
+			return nodes
+		}
+	}
+	return r.packNear(g, candidates, within)
+}
+
+// packNear packs parts near their data and, where they are to stay on one rack, near each other.
+func (r *round) packNear(g *group, candidates []*node, within room) []*node {
 	step := g.spec()
 	if step.DataRack != "" {
 		near := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return n.Rack != step.DataRack })
@@ -33,21 +45,18 @@
 
 // candidates returns the nodes that may run parts of a group.
 func (r *round) candidates(g *group) []*node {
-	var well, doubtful []*node
+	keep := g.job.leavesHeadroom(r.now)
+	var found []*node
 	for _, n := range r.engine.nodes {
 		if !n.Accepting || !n.suits(g) || n.clashes(g.spec()) || !n.health.well(r.now) {
 			continue
 		}
-		if g.failedOn[n.Life.Worker] {
-			doubtful = append(doubtful, n)
+		if keep && r.held[n.index] {
 			continue
 		}
-		well = append(well, n)
+		found = append(found, n)
 	}
-	if len(well) == 0 {
-		return doubtful
-	}
-	return well
+	return found
 }
 
 // packRack looks for one rack that takes all parts, the one that is left with the least.
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -140,11 +140,10 @@
 	}
 	list := make([]victim, 0, len(found))
 	for other, frees := range found {
-		list = append(list, victim{group: other, frees: frees, cost: other.lost(r.now)})
+		list = append(list, victim{group: other, frees: frees, cost: other.stopCost(r.now)})
 	}
 	slices.SortFunc(list, func(a, b victim) int {
 		return cmp.Or(
-			cmp.Compare(b.group.job.terms.Priority, a.group.job.terms.Priority),
 			cmp.Compare(a.cost, b.cost),
 			compareGroup(a.group, b.group),
 		)
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -15,16 +15,21 @@
 	Progress work.Progress
 	// Begun tells that a part was placed.
 	Begun bool
+	// Took is the time since the job was accepted, and Objective the time that it may take.
+	Took, Objective time.Duration
 }
 
 // Changes returns up to limit jobs whose records are out of date, those first that changed first, and counts them as
 // written. Written must be called once they are.
-func (e *Engine) Changes(limit int) []Change {
+func (e *Engine) Changes(limit int, now time.Time) []Change {
 	count := min(limit, len(e.dirty))
 	changes := make([]Change, 0, count)
 	for _, j := range e.dirty[:count] {
 		j.dirty = false
-		changes = append(changes, Change{Job: j.ID, Queue: j.Queue, Progress: j.progress(), Begun: j.begun})
+		changes = append(changes, Change{
+			Job: j.ID, Queue: j.Queue, Progress: j.progress(), Begun: j.begun,
+			Took: now.Sub(j.acceptedAt), Objective: j.objective(),
+		})
 	}
 	e.dirty = slices.Delete(e.dirty, 0, count)
 	return changes
--- /dev/null
+++ b/sard/pool/watch.go
@@ -0,0 +1,117 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// stallTime is the least time without progress after which an attempt counts as stalled.
+	stallTime = 1500 * time.Millisecond
+	// stallPercent is the part of the estimate, in percent, that is added to stallTime.
+	stallPercent = 8
+	// slowFactor is how many times longer staying must take than starting anew for an attempt to be moved.
+	slowFactor = 2.7
+	// slowMargin is added to the time that a start anew takes.
+	slowMargin = time.Second
+	// rateWindow is the least time over which progress is measured.
+	rateWindow = 600 * time.Millisecond
+	// maxMoves is how often a group is moved for being slow.
+	maxMoves = 2
+)
+
+// watch follows the progress of an attempt.
+type watch struct {
+	percent int
+	// first is the first report, advanced the last that showed progress, checked the last.
+	first, advanced, checked time.Time
+	// markPercent was shown at markAt; the rate is measured from there.
+	markPercent int
+	markAt      time.Time
+	// rate is the newest measured progress in percent a second; 0 when not known.
+	rate float64
+}
+
+// see notes a report of progress.
+func (w *watch) see(percent int, now time.Time) {
+	if w.first.IsZero() {
+		*w = watch{percent: percent, first: now, advanced: now, markPercent: percent, markAt: now}
+	}
+	w.checked = now
+	if percent != w.percent {
+		w.percent, w.advanced = percent, now
+	}
+	if passed := now.Sub(w.markAt); passed >= rateWindow && percent > w.markPercent {
+		w.rate = float64(percent-w.markPercent) / passed.Seconds()
+		w.markPercent, w.markAt = percent, now
+	}
+}
+
+// stalled tells whether an attempt that is estimated to take some time has shown no progress for too long.
+func (w *watch) stalled(estimate time.Duration) bool {
+	return w.checked.Sub(w.advanced) > stallTime+estimate*stallPercent/100
+}
+
+// remaining returns how long the attempt still takes at its rate, or false when that is not known.
+func (w *watch) remaining() (time.Duration, bool) {
+	if w.rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(100-w.percent) / w.rate * float64(time.Second)), true
+}
+
+// slow tells whether the group would end much sooner if it were started anew elsewhere.
+func (g *group) slow() bool {
+	left, known := g.watch.remaining()
+	if !known || g.moves >= maxMoves {
+		return false
+	}
+	step := g.spec()
+	anew := step.Estimate
+	if step.Checkpoints {
+		anew = anew * time.Duration(100-g.watch.percent) / 100
+	}
+	return left > time.Duration(slowFactor*float64(anew))+slowMargin
+}
+
+// moveStuck stops attempts that stand still, or are so slow that they end sooner elsewhere.
+func (e *Engine) moveStuck(now time.Time) {
+	for _, n := range e.nodes {
+		for _, p := range n.sorted() {
+			g := p.group
+			if g.phase != placed || g.spec().Lasting {
+				continue
+			}
+			switch {
+			case g.watch.stalled(g.spec().Estimate):
+				e.move(g, ReasonStalled, now)
+			case g.slow():
+				e.move(g, ReasonSlow, now)
+			}
+		}
+	}
+}
+
+// move stops a group so that it runs on other nodes. The node of a single part is left alone for a while; which node
+// of a gang is to blame can't be told, so only the gang itself avoids them.
+func (e *Engine) move(g *group, reason Reason, now time.Time) {
+	g.moves++
+	for i := range g.parts {
+		n := g.parts[i].node
+		if n == nil {
+			continue
+		}
+		g.avoid(n.Life.Worker)
+		if len(g.parts) == 1 {
+			e.Distrust(n.Life.Worker, now, firstQuarantine)
+		}
+	}
+	g.phase = ending
+	e.haltGroup(g, reason)
+}
+
+// demandWeight weighs the resources of an amount in cores.
+func demandWeight(a work.Amount) int64 {
+	return int64(a.Accelerators)*coresPerAccelerator + int64(a.CPU/milliCoresPerCore)
+}
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -110,7 +110,9 @@
 	now := time.Now()
 	s.engine.Add(j, s.recorded[j.ID], now, now.UnixMilli())
 	delete(s.recorded, j.ID)
-	s.config.Logger.Info("job taken in", "job", j.ID, "account", j.Account, "queue", j.Queue, "steps", len(j.Steps),
+	s.config.Logger.Info("job taken in", "job", j.ID, "account", j.Account, "queue", j.Queue,
+		"priority", s.terms(j).Priority, "steps", len(j.Steps), "parts", j.Steps[0].Parts, "need", j.Steps[0].Need,
+		"estimate_ms", j.Steps[0].Estimate.Milliseconds(), "gang", j.Steps[0].Gang, "same_rack", j.Steps[0].SameRack,
 		"row_version", row.Version, "cancelled", j.Cancelled)
 }
 
@@ -143,5 +145,6 @@
 // over notes that a job has ended and that its end is recorded.
 func (s *Scheduler) over(c pool.Change, now time.Time) {
 	s.ended[c.Job] = now.Add(s.config.Retention)
-	s.config.Logger.Info("job ended", "job", c.Job, "account", c.Progress.Account, "queue", c.Queue, "state", c.Progress.State.String())
+	s.config.Logger.Info("job ended", "job", c.Job, "account", c.Progress.Account, "queue", c.Queue,
+		"state", c.Progress.State.String(), "took_ms", c.Took.Milliseconds(), "objective_ms", c.Objective.Milliseconds())
 }
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -81,7 +81,7 @@
 
 // newBatch gathers what is to be written; nil when there is nothing.
 func (s *Scheduler) newBatch() *batch {
-	changes := s.engine.Changes(batchJobs)
+	changes := s.engine.Changes(batchJobs, time.Now())
 	pruned := s.expired()
 	if len(changes) == 0 && len(pruned) == 0 {
 		s.confirmSeen(s.seen())
