--- a/sard/elect/elect.go
+++ b/sard/elect/elect.go
@@ -32,7 +32,7 @@
 
 const (
 	// DefaultTerm is how long a lease lasts without a renewal.
-	DefaultTerm = 2 * time.Second
+	DefaultTerm = 1500 * time.Millisecond
 	// renewalsPerTerm is how often a lease is renewed in a term.
 	renewalsPerTerm = 5
 	// safeShare is the part of a term, in percent, in which the holder may act after a renewal.
@@ -155,7 +155,7 @@
 func (c *Candidate) read(ctx context.Context) (view, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	listing, err := c.config.Store.List(ctx, store.Range{Table: Table, Part: work.Shard})
+	listing, err := c.config.Store.List(ctx, store.Range{Table: Table, Part: work.Main})
 	if err != nil {
 		return view{}, err
 	}
@@ -248,7 +248,7 @@
 }
 
 func key(name string) store.Key {
-	return store.Key{Table: Table, Part: work.Shard, Name: name}
+	return store.Key{Table: Table, Part: work.Main, Name: name}
 }
 
 func beatValue(n uint64) []byte {
--- a/sard/elect/held.go
+++ b/sard/elect/held.go
@@ -68,11 +68,12 @@
 // keep renews the lease until ctx ends or it is lost.
 func (h *Held) keep(ctx context.Context) error {
 	for {
-		pause := h.candidate.config.Term / renewalsPerTerm
+		sent := clock.Now()
+		pause := retryPause
 		if err := h.renew(ctx); isLost(err) {
 			return err
-		} else if err != nil {
-			pause = retryPause
+		} else if err == nil {
+			pause = max(0, h.candidate.config.Term/renewalsPerTerm-clock.Since(sent))
 		}
 		if clock.Sleep(ctx, pause) != nil {
 			return nil
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	tx := store.Tx{
-		Expect: []store.Expectation{{Key: work.JobKey(job.ID)}, {Key: work.RunKey(job.ID)}},
+		Expect: []store.Expectation{{Key: work.JobKey(job.ID)}},
 		Put:    []store.Put{{Key: work.JobKey(job.ID), Value: value}, {Key: work.WaitKey(job.Queue, job.ID)}},
 	}
 	result, err := d.config.Store.Apply(ctx, tx)
@@ -139,11 +139,6 @@
 
 // owner reads whose job a row shows.
 func (d *Desk) owner(row store.Row) (account ident.Account, refused bool, err error) {
-	if row.Key.Table == work.RunTable {
-		var p work.Progress
-		err := work.Decode(row.Value, &p)
-		return p.Account, false, err
-	}
 	var e work.Entry
 	if err := work.Decode(row.Value, &e); err != nil {
 		return "", false, err
@@ -166,7 +161,7 @@
 		return err
 	}
 	tx := store.Tx{
-		Expect: []store.Expectation{{Key: work.JobKey(job.ID)}, {Key: work.RunKey(job.ID)}},
+		Expect: []store.Expectation{{Key: work.JobKey(job.ID)}},
 		Put:    []store.Put{{Key: work.JobKey(job.ID), Value: value}},
 	}
 	var result store.Result
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -90,8 +92,21 @@
 
 // Waiting counts the accepted jobs of a queue of which no part was started.
 func (d *Desk) Waiting(ctx context.Context, queue work.QueueName) (int, error) {
-	listing, err := d.list(ctx, work.WaitRange(queue))
-	return len(listing.Rows), err
+	group, ctx := errgroup.WithContext(ctx)
+	counts := make([]int, len(work.Shards()))
+	for i, shard := range work.Shards() {
+		group.Go(func() error {
+			listing, err := d.list(ctx, work.WaitRange(shard, queue))
+			counts[i] = len(listing.Rows)
+			return err
+		})
+	}
+	err := group.Wait()
+	sum := 0
+	for _, count := range counts {
+		sum += count
+	}
+	return sum, err
 }
 
 // progress reads how far a job has come; nil when nothing was recorded.
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -50,7 +50,7 @@
 	}
 	if n.Life != w.Life {
 		e.loseAll(n, now)
-		n.health = health{}
+		n.health, n.pace = health{}, pace{}
 	}
 	n.Worker = w
 }
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -52,6 +52,7 @@
 	g := p.group
 	e.save(g, saved, now)
 	g.watch.see(percent, now)
+	p.node.pace.note(g, now)
 }
 
 // Doubt stops the group of an attempt, as it is not known whether it was started.
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -11,12 +11,14 @@
 // room returns what may be used of a node.
 type room func(*node) work.Amount
 
-// pack returns a node for each part of a group, within the room, or nil. Nodes that the group avoids are used only
-// when the others do not suffice.
+// pack returns a node for each part of a group, within the room, or nil. Nodes that are slow, or that
+// the group avoids, are used only when the others do not suffice.
 func (r *round) pack(g *group, within room) []*node {
 	candidates := r.candidates(g)
-	if len(g.avoided) > 0 {
-		others := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return g.avoided[n.Life.Worker] })
+	others := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool {
+		return g.avoided[n.Life.Worker] || n.pace.slow(r.now)
+	})
+	if len(others) < len(candidates) {
 		if nodes := r.packNear(g, others, within); nodes != nil {
 			return nodes
 		}
--- a/sard/pool/watch.go
+++ b/sard/pool/watch.go
@@ -13,6 +13,8 @@
 	stallPercent = 8
 	// slowFactor is how many times longer staying must take than starting anew for an attempt to be moved.
 	slowFactor = 2.7
+	// dropFactor is how many times slower than before an attempt must be for its worker to count as slow.
+	dropFactor = 2.5
 	// slowMargin is added to the time that a start anew takes.
 	slowMargin = time.Second
 	// rateWindow is the least time over which progress is measured.
@@ -29,8 +31,8 @@
 	// markPercent was shown at markAt; the rate is measured from there.
 	markPercent int
 	markAt      time.Time
-	// rate is the newest measured progress in percent a second; 0 when not known.
-	rate float64
+	// rate is the newest measured progress in percent a second, best the highest; 0 when not known.
+	rate, best float64
 }
 
 // see notes a report of progress.
@@ -45,9 +47,15 @@
 	if passed := now.Sub(w.markAt); passed >= rateWindow && percent > w.markPercent {
 		w.rate = float64(percent-w.markPercent) / passed.Seconds()
 		w.markPercent, w.markAt = percent, now
+		w.best = max(w.best, w.rate)
 	}
 }
 
+// dropped tells that the attempt has become much slower than it was.
+func (w *watch) dropped() bool {
+	return w.rate > 0 && w.rate*dropFactor < w.best
+}
+
 // stalled tells whether an attempt that is estimated to take some time has shown no progress for too long.
 func (w *watch) stalled(estimate time.Duration) bool {
 	return w.checked.Sub(w.advanced) > stallTime+estimate*stallPercent/100
@@ -62,9 +70,9 @@
 }
 
 // slow tells whether the group would end much sooner if it were started anew elsewhere.
-func (g *group) slow() bool {
+func (g *group) slow(now time.Time) bool {
 	left, known := g.watch.remaining()
-	if !known || g.moves >= maxMoves {
+	if !known || g.moves >= maxMoves || !g.watch.dropped() && !g.onSlowNode(now) {
 		return false
 	}
 	step := g.spec()
@@ -75,6 +83,16 @@
 	return left > time.Duration(slowFactor*float64(anew))+slowMargin
 }
 
+// onSlowNode tells whether a node of the group is slow.
+func (g *group) onSlowNode(now time.Time) bool {
+	for i := range g.parts {
+		if n := g.parts[i].node; n != nil && n.pace.slow(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // moveStuck stops attempts that stand still, or are so slow that they end sooner elsewhere.
 func (e *Engine) moveStuck(now time.Time) {
 	for _, n := range e.nodes {
@@ -86,7 +104,7 @@
 			switch {
 			case g.watch.stalled(g.spec().Estimate):
 				e.move(g, ReasonStalled, now)
-			case g.slow():
+			case g.slow(now):
 				e.move(g, ReasonSlow, now)
 			}
 		}
@@ -103,7 +121,7 @@
 			continue
 		}
 		g.avoid(n.Life.Worker)
-		if len(g.parts) == 1 {
+		if len(g.parts) == 1 && reason == ReasonStalled {
 			e.Distrust(n.Life.Worker, now, firstQuarantine)
 		}
 	}
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -29,6 +29,7 @@
 	leaving work.Amount
 	parts   map[*part]struct{}
 	health  health
+	pace    pace
 }
 
 func (n *node) free() work.Amount {
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -71,6 +71,8 @@
 		s.stopAnswered(ctx, ev)
 	case holdAnswered:
 		s.holdAnswered(ctx, ev)
+	case cleaned:
+		s.cleaned(ev)
 	}
 }
 
@@ -112,7 +114,7 @@
 	delete(s.recorded, j.ID)
 	s.config.Logger.Info("job taken in", "job", j.ID, "account", j.Account, "queue", j.Queue,
 		"priority", s.terms(j).Priority, "steps", len(j.Steps), "parts", j.Steps[0].Parts, "need", j.Steps[0].Need,
-		"estimate_ms", j.Steps[0].Estimate.Milliseconds(), "gang", j.Steps[0].Gang, "same_rack", j.Steps[0].SameRack,
+		"estimate_ms", j.Steps[0].Estimate.Milliseconds(), "gang", j.Steps[0].Gang, "checkpoints", j.Steps[0].Checkpoints, "same_rack", j.Steps[0].SameRack,
 		"row_version", row.Version, "cancelled", j.Cancelled)
 }
 
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -87,10 +87,26 @@
 	}
 }
 
+// list reads all parts of a table.
 func (s *Scheduler) list(ctx context.Context, table string) (store.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	return s.config.Store.List(ctx, store.Range{Table: table, Part: work.Shard})
+	parts := []string{work.Main}
+	if table == work.JobTable {
+		parts = work.Shards()
+	}
+	var all store.Listing
+	for i, part := range parts {
+		listing, err := s.config.Store.List(ctx, store.Range{Table: table, Part: part})
+		if err != nil {
+			return listing, err
+		}
+		if i == 0 {
+			all.Version = listing.Version
+		}
+		all.Rows = append(all.Rows, listing.Rows...)
+	}
+	return all, nil
 }
 
 // follow tells the loop of the changes of a table until ctx ends.
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -14,18 +14,16 @@
 )
 
 const (
-	// batchJobs is the most jobs in a transaction: each takes up to three entries.
-	batchJobs = 32
+	// batchJobs is the most jobs in a transaction.
+	batchJobs = 90
 	// commitTimeout bounds a write of the journal.
 	commitTimeout = 800 * time.Millisecond
 	// commitPause lies between a failed write and the next.
 	commitPause = 40 * time.Millisecond
-	// pruneBatch is the most ended jobs whose records are deleted in one transaction.
-	pruneBatch = 30
 )
 
 // journalKey is the row that numbers the batches, so that a late copy of a batch can't undo a later one.
-var journalKey = store.Key{Table: "lease", Part: work.Shard, Name: "journal"}
+var journalKey = store.Key{Table: work.JournalTable, Part: work.Main, Name: "batch"}
 
 // journal writes the records of jobs, one batch at a time.
 type journal struct {
@@ -45,7 +43,6 @@
 	changes []pool.Change
 	starts  []pool.Start
 	seen    map[ident.Worker]EndNumber
-	pruned  []ident.Job
 }
 
 func (s *Scheduler) loadJournal(ctx context.Context) error {
@@ -82,8 +79,7 @@
 // newBatch gathers what is to be written; nil when there is nothing.
 func (s *Scheduler) newBatch() *batch {
 	changes := s.engine.Changes(batchJobs, time.Now())
-	pruned := s.expired()
-	if len(changes) == 0 && len(pruned) == 0 {
+	if len(changes) == 0 {
 		s.confirmSeen(s.seen())
 		return nil
 	}
@@ -91,7 +87,6 @@
 	b := &batch{
 		number:  strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.count, 10),
 		changes: changes,
-		pruned:  pruned,
 		seen:    s.seen(),
 	}
 	b.starts, s.journal.starts = s.recordedStarts(changes)
@@ -102,9 +97,6 @@
 	for _, c := range changes {
 		s.addChange(&b.tx, c)
 	}
-	for _, id := range pruned {
-		b.tx.Delete = append(b.tx.Delete, work.RunKey(id))
-	}
 	return b
 }
 
@@ -128,10 +120,6 @@
 func (s *Scheduler) addChange(tx *store.Tx, c pool.Change) {
 	if c.Progress.State.Terminal() {
 		c.Progress.EndedMs = time.Now().UnixMilli()
-		tx.Delete = append(tx.Delete, work.JobKey(c.Job))
-	}
-	if c.Begun || c.Progress.State.Terminal() {
-		tx.Delete = append(tx.Delete, work.WaitKey(c.Queue, c.Job))
 	}
 	value, err := work.Encode(c.Progress)
 	if err != nil {
@@ -141,18 +129,6 @@
 	tx.Put = append(tx.Put, store.Put{Key: work.RunKey(c.Job), Value: value})
 }
 
-// expired returns ended jobs whose state need not be kept any longer.
-func (s *Scheduler) expired() []ident.Job {
-	var found []ident.Job
-	now := time.Now()
-	for id, until := range s.ended {
-		if len(found) < pruneBatch && now.After(until) {
-			found = append(found, id)
-		}
-	}
-	return found
-}
-
 // write sends a batch.
 func (s *Scheduler) write(ctx context.Context, b *batch) {
 	s.start(ctx, func() event {
@@ -195,9 +171,7 @@
 		if c.Progress.State.Terminal() {
 			s.over(c, now)
 		}
-	}
-	for _, id := range b.pruned {
-		delete(s.ended, id)
+		s.begun(c)
 	}
 	s.engine.Written(b.changes)
 	s.confirmSeen(b.seen)
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -79,6 +79,7 @@
 	recorded map[ident.Job]*work.Progress
 	// ended are jobs that are over, with the time from which their state need not be kept.
 	ended    map[ident.Job]time.Time
+	cleaner  cleaner
 	events   chan event
 	group    *errgroup.Group
 	started  clock.Instant
@@ -97,6 +98,7 @@
 		orders:   map[work.Attempt]*order{},
 		recorded: map[ident.Job]*work.Progress{},
 		ended:    map[ident.Job]time.Time{},
+		cleaner:  cleaner{waits: map[string][]store.Key{}, counted: map[ident.Job]bool{}},
 		events:   make(chan event, eventBuffer),
 		group:    group,
 		started:  clock.Now(),
@@ -152,6 +154,7 @@
 	if err == nil {
 		s.decide(ctx)
 		s.commit(ctx)
+		s.clean(ctx)
 	}
 	s.hold(ctx)
 	s.summarize()
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/sardineline/sardineline/sard/fault"
@@ -8,35 +9,49 @@
 	"github.com/sardineline/sardineline/sard/store"
 )
 
-// The tables of the scheduler's rows. All rows are in the part Shard, so that a transaction can hold them together.
+// The tables of the scheduler's rows. What only the holder of the lease writes is in the part Main, so that one
+// transaction can hold it to the lease. The rows that any instance writes are spread over Shards, as the store makes
+// the transactions of a part one after another.
 const (
-	JobTable  = "job"
-	WaitTable = "wait"
-	RunTable  = "run"
-	Shard     = ""
+	JobTable     = "job"
+	WaitTable    = "wait"
+	RunTable     = "run"
+	JournalTable = "journal"
+	Main         = ""
 )
 
+// Shards returns the parts of JobTable and WaitTable.
+func Shards() []string {
+	return []string{"s0", "s1", "s2", "s3"}
+}
+
+// ShardOf returns the part of a job's rows in JobTable and WaitTable.
+func ShardOf(id ident.Job) string {
+	shards := Shards()
+	return shards[xxhash.Sum64String(string(id))%uint64(len(shards))]
+}
+
 // waitSeparator lies between the queue and the job in the name of a row of WaitTable.
 const waitSeparator = "/"
 
 // JobKey is the key of an open job's record.
 func JobKey(id ident.Job) store.Key {
-	return store.Key{Table: JobTable, Part: Shard, Name: string(id)}
+	return store.Key{Table: JobTable, Part: ShardOf(id), Name: string(id)}
 }
 
 // RunKey is the key of a job's Progress.
 func RunKey(id ident.Job) store.Key {
-	return store.Key{Table: RunTable, Part: Shard, Name: string(id)}
+	return store.Key{Table: RunTable, Part: Main, Name: string(id)}
 }
 
 // WaitKey is the key of the row that a job has until its first part is started.
 func WaitKey(queue QueueName, id ident.Job) store.Key {
-	return store.Key{Table: WaitTable, Part: Shard, Name: string(queue) + waitSeparator + string(id)}
+	return store.Key{Table: WaitTable, Part: ShardOf(id), Name: string(queue) + waitSeparator + string(id)}
 }
 
-// WaitRange selects the rows of a queue's jobs of which no part was started.
-func WaitRange(queue QueueName) store.Range {
-	return store.Prefix(WaitTable, Shard, string(queue)+waitSeparator)
+// WaitRange selects the rows of a queue's jobs in a shard of which no part was started.
+func WaitRange(shard string, queue QueueName) store.Range {
+	return store.Prefix(WaitTable, shard, string(queue)+waitSeparator)
 }
 
 // Entry is the value of a row of JobTable: an accepted job, or the refusal of one.
