--- a/sard/elect/elect.go
+++ b/sard/elect/elect.go
@@ -56,13 +56,13 @@
 	Process string
 	// Term is how long a lease lasts without a renewal; 0 means DefaultTerm.
 	Term time.Duration
-	// Rank is the candidate's place among the others: each place waits a little longer before it takes over.
+	// Rank is higher for instances that can bear less: they wait a little longer before they take over.
 	Rank   int
 	Logger hclog.Logger
 }
 
 // rankDelay is the wait of each rank before a takeover, so that candidates seldom collide.
-const rankDelay = 30 * time.Millisecond
+const rankDelay = 10 * time.Millisecond
 
 // Candidate follows the lease and takes it when it is free.
 type Candidate struct {
@@ -139,7 +139,11 @@
 		return nil, err
 	}
 	for ctx.Err() == nil {
-		if v.holder == c.holder || c.free(v) || clock.Since(v.seen) >= c.patience() {
+		if c.free(v) {
+			_ = clock.Sleep(ctx, time.Duration(c.config.Rank)*rankDelay)
+			return c.take(ctx, v)
+		}
+		if v.holder == c.holder || clock.Since(v.seen) >= c.patience() {
 			return c.take(ctx, v)
 		}
 		v = c.watch(ctx, v)
--- a/sard/pool/decide.go
+++ b/sard/pool/decide.go
@@ -41,22 +41,49 @@
 	claims []claim
 	// held tells which nodes are kept free for guaranteed jobs.
 	held []bool
-	// misses are demands of single parts that did not fit.
-	misses map[miss]bool
+	// misses are demands that did not fit, so that equal ones need not be tried.
+	misses map[demandKey]bool
+	// usable caches the nodes that may run parts of a demand.
+	usable map[nodesKey][]*node
 }
 
-// miss is a demand that did not fit, so that equal ones need not be tried.
-type miss struct {
-	// patient tells that the job leaves headroom.
-	patient bool
+// nodesKey is what the nodes that may run a part depend on.
+type nodesKey struct {
 	service work.Service
-	need    work.Amount
 	label   string
-	rack    ident.Rack
+	need    work.Amount
+	// patient tells that the job leaves headroom.
+	patient bool
+}
+
+// demandKey is what a group asks for.
+type demandKey struct {
+	nodesKey
+	parts        int
+	sameRack     bool
+	rack         ident.Rack
+	maxPerWorker int
+	covered      bool
+}
+
+// demandKey returns what g asks for.
+func (r *round) demandKey(g *group) demandKey {
+	step := g.spec()
+	return demandKey{
+		nodesKey: r.nodesKey(g), parts: len(g.parts), sameRack: step.SameRack, rack: step.DataRack,
+		maxPerWorker: step.MaxPerWorker, covered: g.job.covered,
+	}
+}
+
+func (r *round) nodesKey(g *group) nodesKey {
+	return nodesKey{
+		service: g.job.terms.Service, label: g.spec().Label, need: g.demand(),
+		patient: g.job.leavesHeadroom(r.now),
+	}
 }
 
 func newRound(e *Engine, now time.Time) *round {
-	r := &round{engine: e, now: now, claims: make([]claim, len(e.nodes)), misses: map[miss]bool{}}
+	r := &round{engine: e, now: now, claims: make([]claim, len(e.nodes)), misses: map[demandKey]bool{}, usable: map[nodesKey][]*node{}}
 	for i, n := range e.nodes {
 		free := n.free()
 		r.claims[i] = claim{free: free, soon: free.Plus(n.leaving)}
@@ -67,27 +94,25 @@
 
 // serve places a group, or promises it capacity that is being freed, or has capacity freed for it.
 func (r *round) serve(g *group) {
-	m := miss{service: g.job.terms.Service, need: g.demand(), label: g.spec().Label, rack: g.spec().DataRack}
-	m.patient = g.job.leavesHeadroom(r.now)
-	single := len(g.parts) == 1 && g.job.terms.Priority != work.Guaranteed
-	if single && r.misses[m] {
+	key := r.demandKey(g)
+	if r.misses[key] {
 		return
 	}
 	if nodes := r.pack(g, r.free); nodes != nil {
 		r.place(g, nodes)
 		return
 	}
-	if single {
-		r.misses[m] = true
-	}
 	if g.job.terms.Priority != work.Guaranteed {
+		r.misses[key] = true
 		return
 	}
 	if nodes := r.pack(g, r.soon); nodes != nil {
 		r.promise(g, nodes)
 		return
 	}
-	r.reclaim(g)
+	if !r.reclaim(g) {
+		r.misses[key] = true
+	}
 }
 
 func (r *round) free(n *node) work.Amount { return r.claims[n.index].free }
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -15,10 +15,9 @@
 // the group avoids, are used only when the others do not suffice.
 func (r *round) pack(g *group, within room) []*node {
 	candidates := r.candidates(g)
-	others := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool {
-		return g.avoided[n.Life.Worker] || n.pace.slow(r.now)
-	})
-	if len(others) < len(candidates) {
+	shunned := func(n *node) bool { return g.avoided[n.Life.Worker] || n.pace.slow(r.now) }
+	if slices.ContainsFunc(candidates, shunned) {
+		others := slices.DeleteFunc(slices.Clone(candidates), shunned)
 		if nodes := r.packNear(g, others, within); nodes != nil {
 			return nodes
 		}
@@ -47,13 +46,23 @@
 
 // candidates returns the nodes that may run parts of a group.
 func (r *round) candidates(g *group) []*node {
-	keep := g.job.leavesHeadroom(r.now)
-	var found []*node
+	key := r.nodesKey(g)
+	found, ok := r.usable[key]
+	if !ok {
+		found = r.usableNodes(g, key.patient)
+		r.usable[key] = found
+	}
+	step := g.spec()
+	if !step.Fills && step.Latency == 0 {
+		return found
+	}
+	return slices.DeleteFunc(slices.Clone(found), func(n *node) bool { return n.clashes(step) })
+}
+
+func (r *round) usableNodes(g *group, patient bool) []*node {
+	found := make([]*node, 0, len(r.engine.nodes))
 	for _, n := range r.engine.nodes {
-		if !n.Accepting || !n.suits(g) || n.clashes(g.spec()) || !n.health.well(r.now) {
-			continue
-		}
-		if keep && r.held[n.index] {
+		if !n.Accepting || !n.suits(g) || !n.health.well(r.now) || patient && r.held[n.index] {
 			continue
 		}
 		found = append(found, n)
@@ -127,6 +136,9 @@
 // packAny packs parts as tightly as it can.
 func (r *round) packAny(g *group, candidates []*node, within room) []*node {
 	want := len(g.parts)
+	if !r.enough(g, candidates, within) {
+		return nil
+	}
 	fits := make([]fit, 0, len(candidates))
 	sum := 0
 	for _, n := range candidates {
@@ -153,6 +165,17 @@
 	return nodes
 }
 
+// enough tells whether the nodes can take all parts, without an order among them.
+func (r *round) enough(g *group, candidates []*node, within room) bool {
+	want := len(g.parts)
+	for _, n := range candidates {
+		if want -= r.capacityFor(g, n, within(n)); want <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // capacityFor returns how many parts of a group fit into an amount on a node.
 func (r *round) capacityFor(g *group, n *node, avail work.Amount) int {
 	demand := g.demand()
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -15,9 +15,9 @@
 	cost  time.Duration
 }
 
-// reclaim has groups that come after g stopped, so that g fits, and promises it their capacity. It does nothing when
-// g would not fit even then.
-func (r *round) reclaim(g *group) {
+// reclaim has groups that come after g stopped, so that g fits, and promises it their capacity. It does nothing and
+// returns false when g would not fit even then.
+func (r *round) reclaim(g *group) bool {
 	step := g.spec()
 	candidates := r.candidates(g)
 	near := candidates
@@ -38,6 +38,7 @@
 			}
 		}
 	}
+	return best != nil
 }
 
 // offer is what a node can free for a group, and what it costs.
--- /dev/null
+++ b/sard/pool/scale_test.go
@@ -0,0 +1,35 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// BenchmarkDecideFull decides on 350 full workers with 600 parts waiting.
+func BenchmarkDecideFull(b *testing.B) {
+	now := time.Unix(1000, 0)
+	e := New(Config{Terms: func(j *work.Job) work.Terms { return j.Terms }, Guarantee: func(ident.Account) ident.Accelerators { return 72 }})
+	for i := range 350 {
+		e.SetWorker(Worker{
+			Life: work.Life{Worker: ident.Worker(fmt.Sprintf("w%03d", i)), Born: 1}, Service: "s",
+			Rack: ident.Rack(fmt.Sprintf("r%d", i/8)), Capacity: work.Amount{CPU: 128000, Memory: 262144, Accelerators: 8}, Accepting: true,
+		}, now)
+	}
+	for i := range 120 {
+		e.Add(&work.Job{
+			ID: ident.Job(fmt.Sprintf("j%04d", i)), Account: "a", AcceptedMs: now.UnixMilli(),
+			Terms: work.Terms{Service: "s", Priority: work.Priority(i % 3), Failures: 3, Stretch: 3, Target: time.Second},
+			Steps: []work.Step{{Parts: 13, Need: work.Amount{CPU: 52000, Memory: 140000, Accelerators: 4}, Estimate: 11 * time.Second, Gang: i%3 != 2, SameRack: i%3 == 1}},
+		}, nil, now, now.UnixMilli())
+	}
+	e.Decide(now, now.UnixMilli())
+	e.Changes(1000, now)
+	b.ResetTimer()
+	for range b.N {
+		e.Decide(now, now.UnixMilli())
+	}
+}
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
@@ -88,9 +89,15 @@
 
 // jobRow takes a job in, or its cancellation.
 func (s *Scheduler) jobRow(row store.Row) {
+	id := ident.Job(row.Key.Name)
 	if row.Deleted {
+		delete(s.versions, id)
 		return
 	}
+	if s.versions[id] >= row.Version {
+		return
+	}
+	s.versions[id] = row.Version
 	var e work.Entry
 	if err := work.Decode(row.Value, &e); err != nil {
 		s.config.Logger.Error("job record not readable, left alone", "job", row.Key.Name, "error", err)
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -19,7 +19,9 @@
 	// feedSlack is added to feedWait to bound a call of the feed.
 	feedSlack = time.Second
 	// relistPeriod lies between two readings of a table.
-	relistPeriod = 4 * time.Second
+	relistPeriod = 6 * time.Second
+	// workerPause lies between two calls of the workers' feed, which changes with each heartbeat.
+	workerPause = 150 * time.Millisecond
 	// followPause lies between a failed call and the next.
 	followPause = 100 * time.Millisecond
 )
@@ -131,6 +133,9 @@
 		if len(changes.Rows) > 0 {
 			s.post(ctx, rowsChanged{table: table, rows: changes.Rows})
 		}
+		if table == s.config.WorkerTable {
+			_ = clock.Sleep(ctx, workerPause)
+		}
 	}
 	return nil
 }
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -21,19 +21,32 @@
 	unwellPause = 2 * time.Second
 )
 
-// order is an attempt that was ordered to start or stop.
+// order is an attempt that was ordered to start or stop and is not known to have ended.
 type order struct {
-	life  work.Life
 	tries int
 	// started is when the worker confirmed the start; stopped, the stop.
 	started, stopped clock.Instant
 	stopping         bool
 }
 
+func newOrder() *order {
+	return &order{started: clock.Never, stopped: clock.Never}
+}
+
+// session returns the session with a worker process, or nil.
+func (s *Scheduler) session(life work.Life) *session {
+	if w := s.sessions[life.Worker]; w != nil && w.entry.Life == life {
+		return w
+	}
+	return nil
+}
+
 // adopt makes orders of the placements that were recorded by an earlier holder.
 func (s *Scheduler) adopt() {
 	s.engine.Placements(func(a work.Attempt, life work.Life, _ bool) {
-		s.orders[a] = &order{life: life, started: clock.Never, stopped: clock.Never}
+		if w := s.session(life); w != nil {
+			w.orders[a] = newOrder()
+		}
 	})
 }
 
@@ -42,14 +55,18 @@
 	if !s.engine.Wanted(start.Attempt, start.Worker.Worker) {
 		return
 	}
-	o := &order{life: start.Worker, started: clock.Never, stopped: clock.Never}
-	s.orders[start.Attempt] = o
-	s.sendStart(ctx, o, start)
+	w := s.session(start.Worker)
+	if w == nil {
+		s.engine.Doubt(start.Attempt)
+		return
+	}
+	o := newOrder()
+	w.orders[start.Attempt] = o
+	s.sendStart(ctx, w, o, start)
 }
 
-func (s *Scheduler) sendStart(ctx context.Context, o *order, start pool.Start) {
-	w := s.sessions[start.Worker.Worker]
-	if w == nil || w.entry.Life != start.Worker || s.lease.Check() != nil {
+func (s *Scheduler) sendStart(ctx context.Context, w *session, o *order, start pool.Start) {
+	if s.lease.Check() != nil {
 		s.engine.Doubt(start.Attempt)
 		return
 	}
@@ -70,10 +87,19 @@
 	})
 }
 
+// orderOf returns the order of an attempt and the session with its worker process, or nil.
+func (s *Scheduler) orderOf(life work.Life, a work.Attempt) (*session, *order) {
+	w := s.session(life)
+	if w == nil {
+		return nil, nil
+	}
+	return w, w.orders[a]
+}
+
 // startAnswered takes the outcome of a start in.
 func (s *Scheduler) startAnswered(ctx context.Context, ev startAnswered) {
-	o, w := s.orders[ev.attempt], s.sessions[ev.life.Worker]
-	if o == nil || w == nil || w.entry.Life != ev.life {
+	w, o := s.orderOf(ev.life, ev.attempt)
+	if o == nil {
 		return
 	}
 	var refusal *Refusal
@@ -85,13 +111,13 @@
 			"epoch", s.lease.Epoch())
 		s.engine.Confirmed(ev.attempt)
 	case errors.As(ev.err, &refusal):
-		s.refusedStart(w, ev, refusal)
+		s.refusedStart(o, w, ev, refusal)
 	default:
-		s.unansweredStart(ctx, o, ev)
+		s.unansweredStart(ctx, w, o, ev)
 	}
 }
 
-func (s *Scheduler) refusedStart(w *session, ev startAnswered, refusal *Refusal) {
+func (s *Scheduler) refusedStart(o *order, w *session, ev startAnswered, refusal *Refusal) {
 	s.config.Logger.Warn("start refused", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(),
 		"cause", refusal.Cause.String())
 	w.read(refusal.Reply)
@@ -102,17 +128,31 @@
 	case Unwell, NoRoom:
 		s.engine.Distrust(w.id(), time.Now(), unwellPause)
 	}
-	delete(s.orders, ev.attempt)
+	if o.tries > 1 {
+		s.refusedRetry(o, ev.attempt, refusal.Cause)
+		return
+	}
+	delete(w.orders, ev.attempt)
 	s.engine.Ended(ev.attempt, pool.Refused, "", time.Now())
 }
 
+// refusedRetry follows the refusal of a start that was sent before: the earlier one may have been carried out.
+func (s *Scheduler) refusedRetry(o *order, a work.Attempt, cause Cause) {
+	if cause == Outdated {
+		// The attempt has ended there, or was stopped: the worker's list tells which.
+		o.started = clock.Now()
+		return
+	}
+	s.engine.Doubt(a)
+}
+
 // unansweredStart sends a start again, as it changes nothing when the attempt runs, and gives it up after some tries.
-func (s *Scheduler) unansweredStart(ctx context.Context, o *order, ev startAnswered) {
+func (s *Scheduler) unansweredStart(ctx context.Context, w *session, o *order, ev startAnswered) {
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.life.Worker, "tries", o.tries, "error", ev.err)
 	start, wanted := s.engine.Resend(ev.attempt)
 	if wanted && o.tries < startTries {
-		s.sendStart(ctx, o, start)
+		s.sendStart(ctx, w, o, start)
 		return
 	}
 	s.engine.Doubt(ev.attempt)
@@ -120,37 +160,43 @@
 
 // stop sends a stop that the engine has decided.
 func (s *Scheduler) stop(ctx context.Context, d pool.Stop) {
-	o := s.orders[d.Attempt]
-	if o == nil {
-		// Its start was never sent.
-		o = &order{life: d.Worker, started: clock.Never, stopped: clock.Never}
-		s.orders[d.Attempt] = o
+	w := s.session(d.Worker)
+	if w == nil {
+		return
 	}
+	o := w.order(d.Attempt)
 	s.config.Logger.Info("part is stopped", "part", d.Attempt.Part, "attempt", d.Attempt.Number, "worker", d.Worker.Worker,
 		"reason", d.Reason)
-	s.sendStop(ctx, d.Attempt, o)
+	s.sendStop(ctx, w, d.Attempt, o)
 }
 
 // stopUnwanted stops an attempt that a worker runs though it is not to run.
 func (s *Scheduler) stopUnwanted(ctx context.Context, w *session, a work.Attempt) {
-	o := s.orders[a]
-	if o == nil {
+	if w.orders[a] == nil {
 		s.config.Logger.Info("part is stopped", "part", a.Part, "attempt", a.Number, "worker", w.id(), "reason", pool.ReasonUnknown)
-		o = &order{life: w.entry.Life, started: clock.Never, stopped: clock.Never}
-		s.orders[a] = o
 	}
+	o := w.order(a)
 	if !o.stopping && clock.Since(o.stopped) > s.config.StopTime+stopRetry {
-		s.sendStop(ctx, a, o)
+		s.sendStop(ctx, w, a, o)
 	}
 }
 
-func (s *Scheduler) sendStop(ctx context.Context, a work.Attempt, o *order) {
-	w := s.sessions[o.life.Worker]
-	if o.stopping || w == nil || w.entry.Life != o.life || w.client == nil {
+// order returns the order of an attempt, a new one if there is none: its start was never sent under this lease.
+func (w *session) order(a work.Attempt) *order {
+	o := w.orders[a]
+	if o == nil {
+		o = newOrder()
+		w.orders[a] = o
+	}
+	return o
+}
+
+func (s *Scheduler) sendStop(ctx context.Context, w *session, a work.Attempt, o *order) {
+	if o.stopping || w.client == nil {
 		return
 	}
 	o.stopping = true
-	msg := StopOrder{Worker: o.life, Attempt: a, Epoch: s.lease.Epoch()}
+	msg := StopOrder{Worker: w.entry.Life, Attempt: a, Epoch: s.lease.Epoch()}
 	client := w.client
 	s.start(ctx, func() event {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -165,8 +211,8 @@
 
 // stopAnswered takes the outcome of a stop in; an unanswered one is sent again.
 func (s *Scheduler) stopAnswered(ctx context.Context, ev stopAnswered) {
-	o, w := s.orders[ev.attempt], s.sessions[ev.life.Worker]
-	if o == nil || w == nil || w.entry.Life != ev.life {
+	w, o := s.orderOf(ev.life, ev.attempt)
+	if o == nil {
 		return
 	}
 	o.stopping = false
@@ -177,7 +223,7 @@
 	}
 	if ev.err != nil {
 		if s.engine.Expects(ev.attempt, w.id()) {
-			s.sendStop(ctx, ev.attempt, o)
+			s.sendStop(ctx, w, ev.attempt, o)
 		}
 		return
 	}
@@ -192,27 +238,26 @@
 	for _, r := range ev.report.Running {
 		shown[r.Attempt] = true
 	}
-	for a, o := range s.orders {
-		if o.life != w.entry.Life || shown[a] {
-			continue
+	for a, o := range w.orders {
+		if !shown[a] {
+			s.settleMissing(ctx, w, a, o, ev.sent, first)
 		}
-		s.settleMissing(ctx, a, o, ev.sent, first)
 	}
 }
 
 // settleMissing decides what became of an attempt that a hold sent at a time does not show.
-func (s *Scheduler) settleMissing(ctx context.Context, a work.Attempt, o *order, sent clock.Instant, first bool) {
+func (s *Scheduler) settleMissing(ctx context.Context, w *session, a work.Attempt, o *order, sent clock.Instant, first bool) {
 	switch {
 	case o.stopped != clock.Never && o.stopped.Before(sent):
-		delete(s.orders, a)
+		delete(w.orders, a)
 		s.engine.Ended(a, pool.Stopped, "", time.Now())
 	case o.started != clock.Never && o.started.Before(sent):
-		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", o.life.Worker)
-		delete(s.orders, a)
+		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
+		delete(w.orders, a)
 		s.engine.Ended(a, pool.Lost, "", time.Now())
 	case first && o.tries == 0:
 		if start, wanted := s.engine.Resend(a); wanted {
-			s.sendStart(ctx, o, start)
+			s.sendStart(ctx, w, o, start)
 		}
 	}
 }
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -56,6 +56,8 @@
 const (
 	// tickPeriod lies between two looks at what is due.
 	tickPeriod = 100 * time.Millisecond
+	// decideSpacing is how many times the length of a decision lies between two.
+	decideSpacing = 4
 	// eventBuffer is how many events may wait for the loop.
 	eventBuffer = 256
 	// leaseGrace is how long workers' leases are renewed after the scheduler lease has lapsed.
@@ -73,17 +75,19 @@
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
 	journal  journal
-	// orders are the attempts that were ordered to start or stop and are not known to have ended.
-	orders map[work.Attempt]*order
 	// recorded are the progress records read at the start, until their jobs are added.
 	recorded map[ident.Job]*work.Progress
 	// ended are jobs that are over, with the time from which their state need not be kept.
-	ended    map[ident.Job]time.Time
-	cleaner  cleaner
+	ended   map[ident.Job]time.Time
+	cleaner cleaner
+	// versions are those of the job rows that were taken in.
+	versions map[ident.Job]store.Version
 	events   chan event
 	group    *errgroup.Group
 	started  clock.Instant
 	reported pool.Summary
+	// decideAfter is when the next decision may be made.
+	decideAfter clock.Instant
 }
 
 // Run schedules until ctx ends or the lease is lost.
@@ -95,10 +99,10 @@
 		config:   config,
 		lease:    lease,
 		sessions: map[ident.Worker]*session{},
-		orders:   map[work.Attempt]*order{},
 		recorded: map[ident.Job]*work.Progress{},
 		ended:    map[ident.Job]time.Time{},
 		cleaner:  cleaner{waits: map[string][]store.Key{}, counted: map[ident.Job]bool{}},
+		versions: map[ident.Job]store.Version{},
 		events:   make(chan event, eventBuffer),
 		group:    group,
 		started:  clock.Now(),
@@ -161,8 +165,16 @@
 	return nil
 }
 
-// decide has the engine decide and sends the stops; starts wait for their record.
+// decide has the engine decide and sends the stops; starts wait for their record. Decisions take a bounded share of
+// the processor.
 func (s *Scheduler) decide(ctx context.Context) {
+	began := clock.Now()
+	if began.Before(s.decideAfter) {
+		return
+	}
+	defer func() {
+		s.decideAfter = clock.Now().Add(min(clock.Since(began)*decideSpacing, tickPeriod))
+	}()
 	now := time.Now()
 	for _, d := range s.engine.Decide(now, now.UnixMilli()) {
 		switch d := d.(type) {
@@ -208,8 +220,11 @@
 
 // summarize logs what the pool holds when it has changed.
 func (s *Scheduler) summarize() {
+	if !s.config.Logger.IsDebug() {
+		return
+	}
 	summary := s.engine.Summary()
-	if summary == s.reported || !s.config.Logger.IsDebug() {
+	if summary == s.reported {
 		return
 	}
 	s.reported = summary
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// holdWait is how long a hold waits for an end at the worker.
-	holdWait = time.Second
+	// holdWait is how long a hold waits for an end at the worker, and longHoldWait beyond manyWorkers.
+	holdWait     = time.Second
+	longHoldWait = 2 * time.Second
+	manyWorkers  = 100
 	// holdSlack is added to the wait of a hold to bound the call.
 	holdSlack = 700 * time.Millisecond
 	// holdRetry lies between a failed hold and the next.
@@ -50,6 +52,8 @@
 	// acknowledged is the last confirmed end that the worker was told of.
 	acknowledged EndNumber
 	lost         bool
+	// orders are the attempts that were ordered to start or stop here.
+	orders map[work.Attempt]*order
 	// strangers is how many attempts the worker runs that are not accounted for.
 	strangers int
 }
@@ -98,7 +102,7 @@
 	id := entry.Life.Worker
 	w := s.sessions[id]
 	if w == nil {
-		w = &session{entry: entry, answered: clock.Now(), lapse: s.inherited()}
+		w = &session{entry: entry, answered: clock.Now(), lapse: s.inherited(), orders: map[work.Attempt]*order{}}
 		s.sessions[id] = w
 		s.config.Logger.Debug("worker listed", "worker", id, "address", entry.Address, "rack", entry.Rack)
 	}
@@ -121,12 +125,9 @@
 // reborn starts a session anew with another process of the worker.
 func (s *Scheduler) reborn(w *session, life work.Life) {
 	s.config.Logger.Info("worker started again", "worker", life.Worker, "born", life.Born, "was", w.entry.Life.Born)
-	for a, o := range s.orders {
-		if o.life == w.entry.Life {
-			delete(s.orders, a)
-		}
+	*w = session{
+		entry: w.entry, client: w.client, listed: w.listed, answered: clock.Now(), orders: map[work.Attempt]*order{},
 	}
-	*w = session{entry: w.entry, client: w.client, listed: w.listed, answered: clock.Now()}
 	w.entry.Life = life
 }
 
@@ -172,13 +173,21 @@
 	}
 }
 
+// holdWait is how long a hold waits for an end; longer where there are many workers to hold.
+func (s *Scheduler) holdWait() time.Duration {
+	if len(s.sessions) > manyWorkers {
+		return longHoldWait
+	}
+	return holdWait
+}
+
 func (s *Scheduler) sendHold(ctx context.Context, w *session, busy bool) {
 	order := HoldOrder{Worker: w.entry.Life, Epoch: s.lease.Epoch(), Seen: w.confirmed}
 	if busy || !w.fenced {
 		order.Deadline = w.extend(s.config.WorkerLease)
 	}
 	if busy && w.fenced && w.seen == w.confirmed && !w.unanswered {
-		order.Wait = holdWait
+		order.Wait = s.holdWait()
 	}
 	w.holding = true
 	w.acknowledged = max(w.acknowledged, w.confirmed)
@@ -259,7 +268,7 @@
 		if s.engine.Expects(end.Attempt, w.id()) {
 			s.engine.Ended(end.Attempt, end.How, end.Checkpoint, now)
 		}
-		delete(s.orders, end.Attempt)
+		delete(w.orders, end.Attempt)
 	}
 }
 
