--- a/sard/clock/clock.go
+++ b/sard/clock/clock.go
@@ -11,8 +11,11 @@
 // Instant is a moment, counted from an arbitrary one. Instants of different processes can't be compared.
 type Instant time.Duration
 
-// Never is before all instants that Now returns.
-const Never Instant = -1 << 62
+// Never is the zero Instant. It is before all instants that Now returns.
+const Never Instant = 0
+
+// base keeps the instants of tests above Never, as a test's clock may start before that of the process.
+const base = 1 << 61
 
 var (
 	origin    = time.Now()
@@ -21,7 +24,7 @@
 
 // Now returns the present moment. In a synctest bubble it follows the bubble's clock.
 func Now() Instant {
-	return Instant(time.Since(origin) + suspension() - suspended)
+	return Instant(base + time.Since(origin) + suspension() - suspended)
 }
 
 // Add returns the instant d after i.
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -30,7 +30,7 @@
 }
 
 func newOrder() *order {
-	return &order{started: clock.Never, stopped: clock.Never}
+	return &order{}
 }
 
 // session returns the session with a worker process, or nil.
--- /dev/null
+++ b/sard/sched/rig_test.go
@@ -0,0 +1,218 @@
+package sched
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/elect"
+	"github.com/sardineline/sardineline/sard/entry"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/policy"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// workerTable is the table of the list of workers in tests.
+const workerTable = "workers"
+
+// rig is a store, a fleet, and instances that contend for the lease, in virtual time.
+type rig struct {
+	t      *testing.T
+	ctx    context.Context
+	store  *store.Memory
+	fleet  *fakeFleet
+	desk   *entry.Desk
+	policy *policy.Policy
+	group  errgroup.Group
+	stops  []context.CancelFunc
+	// away makes all calls to the store fail; lost loses the answers of writes.
+	away, lost atomic.Bool
+}
+
+// play runs a test with a rig of some workers, 8 a rack.
+func play(t *testing.T, workers int, test func(*rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, workers)
+		test(r)
+		for _, stop := range r.stops {
+			stop()
+		}
+		assert.NilError(t, r.group.Wait())
+		r.fleet.mu.Lock()
+		defer r.fleet.mu.Unlock()
+		assert.DeepEqual(t, r.fleet.breach, []string(nil))
+	})
+}
+
+func newRig(t *testing.T, workers int) *rig {
+	r := &rig{t: t, ctx: t.Context(), store: &store.Memory{}, fleet: newFleet()}
+	r.store.Fail = func(_ string, done bool) error {
+		if r.away.Load() && !done {
+			return fault.New(fault.Unavailable, "call", "store", "away")
+		}
+		if r.lost.Load() && done {
+			return fault.New(fault.OutcomeUnknown, "call", "store", "answer lost")
+		}
+		return nil
+	}
+	r.desk = entry.New(entry.Config{Store: r.store, Logger: hclog.NewNullLogger()})
+	r.policy = &policy.Policy{
+		Queues:   []policy.Queue{{Name: "q", Terms: terms(1)}, {Name: "urgent", Terms: terms(work.Guaranteed)}},
+		Accounts: []policy.Account{{Name: "a", Guarantee: 16}},
+	}
+	r.policy.Index()
+	for i := range workers {
+		r.list(r.fleet.add("w"+string(rune('a'+i)), "r"+string(rune('0'+i/8))))
+	}
+	return r
+}
+
+func terms(p work.Priority) work.Terms {
+	return work.Terms{Service: "s", Priority: p, Failures: 3, Stretch: 3, Target: time.Second}
+}
+
+// list puts a worker's entry into the list, as it is now.
+func (r *rig) list(w *fakeWorker) {
+	r.t.Helper()
+	value, err := json.Marshal(w.entry)
+	assert.NilError(r.t, err)
+	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(w), Value: value}}})
+	assert.NilError(r.t, err)
+}
+
+// unlist takes a worker out of the list.
+func (r *rig) unlist(w *fakeWorker) {
+	r.t.Helper()
+	_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{listKey(w)}})
+	assert.NilError(r.t, err)
+}
+
+func listKey(w *fakeWorker) store.Key {
+	return store.Key{Table: workerTable, Name: string(w.entry.Life.Worker)}
+}
+
+// instance starts an instance and returns a function that kills it.
+func (r *rig) instance(name string) context.CancelFunc {
+	ctx, stop := context.WithCancel(r.ctx)
+	r.stops = append(r.stops, stop)
+	var killed atomic.Bool
+	rows := &cutStore{Store: r.store, cut: &killed}
+	c := elect.New(elect.Config{Store: rows, Instance: ident.Instance(name), Process: "1", Logger: hclog.NewNullLogger()})
+	r.group.Go(func() error {
+		return c.Run(ctx, func(ctx context.Context, held *elect.Held) error {
+			return Run(ctx, held, r.config(rows, &killed))
+		})
+	})
+	return func() {
+		killed.Store(true)
+		stop()
+	}
+}
+
+// cutStore is a store that a killed instance can't reach.
+type cutStore struct {
+	store.Store
+	cut *atomic.Bool
+}
+
+// Apply makes a transaction unless the instance was killed.
+func (c *cutStore) Apply(ctx context.Context, tx store.Tx) (store.Result, error) {
+	if c.cut.Load() {
+		return store.Result{}, fault.New(fault.Unavailable, "apply", "store", "killed")
+	}
+	return c.Store.Apply(ctx, tx)
+}
+
+func (r *rig) config(rows store.Store, killed *atomic.Bool) Config {
+	return Config{
+		Store: rows, WorkerTable: workerTable,
+		Entry: func(row store.Row) (Entry, error) {
+			var e Entry
+			return e, json.Unmarshal(row.Value, &e)
+		},
+		Open: func(e Entry) Client {
+			r.fleet.mu.Lock()
+			defer r.fleet.mu.Unlock()
+			return &cutClient{Client: r.fleet.workers[e.Life.Worker], cut: killed}
+		},
+		Policy:      func() *policy.Policy { return r.policy },
+		WorkerLease: 5 * time.Second, StopTime: 400 * time.Millisecond, Retention: time.Minute, FarFactor: 3,
+		Logger: hclog.NewNullLogger(),
+	}
+}
+
+// cutClient is a client that a killed instance can't use.
+type cutClient struct {
+	Client
+	cut *atomic.Bool
+}
+
+// Start starts an attempt unless the instance was killed.
+func (c *cutClient) Start(ctx context.Context, o StartOrder) (Reply, error) {
+	if c.cut.Load() {
+		return Reply{}, fault.New(fault.Unavailable, "start", "worker", "killed")
+	}
+	return c.Client.Start(ctx, o)
+}
+
+// submit hands a job of one step in.
+func (r *rig) submit(id ident.Job, length time.Duration, step work.Step) {
+	r.t.Helper()
+	r.fleet.mu.Lock()
+	r.fleet.lengths[id] = length
+	if step.Gang {
+		r.fleet.gangs[id] = step.Parts
+	}
+	r.fleet.mu.Unlock()
+	step.Need = work.Amount{CPU: 10000, Memory: 10000, Accelerators: ident.Accelerators(acceleratorsOf(id))}
+	step.Estimate = length
+	queue := work.QueueName("q")
+	if id[len(id)-1] == '!' {
+		queue = "urgent"
+	}
+	assert.NilError(r.t, r.desk.Submit(r.ctx, &work.Job{
+		ID: id, Account: "a", Queue: queue, Terms: r.policy.Queue(queue).Terms, Payload: "run",
+		Steps: []work.Step{step}, AcceptedMs: time.Now().UnixMilli(),
+	}))
+}
+
+// await waits until a job is in a state.
+func (r *rig) await(id ident.Job, want ident.JobState, within time.Duration) {
+	r.t.Helper()
+	limit := time.Now().Add(within)
+	for {
+		state, err := r.desk.State(r.ctx, "a", id)
+		assert.NilError(r.t, err)
+		if state == want {
+			return
+		}
+		if time.Now().After(limit) {
+			r.t.Fatalf("job %s is %v and not %v after %v", id, state, want, within)
+		}
+		assert.NilError(r.t, clock.Sleep(r.ctx, 20*time.Millisecond))
+	}
+}
+
+// sleep lets virtual time pass.
+func (r *rig) sleep(d time.Duration) {
+	r.t.Helper()
+	assert.NilError(r.t, clock.Sleep(r.ctx, d))
+}
+
+// change changes the fleet.
+func (r *rig) change(f func()) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	f()
+}
