--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -84,32 +84,29 @@
 	}
 }
 
-// TestTakeoverWhileAGroupIsStopped kills the holder between the stop of a gang and the end of its last part.
+// TestTakeoverWhileAGroupIsStopped hands the lease over while one part of a gang is being stopped, as the other was
+// lost: the gang must not start again before both are gone.
 func TestTakeoverWhileAGroupIsStopped(t *testing.T) {
 	play(t, 4, func(r *rig) {
-		kill := r.instance("i1")
+		r.instance("i1")
 		r.sleep(time.Second)
 		r.instance("i2")
-		r.submit("j1", 6*time.Second, work.Step{Parts: 2, Gang: true})
+		r.submit("w1", 6*time.Second, work.Step{Parts: 2, Gang: true})
 		r.sleep(time.Second)
-		// One part's worker is cut off, the other part fails: its gang has to wait for the lost part's lease.
-		var cut *fakeWorker
+		var crashed *fakeWorker
 		r.change(func() {
 			for _, w := range r.fleet.workers {
-				for _, run := range w.runs {
-					if cut == nil {
-						cut, w.cut = w, true
-						continue
-					}
-					w.endGang(run, 1, 4)
+				w.stopTime = 2 * time.Second
+				if crashed == nil && len(w.runs) > 0 {
+					crashed = w
+					w.crash()
 				}
 			}
 		})
-		r.sleep(500 * time.Millisecond)
-		kill()
-		r.sleep(4 * time.Second)
-		r.change(func() { cut.cut = false })
-		r.await("j1", ident.Succeeded, 40*time.Second)
+		r.list(crashed)
+		r.sleep(100 * time.Millisecond)
+		r.stops[0]()
+		r.await("w1", ident.Succeeded, 40*time.Second)
 	})
 }
 
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -22,6 +22,8 @@
 	holdRetry = 250 * time.Millisecond
 	// unseenPause lies between holds while ends wait for their record.
 	unseenPause = 500 * time.Millisecond
+	// strangerPause lies between holds while a worker runs what is not accounted for.
+	strangerPause = 200 * time.Millisecond
 	// silentLimit is how long a worker may be silent before it gets nothing new.
 	silentLimit = 1500 * time.Millisecond
 )
@@ -222,8 +224,11 @@
 	s.runs(ctx, w, ev.report)
 	s.missing(ctx, w, ev, first)
 	w.due = clock.Now()
-	if w.seen > w.confirmed {
+	switch {
+	case w.seen > w.confirmed:
 		w.due = w.due.Add(unseenPause)
+	case w.strangers > 0:
+		w.due = w.due.Add(strangerPause)
 	}
 	s.engine.SetWorker(s.view(w), time.Now())
 }
--- a/sard/sched/worker_test.go
+++ b/sard/sched/worker_test.go
@@ -27,6 +27,8 @@
 	length time.Duration
 	saved  time.Duration
 	ended  bool
+	// stopAt is when a stop takes effect.
+	stopAt time.Time
 	stall  bool
 }
 
@@ -51,6 +53,8 @@
 	cut bool
 	// mute carries calls out and loses their answers.
 	mute bool
+	// stopTime is how long a stop takes.
+	stopTime time.Duration
 	// failing makes all runs fail at once; stalling makes them stand still.
 	failing, stalling bool
 	refuse            *Cause
@@ -200,9 +204,10 @@
 		w.fleet.stops++
 		part := o.Attempt.Part
 		w.barred[part] = max(w.barred[part], o.Attempt.Number)
-		if r := w.runs[part]; r != nil && r.attempt == o.Attempt {
-			w.end(r, pool.Stopped)
+		if r := w.runs[part]; r != nil && r.attempt == o.Attempt && r.stopAt.IsZero() {
+			r.stopAt = time.Now().Add(w.stopTime)
 		}
+		w.advance()
 		return nil
 	})
 	return w.reply(), err
@@ -308,6 +313,8 @@
 func (w *fakeWorker) advance() {
 	for _, r := range w.runs {
 		switch {
+		case !r.stopAt.IsZero() && !time.Now().Before(r.stopAt):
+			w.end(r, pool.Stopped)
 		case w.deadline != 0 && w.clock() > w.deadline:
 			w.end(r, pool.Lapsed)
 		case w.failing || w.fleet.poison[r.attempt.Part.Job]:
