--- a/sard/clock/clock.go
+++ b/sard/clock/clock.go
@@ -53,7 +53,7 @@
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil {
 		return 0
 	}
-	return (time.Duration(boot.Nano() - steady.Nano())).Truncate(suspensionStep)
+	return time.Duration(boot.Nano() - steady.Nano()).Truncate(suspensionStep)
 }
 
 // suspensionStep hides the time between the two readings of suspension.
--- a/sard/clock/sleep.go
+++ b/sard/clock/sleep.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// Sleep waits for d, or until ctx ends and then returns its error.
-func Sleep(ctx context.Context, d time.Duration) error {
+// Sleep waits for d and returns true, or until ctx ends and then returns false.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return nil
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
 }
--- a/sard/elect/elect.go
+++ b/sard/elect/elect.go
@@ -135,12 +135,12 @@
 func (c *Candidate) win(ctx context.Context) (*Held, error) {
 	v, err := c.read(ctx)
 	if err != nil {
-		_ = clock.Sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return nil, err
 	}
 	for ctx.Err() == nil {
 		if c.free(v) {
-			_ = clock.Sleep(ctx, time.Duration(c.config.Rank)*rankDelay)
+			clock.Sleep(ctx, time.Duration(c.config.Rank)*rankDelay)
 			return c.take(ctx, v)
 		}
 		if v.holder == c.holder || clock.Since(v.seen) >= c.patience() {
@@ -205,7 +205,7 @@
 func (c *Candidate) reread(ctx context.Context, v view) view {
 	now, err := c.read(ctx)
 	if err != nil {
-		_ = clock.Sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		// Changes can't be seen while the store is away, so the term is counted from its return.
 		v.seen = clock.Now()
 		return v
@@ -231,7 +231,7 @@
 	})
 	if err != nil {
 		c.config.Logger.Info("lease not taken", "owner_version", v.owner, "error", err)
-		_ = clock.Sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return nil, err
 	}
 	return c.held(result.Version, sent), nil
@@ -241,7 +241,7 @@
 func (c *Candidate) renewed(ctx context.Context, owner store.Version) (*Held, error) {
 	held := c.held(owner, clock.Never)
 	if err := held.renew(ctx); err != nil {
-		_ = clock.Sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return nil, err
 	}
 	return held, nil
--- a/sard/elect/held.go
+++ b/sard/elect/held.go
@@ -75,7 +75,7 @@
 		} else if err == nil {
 			pause = max(0, h.candidate.config.Term/renewalsPerTerm-clock.Since(sent))
 		}
-		if clock.Sleep(ctx, pause) != nil {
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 	}
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -80,7 +80,7 @@
 		if !fault.Is(err, fault.OutcomeUnknown) {
 			return err
 		}
-		if clock.Sleep(ctx, retryPause) != nil {
+		if !clock.Sleep(ctx, retryPause) {
 			return err
 		}
 	}
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -147,7 +147,7 @@
 		if err == nil || fault.Is(err, fault.Invalid) {
 			return listing, err
 		}
-		if clock.Sleep(ctx, retryPause) != nil {
+		if !clock.Sleep(ctx, retryPause) {
 			return listing, err
 		}
 	}
--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -89,7 +89,7 @@
 		if err := s.read(ctx); err != nil {
 			pause = retryPause
 		}
-		if err := clock.Sleep(ctx, pause); err != nil {
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 	}
@@ -123,7 +123,7 @@
 		if fault.Is(err, fault.NotFound) {
 			after = s.newest(ctx)
 		}
-		if clock.Sleep(ctx, retryPause) != nil {
+		if !clock.Sleep(ctx, retryPause) {
 			break
 		}
 	}
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -42,11 +42,11 @@
 // SetWorker adds a worker or changes what is known of it. When it is another process than before, all that ran
 // there is lost.
 func (e *Engine) SetWorker(w Worker, now time.Time) {
-	n := e.byID[w.Life.Worker]
+	n := e.byID[w.Worker]
 	if n == nil {
 		n = &node{index: len(e.nodes), parts: map[*part]struct{}{}}
 		e.nodes = append(e.nodes, n)
-		e.byID[w.Life.Worker] = n
+		e.byID[w.Worker] = n
 	}
 	if n.Life != w.Life {
 		e.loseAll(n, now)
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -83,7 +83,7 @@
 		if lost := s.lease.Check(); fault.Is(lost, fault.Fenced) {
 			return listing, lost
 		}
-		if clock.Sleep(ctx, followPause) != nil {
+		if !clock.Sleep(ctx, followPause) {
 			return listing, err
 		}
 	}
@@ -126,7 +126,7 @@
 			if fault.Is(err, fault.NotFound) {
 				listed = clock.Never
 			}
-			_ = clock.Sleep(ctx, followPause)
+			clock.Sleep(ctx, followPause)
 			continue
 		}
 		after = changes.Version
@@ -134,7 +134,7 @@
 			s.post(ctx, rowsChanged{table: table, rows: changes.Rows})
 		}
 		if table == s.config.WorkerTable {
-			_ = clock.Sleep(ctx, workerPause)
+			clock.Sleep(ctx, workerPause)
 		}
 	}
 	return nil
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -57,7 +57,7 @@
 		if lost := s.lease.Check(); fault.Is(lost, fault.Fenced) {
 			return lost
 		}
-		if clock.Sleep(ctx, followPause) != nil {
+		if !clock.Sleep(ctx, followPause) {
 			return err
 		}
 	}
@@ -183,7 +183,7 @@
 // rewrite sends a batch again after a pause.
 func (s *Scheduler) rewrite(ctx context.Context, b *batch) {
 	s.group.Go(func() error {
-		if clock.Sleep(ctx, commitPause) == nil {
+		if clock.Sleep(ctx, commitPause) {
 			s.write(ctx, b)
 		}
 		return nil
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -203,7 +203,7 @@
 		defer cancel()
 		reply, err := client.Stop(ctx, msg)
 		if err != nil {
-			_ = clock.Sleep(ctx, stopRetry)
+			clock.Sleep(ctx, stopRetry)
 		}
 		return stopAnswered{attempt: a, life: msg.Worker, reply: reply, err: err}
 	})
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -126,7 +126,7 @@
 
 // reborn starts a session anew with another process of the worker.
 func (s *Scheduler) reborn(w *session, life work.Life) {
-	s.config.Logger.Info("worker started again", "worker", life.Worker, "born", life.Born, "was", w.entry.Life.Born)
+	s.config.Logger.Info("worker started again", "worker", life.Worker, "born", life.Born, "was", w.entry.Born)
 	*w = session{
 		entry: w.entry, client: w.client, listed: w.listed, answered: clock.Now(), orders: map[work.Attempt]*order{},
 	}
@@ -253,7 +253,7 @@
 	if refusal.Cause == Superseded {
 		s.lease.Superseded()
 	}
-	if refusal.Cause == OtherLife && refusal.Reply.Born != 0 && refusal.Reply.Born != w.entry.Life.Born {
+	if refusal.Cause == OtherLife && refusal.Reply.Born != 0 && refusal.Reply.Born != w.entry.Born {
 		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born})
 		s.engine.SetWorker(s.view(w), time.Now())
 	}
