Write logs without waiting, count what happens, serve metrics

Cause: hclog wrote to standard output directly, so that a stuck reader would have stopped calls; a store outage wrote 24 lines a second. Ruled out: sampling of decisions; each call and each attempt keeps its line.

--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -199,6 +199,6 @@
 	defer s.mu.Unlock()
 	if s.reachable {
 		s.reachable = false
-		s.config.Logger.Warn("store lost", "confirmed_ago", clock.Since(s.confirmed), "error", err)
+		s.config.Logger.Warn("store lost", "confirmed_ago_ms", clock.Since(s.confirmed).Milliseconds(), "error", err)
 	}
 }
--- a/sard/sched/clean.go
+++ b/sard/sched/clean.go
@@ -26,6 +26,8 @@
 	due clock.Instant
 	// busy tells that a transaction is under way.
 	busy bool
+	// failures counts the rounds that failed in a row.
+	failures int
 	// waits are rows of jobs that have begun, by shard.
 	waits map[string][]store.Key
 	// counted are the jobs whose row is among waits, or was deleted.
@@ -117,13 +119,17 @@
 func (s *Scheduler) cleaned(ev cleaned) {
 	s.cleaner.busy = false
 	if ev.err != nil {
-		s.config.Logger.Warn("rows not deleted, tried again", "shard", ev.shard, "rows", len(ev.keys), "error", ev.err)
+		s.cleaner.failures++
+		if s.cleaner.failures == 1 {
+			s.config.Logger.Warn("rows not deleted, tried until they are", "shard", ev.shard, "rows", len(ev.keys), "error", ev.err)
+		}
 		s.cleaner.due = clock.Now().Add(cleanPeriod)
 		if len(ev.pruned) == 0 {
 			s.cleaner.waits[ev.shard] = append(s.cleaner.waits[ev.shard], ev.keys...)
 		}
 		return
 	}
+	s.cleaner.failures = 0
 	for _, id := range ev.pruned {
 		delete(s.ended, id)
 		delete(s.cleaner.counted, id)
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -45,7 +45,7 @@
 	s.recorded = nil
 	s.adopt()
 	s.config.Logger.Info("pool taken over", "epoch", s.lease.Epoch(), "workers", len(s.sessions),
-		"jobs", s.engine.Summary().Jobs, "placed_parts", s.engine.Summary().Placed, "took", clock.Since(s.started))
+		"jobs", s.engine.Summary().Jobs, "placed_parts", s.engine.Summary().Placed, "took_ms", clock.Since(s.started).Milliseconds())
 	return nil
 }
 
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -34,6 +34,10 @@
 	// batch is being written, or nil.
 	batch *batch
 	count uint64
+	// failures counts the tries of the batch that failed.
+	failures int
+	// written is when the writing of the batch began.
+	written time.Time
 }
 
 // batch is one transaction of the journal and what follows from it.
@@ -72,7 +76,7 @@
 	if b == nil {
 		return
 	}
-	s.journal.batch = b
+	s.journal.batch, s.journal.written = b, time.Now()
 	s.write(ctx, b)
 }
 
@@ -160,10 +164,11 @@
 		return
 	}
 	if ev.err != nil {
-		s.config.Logger.Warn("record not written, tried again", "batch", b.number, "jobs", len(b.changes), "error", ev.err)
+		s.recordFailed(b, ev.err)
 		s.rewrite(ctx, b)
 		return
 	}
+	s.recordWritten(b)
 	s.journal.batch = nil
 	s.journal.version = ev.version
 	now := time.Now()
@@ -180,6 +185,24 @@
 	}
 }
 
+// recordFailed logs the first failure of a batch.
+func (s *Scheduler) recordFailed(b *batch, err error) {
+	s.journal.failures++
+	if s.journal.failures == 1 {
+		s.config.Logger.Warn("record not written, tried until it is", "batch", b.number, "jobs", len(b.changes), "error", err)
+	}
+}
+
+// recordWritten logs the end of a series of failures.
+func (s *Scheduler) recordWritten(b *batch) {
+	observe(s.config.Metrics.records, s.journal.written)
+	if s.journal.failures > 0 {
+		s.config.Logger.Info("record written", "batch", b.number, "jobs", len(b.changes), "failures", s.journal.failures,
+			"took_ms", time.Since(s.journal.written).Milliseconds())
+	}
+	s.journal.failures = 0
+}
+
 // rewrite sends a batch again after a pause.
 func (s *Scheduler) rewrite(ctx context.Context, b *batch) {
 	s.group.Go(func() error {
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -165,6 +165,7 @@
 		return
 	}
 	o := w.order(d.Attempt)
+	s.config.Metrics.stops.WithLabelValues(string(d.Reason)).Inc()
 	s.config.Logger.Info("part is stopped", "part", d.Attempt.Part, "attempt", d.Attempt.Number, "worker", d.Worker.Worker,
 		"reason", d.Reason)
 	s.sendStop(ctx, w, d.Attempt, o)
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -50,6 +50,7 @@
 	Retention time.Duration
 	// FarFactor is how many times longer parts take far from their data or apart from their gang.
 	FarFactor float64
+	Metrics   *Metrics
 	Logger    hclog.Logger
 }
 
@@ -58,6 +59,8 @@
 	tickPeriod = 100 * time.Millisecond
 	// decideSpacing is how many times the length of a decision lies between two.
 	decideSpacing = 4
+	// summaryPeriod lies between two summaries of the pool.
+	summaryPeriod = 5 * time.Second
 	// eventBuffer is how many events may wait for the loop.
 	eventBuffer = 256
 	// leaseGrace is how long workers' leases are renewed after the scheduler lease has lapsed.
@@ -86,6 +89,8 @@
 	group    *errgroup.Group
 	started  clock.Instant
 	reported pool.Summary
+	// summaryDue is when the next summary is made.
+	summaryDue clock.Instant
 	// decideAfter is when the next decision may be made.
 	decideAfter clock.Instant
 }
@@ -107,6 +112,11 @@
 		group:    group,
 		started:  clock.Now(),
 	}
+	if config.Metrics == nil {
+		s.config.Metrics = NewMetrics(nil)
+	}
+	s.config.Metrics.held(true)
+	defer s.config.Metrics.held(false)
 	s.engine = pool.New(pool.Config{Terms: s.terms, Guarantee: s.guarantee, FarFactor: config.FarFactor})
 	group.Go(func() error {
 		defer cancel()
@@ -176,7 +186,9 @@
 		s.decideAfter = clock.Now().Add(min(clock.Since(began)*decideSpacing, tickPeriod))
 	}()
 	now := time.Now()
-	for _, d := range s.engine.Decide(now, now.UnixMilli()) {
+	decisions := s.engine.Decide(now, now.UnixMilli())
+	observe(s.config.Metrics.decides, now)
+	for _, d := range decisions {
 		switch d := d.(type) {
 		case pool.Start:
 			s.journal.starts = append(s.journal.starts, d)
@@ -218,16 +230,18 @@
 	return 0
 }
 
-// summarize logs what the pool holds when it has changed.
+// summarize tells from time to time what the pool holds.
 func (s *Scheduler) summarize() {
-	if !s.config.Logger.IsDebug() {
+	if clock.Now().Before(s.summaryDue) {
 		return
 	}
+	s.summaryDue = clock.Now().Add(summaryPeriod)
 	summary := s.engine.Summary()
+	s.config.Metrics.show(summary)
 	if summary == s.reported {
 		return
 	}
 	s.reported = summary
-	s.config.Logger.Debug("pool", "jobs", summary.Jobs, "waiting_parts", summary.Waiting, "placed_parts", summary.Placed,
+	s.config.Logger.Info("pool", "jobs", summary.Jobs, "waiting_parts", summary.Waiting, "placed_parts", summary.Placed,
 		"workers", summary.Workers, "used", summary.Used, "accelerators", summary.Total)
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -241,7 +241,7 @@
 		return
 	}
 	if !w.unanswered {
-		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago", clock.Since(w.answered), "error", err)
+		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.answered).Milliseconds(), "error", err)
 	}
 	w.unanswered = true
 	w.due = clock.Now().Add(holdRetry)
@@ -268,6 +268,7 @@
 			continue
 		}
 		w.seen = end.Number
+		s.config.Metrics.parts.WithLabelValues(end.How.String()).Inc()
 		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
 			"how", end.How.String(), "end", end.Number)
 		if s.engine.Expects(end.Attempt, w.id()) {
@@ -304,7 +305,8 @@
 			continue
 		}
 		w.lost = true
-		s.config.Logger.Warn("worker lost, its lease has lapsed", "worker", w.id(), "answered_ago", now.Sub(w.answered))
+		s.config.Metrics.lost.Inc()
+		s.config.Logger.Warn("worker lost, its lease has lapsed", "worker", w.id(), "answered_ago_ms", now.Sub(w.answered).Milliseconds())
 		s.engine.LoseLife(w.entry.Life, time.Now())
 	}
 	if now.Before(s.inherited()) {
--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -9,9 +9,12 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jessevdk/go-flags"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sardineline/sardineline/platform"
 	"github.com/sardineline/sardineline/platform/conf"
+	"github.com/sardineline/sardineline/sard/logs"
 )
 
 // platformCommand is the word that selects runPlatform.
@@ -41,8 +44,16 @@
 	if s.Settings == "" {
 		s.Settings = os.Getenv(conf.FileVariable)
 	}
+	lines := logs.NewWriter(os.Stdout)
+	writing, stopWriting := context.WithCancel(context.Background())
+	var writer errgroup.Group
+	writer.Go(func() error { return lines.Run(writing) })
+	defer func() {
+		lines.Flush()
+		stopWriting()
+	}()
 	log := hclog.New(&hclog.LoggerOptions{
-		Name: "sardined", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: os.Stdout,
+		Name: "sardined", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: lines,
 	})
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -51,6 +62,11 @@
 		log.Error("settings refused", "error", err)
 		return exitSettings
 	}
+	instance.Registry().MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: "sardine", Name: "log_lines_dropped_total", Help: "Log lines that nobody took in time."},
+		func() float64 { return float64(lines.Dropped()) },
+	))
+	log.Info("starting", "version", version, "settings", s.Settings)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := instance.Run(ctx); err != nil {
