--- a/sard/pool/decision.go
+++ b/sard/pool/decision.go
@@ -33,6 +33,7 @@
 	ReasonReclaimed Reason = "capacity reclaimed"
 	ReasonPartner   Reason = "another part of the gang ended"
 	ReasonDoubt     Reason = "start not confirmed"
+	ReasonLeaving   Reason = "worker leaves before the end"
 	ReasonSlow      Reason = "much slower than estimated"
 	ReasonStalled   Reason = "no progress"
 	ReasonUnknown   Reason = "not a current attempt"
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
@@ -16,6 +17,8 @@
 	Capacity work.Amount
 	// Accepting tells that new parts may be started there.
 	Accepting bool
+	// Leaves is when the worker may be gone, with all that runs there; zero when it stays.
+	Leaves time.Time
 }
 
 // node is the engine's record of a worker.
--- a/sard/sched/peer.go
+++ b/sard/sched/peer.go
@@ -23,6 +23,9 @@
 	DataCentre ident.DataCentre
 	// Clock is the worker's clock when it reported; 0 when not told.
 	Clock WorkerClock
+	// Leaving tells that the worker leaves, after Remaining at the earliest.
+	Leaving   bool
+	Remaining time.Duration
 }
 
 // Client sends orders to one worker. Errors are *fault.Error of the kinds Unavailable (nothing was done),
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -114,6 +114,9 @@
 	if w.entry.Life != entry.Life {
 		s.reborn(w, entry.Life)
 	}
+	if entry.Leaving {
+		entry.Leaves = time.Now().Add(entry.Remaining)
+	}
 	w.entry, w.listed = entry, true
 	s.engine.SetWorker(s.view(w), time.Now())
 }
