--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -39,22 +39,34 @@
 	return &Engine{config: config, jobs: map[ident.Job]*job{}, byID: map[ident.Worker]*node{}}
 }
 
-// SetWorker adds a worker or changes what is known of it. When it is another process than before, all that ran
-// there is lost.
-func (e *Engine) SetWorker(w Worker, now time.Time) {
+// SetWorker adds a worker or changes what is known of it. Reborn tells what becomes of its parts when it is another
+// process than before.
+func (e *Engine) SetWorker(w Worker) {
 	n := e.byID[w.Worker]
 	if n == nil {
 		n = &node{index: len(e.nodes), parts: map[*part]struct{}{}}
 		e.nodes = append(e.nodes, n)
 		e.byID[w.Worker] = n
 	}
-	if n.Life != w.Life {
-		e.loseAll(n, now)
-		n.health, n.pace = health{}, pace{}
-	}
 	n.Worker = w
 }
 
+// Reborn tells that a worker is another process than before, and which attempts the new one may run. All others that
+// ran there are lost.
+func (e *Engine) Reborn(life work.Life, kept func(work.Attempt) bool, now time.Time) {
+	n := e.byID[life.Worker]
+	if n == nil {
+		return
+	}
+	for _, p := range n.sorted() {
+		if p.node == n && !kept(p.attemptOf()) {
+			e.end(p, Lost, "", now)
+		}
+	}
+	n.Life = life
+	n.health, n.pace = health{}, pace{}
+}
+
 // DropWorker tells that nothing new may be started on a worker. What may run there stays accounted for.
 func (e *Engine) DropWorker(id ident.Worker) {
 	if n := e.byID[id]; n != nil {
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -35,6 +35,11 @@
 	return changes
 }
 
+// Unrecorded counts the jobs whose records are out of date.
+func (e *Engine) Unrecorded() int {
+	return len(e.dirty)
+}
+
 // Written tells that changes were recorded. Ended jobs of which nothing may run any more are forgotten.
 func (e *Engine) Written(changes []Change) {
 	for _, c := range changes {
@@ -51,14 +56,27 @@
 		return p
 	}
 	lives := map[work.Life]int{}
-	j.groups(func(g *group) {
-		if g.attempt > 0 {
-			p.Groups = append(p.Groups, g.record(&p, lives))
+	for _, o := range j.occurrences {
+		if o.complete() {
+			p.Complete = append(p.Complete, o.number)
+			continue
 		}
-	})
+		o.record(&p, lives)
+	}
 	return p
 }
 
+// record adds the groups of an occurrence that were ever placed.
+func (o *occurrence) record(p *work.Progress, lives map[work.Life]int) {
+	for s := range o.steps {
+		for _, g := range o.steps[s].groups {
+			if g.attempt > 0 {
+				p.Groups = append(p.Groups, g.record(p, lives))
+			}
+		}
+	}
+}
+
 func (g *group) record(p *work.Progress, lives map[work.Life]int) work.Group {
 	r := work.Group{
 		Occurrence: g.occurrence, Step: g.step, First: g.first, Attempt: g.attempt,
@@ -100,7 +118,10 @@
 // restore takes up what was recorded of a job. Placed groups count as placed where they were; their parts are
 // confirmed, started or lost by what the workers tell.
 func (e *Engine) restore(j *job, p *work.Progress, now time.Time) {
-	j.begun = len(p.Groups) > 0
+	j.begun = len(p.Groups) > 0 || len(p.Complete) > 0
+	for _, number := range p.Complete {
+		e.restoreComplete(j, number)
+	}
 	for _, r := range p.Groups {
 		part := j.find(work.Part{Occurrence: r.Occurrence, Step: r.Step, Index: r.First})
 		if part == nil {
@@ -115,6 +136,20 @@
 	}
 }
 
+// restoreComplete marks an occurrence of which nothing is left to run.
+func (e *Engine) restoreComplete(j *job, number int) {
+	for _, o := range j.occurrences {
+		if o.number != number {
+			continue
+		}
+		for s := range o.steps {
+			for _, g := range o.steps[s].groups {
+				e.complete(g)
+			}
+		}
+	}
+}
+
 func (e *Engine) restoreGroup(g *group, r work.Group, lives []work.Life, now time.Time) {
 	g.attempt, g.failures, g.checkpoint = r.Attempt, r.Failures, r.Checkpoint
 	if r.Done {
@@ -140,20 +175,14 @@
 	}
 }
 
-// nodeOf returns the node of a recorded worker process. One that is not known any more is kept as a node that takes
-// nothing new, until it is known that nothing runs there.
+// nodeOf returns the node of a recorded worker. The record may name an earlier process than the one that runs the part,
+// as a start may reach a process that was not known yet. A worker that is not known any more is kept as a node that
+// takes nothing new, until it is known that nothing runs there.
 func (e *Engine) nodeOf(life work.Life) *node {
-	if n := e.byID[life.Worker]; n != nil && n.Life == life {
-		return n
-	}
-	for _, n := range e.nodes {
-		if n.Life == life {
-			return n
-		}
-	}
-	n := &node{Worker: Worker{Life: life}, index: len(e.nodes), parts: map[*part]struct{}{}}
-	e.nodes = append(e.nodes, n)
-	if e.byID[life.Worker] == nil {
+	n := e.byID[life.Worker]
+	if n == nil {
+		n = &node{Worker: Worker{Life: life}, index: len(e.nodes), parts: map[*part]struct{}{}}
+		e.nodes = append(e.nodes, n)
 		e.byID[life.Worker] = n
 	}
 	return n
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -69,6 +69,9 @@
 			continue
 		}
 		s.recorded[id] = p
+		for _, life := range p.Lives {
+			s.newest[life.Worker] = max(s.newest[life.Worker], life.Born)
+		}
 	}
 	return nil
 }
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// batchJobs is the most jobs in a transaction.
-	batchJobs = 90
+	// batchBytes is the size at which a transaction takes no more records.
+	batchBytes = 256 << 10
+	// chunkJobs is how many records are added to a transaction at a time.
+	chunkJobs = 8
 	// commitTimeout bounds a write of the journal.
 	commitTimeout = 800 * time.Millisecond
 	// commitPause lies between a failed write and the next.
@@ -82,24 +84,31 @@
 
 // newBatch gathers what is to be written; nil when there is nothing.
 func (s *Scheduler) newBatch() *batch {
-	changes := s.engine.Changes(batchJobs, time.Now())
-	if len(changes) == 0 {
+	if s.engine.Unrecorded() == 0 {
 		s.confirmSeen(s.seen())
 		return nil
 	}
 	s.journal.count++
-	b := &batch{
-		number:  strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.count, 10),
-		changes: changes,
-		seen:    s.seen(),
-	}
-	b.starts, s.journal.starts = s.recordedStarts(changes)
+	b := &batch{number: strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.count, 10)}
 	b.tx = store.Tx{
 		Expect: []store.Expectation{s.lease.Fence(), {Key: journalKey, Version: s.journal.version}},
 		Put:    []store.Put{{Key: journalKey, Value: []byte(b.number)}},
 	}
-	for _, c := range changes {
-		s.addChange(&b.tx, c)
+	size := 0
+	for size < batchBytes && b.tx.Len() < store.MaxEntries-chunkJobs {
+		changes := s.engine.Changes(chunkJobs, time.Now())
+		if len(changes) == 0 {
+			break
+		}
+		for _, c := range changes {
+			size += s.addChange(&b.tx, c)
+		}
+		b.changes = append(b.changes, changes...)
+	}
+	b.starts, s.journal.starts = s.recordedStarts(b.changes)
+	if s.engine.Unrecorded() == 0 {
+		// The ends that were taken in may concern any of the changes, so all must be in the batch.
+		b.seen = s.seen()
 	}
 	return b
 }
@@ -120,17 +129,18 @@
 	return recorded, rest
 }
 
-// addChange adds the record of a job to a transaction.
-func (s *Scheduler) addChange(tx *store.Tx, c pool.Change) {
+// addChange adds the record of a job to a transaction and returns its size in bytes.
+func (s *Scheduler) addChange(tx *store.Tx, c pool.Change) int {
 	if c.Progress.State.Terminal() {
 		c.Progress.EndedMs = time.Now().UnixMilli()
 	}
 	value, err := work.Encode(c.Progress)
 	if err != nil {
 		s.config.Logger.Error("progress not encoded", "job", c.Job, "error", err)
-		return
+		return 0
 	}
 	tx.Put = append(tx.Put, store.Put{Key: work.RunKey(c.Job), Value: value})
+	return len(value)
 }
 
 // write sends a batch.
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -27,6 +27,8 @@
 	// started is when the worker confirmed the start; stopped, the stop.
 	started, stopped clock.Instant
 	stopping         bool
+	// starting tells that a start is under way.
+	starting bool
 }
 
 func newOrder() *order {
@@ -41,11 +43,11 @@
 	return nil
 }
 
-// adopt makes orders of the placements that were recorded by an earlier holder.
+// adopt makes orders of the placements that were recorded by an earlier holder, at the workers that are known.
 func (s *Scheduler) adopt() {
 	s.engine.Placements(func(a work.Attempt, life work.Life, _ bool) {
-		if w := s.session(life); w != nil {
-			w.orders[a] = newOrder()
+		if w := s.session(life); w != nil && !w.fenced {
+			w.order(a)
 		}
 	})
 }
@@ -71,6 +73,7 @@
 		return
 	}
 	o.tries++
+	o.starting = true
 	msg := StartOrder{
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
 		Epoch: s.lease.Epoch(), Deadline: w.extend(s.config.WorkerLease),
@@ -87,9 +90,10 @@
 	})
 }
 
-// orderOf returns the order of an attempt and the session with its worker process, or nil.
+// orderOf returns the order of an attempt and the session with its worker, or nil. The worker may be another process
+// than when the order was sent.
 func (s *Scheduler) orderOf(life work.Life, a work.Attempt) (*session, *order) {
-	w := s.session(life)
+	w := s.sessions[life.Worker]
 	if w == nil {
 		return nil, nil
 	}
@@ -102,9 +106,13 @@
 	if o == nil {
 		return
 	}
+	o.starting = false
 	var refusal *Refusal
 	switch {
 	case ev.err == nil:
+		if born := ev.reply.Born; born != 0 && born != w.entry.Born {
+			s.reborn(w, work.Life{Worker: w.id(), Born: born}, []RunningPart{{Attempt: ev.attempt}})
+		}
 		w.read(ev.reply)
 		o.started = clock.Now()
 		s.config.Logger.Info("part started", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(),
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -80,6 +80,8 @@
 	journal  journal
 	// recorded are the progress records read at the start, until their jobs are added.
 	recorded map[ident.Job]*work.Progress
+	// newest is the latest process of each worker that the records name.
+	newest map[ident.Worker]int64
 	// ended are jobs that are over, with the time from which their state need not be kept.
 	ended   map[ident.Job]time.Time
 	cleaner cleaner
@@ -105,6 +107,7 @@
 		lease:    lease,
 		sessions: map[ident.Worker]*session{},
 		recorded: map[ident.Job]*work.Progress{},
+		newest:   map[ident.Worker]int64{},
 		ended:    map[ident.Job]time.Time{},
 		cleaner:  cleaner{waits: map[string][]store.Key{}, counted: map[ident.Job]bool{}},
 		versions: map[ident.Job]store.Version{},
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -103,37 +103,68 @@
 func (s *Scheduler) listed(entry Entry) {
 	id := entry.Life.Worker
 	w := s.sessions[id]
+	// The list lags: the records or the worker itself may have told of a later process.
+	entry.Born = max(entry.Born, s.newest[id])
+	if w != nil {
+		entry.Born = max(entry.Born, w.entry.Born)
+	}
 	if w == nil {
-		w = &session{entry: entry, answered: clock.Now(), lapse: s.inherited(), orders: map[work.Attempt]*order{}}
+		w = s.newSession(entry)
 		s.sessions[id] = w
+		defer s.adopt()
 		s.config.Logger.Debug("worker listed", "worker", id, "address", entry.Address, "rack", entry.Rack)
 	}
 	if w.client == nil || w.entry.Address != entry.Address {
 		w.client = s.config.Open(entry)
 	}
 	if w.entry.Life != entry.Life {
-		s.reborn(w, entry.Life)
+		s.reborn(w, entry.Life, nil)
 	}
 	if entry.Leaving {
 		entry.Leaves = time.Now().Add(entry.Remaining)
 	}
 	w.entry, w.listed = entry, true
-	s.engine.SetWorker(s.view(w), time.Now())
+	s.engine.SetWorker(s.view(w))
+}
+
+// newSession makes a session with a worker process of which nothing is known but its entry.
+func (s *Scheduler) newSession(entry Entry) *session {
+	now := clock.Now()
+	lapse := max(s.inherited(), now.Add(s.leaseEnd()))
+	return &session{entry: entry, answered: now, lapse: lapse, orders: map[work.Attempt]*order{}}
 }
 
 // inherited is when the leases that an earlier holder gave have surely lapsed.
 func (s *Scheduler) inherited() clock.Instant {
-	lease := s.config.WorkerLease * 100 / (100 - workerClockSlow)
-	return s.started.Add(leaseGrace + lease + lapseMargin)
+	return s.started.Add(leaseGrace + s.leaseEnd())
+}
+
+// leaseEnd is how long after its grant a worker's lease has surely lapsed.
+func (s *Scheduler) leaseEnd() time.Duration {
+	return s.config.WorkerLease*100/(100-workerClockSlow) + lapseMargin
 }
 
-// reborn starts a session anew with another process of the worker.
-func (s *Scheduler) reborn(w *session, life work.Life) {
+// reborn starts a session anew with another process of the worker. All that ran on the former one is lost, but for
+// attempts that the new one runs, and those whose start is under way and may have reached the new one.
+func (s *Scheduler) reborn(w *session, life work.Life, running []RunningPart) {
 	s.config.Logger.Info("worker started again", "worker", life.Worker, "born", life.Born, "was", w.entry.Born)
-	*w = session{
-		entry: w.entry, client: w.client, listed: w.listed, answered: clock.Now(), orders: map[work.Attempt]*order{},
+	kept := map[work.Attempt]*order{}
+	for _, r := range running {
+		if o := w.orders[r.Attempt]; o != nil {
+			kept[r.Attempt] = o
+		}
 	}
-	w.entry.Life = life
+	for a, o := range w.orders {
+		if o.starting {
+			kept[a] = o
+		}
+	}
+	entry := w.entry
+	entry.Life = life
+	client, listed := w.client, w.listed
+	*w = *s.newSession(entry)
+	w.client, w.listed, w.orders = client, listed, kept
+	s.engine.Reborn(life, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
 }
 
 // unlisted notes that the platform's list does not name a worker any more. What runs there may run on.
@@ -218,7 +249,7 @@
 		return
 	}
 	if born := ev.report.Born; born != 0 && born != ev.life.Born {
-		s.reborn(w, work.Life{Worker: ev.life.Worker, Born: born})
+		s.reborn(w, work.Life{Worker: ev.life.Worker, Born: born}, ev.report.Running)
 	}
 	first := !w.fenced
 	w.fenced, w.lost = true, false
@@ -233,7 +264,7 @@
 	case w.strangers > 0:
 		w.due = w.due.Add(strangerPause)
 	}
-	s.engine.SetWorker(s.view(w), time.Now())
+	s.engine.SetWorker(s.view(w))
 }
 
 // holdFailed notes a hold without an answer, or a refusal.
@@ -248,7 +279,7 @@
 	}
 	w.unanswered = true
 	w.due = clock.Now().Add(holdRetry)
-	s.engine.SetWorker(s.view(w), time.Now())
+	s.engine.SetWorker(s.view(w))
 }
 
 func (s *Scheduler) refusedHold(w *session, refusal *Refusal) {
@@ -257,8 +288,8 @@
 		s.lease.Superseded()
 	}
 	if refusal.Cause == OtherLife && refusal.Reply.Born != 0 && refusal.Reply.Born != w.entry.Born {
-		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born})
-		s.engine.SetWorker(s.view(w), time.Now())
+		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born}, nil)
+		s.engine.SetWorker(s.view(w))
 	}
 	w.due = clock.Now().Add(holdRetry)
 }
@@ -316,9 +347,11 @@
 		return
 	}
 	for _, life := range s.engine.Lives() {
-		if w := s.sessions[life.Worker]; w == nil || w.entry.Life != life {
-			s.config.Logger.Warn("recorded worker process lost, its lease has lapsed", "worker", life.Worker, "born", life.Born)
-			s.engine.LoseLife(life, time.Now())
+		w := s.sessions[life.Worker]
+		if w != nil && w.entry.Life == life {
+			continue
 		}
+		s.config.Logger.Warn("recorded worker process lost, its lease has lapsed", "worker", life.Worker, "born", life.Born)
+		s.engine.LoseLife(life, time.Now())
 	}
 }
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -68,6 +68,8 @@
 	Queue   QueueName
 	// Lives are the processes of workers that Groups name by index.
 	Lives []Life `cbor:",omitempty"`
+	// Complete are the occurrences of which all parts are done; their groups are left out.
+	Complete []int `cbor:",omitempty"`
 	// Groups are those that were ever placed.
 	Groups []Group `cbor:",omitempty"`
 	// EndedMs is the Unix time in milliseconds of the end, for the retention period; 0 while the job is open.
