--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -49,6 +49,7 @@
 type holdAnswered struct {
 	life   work.Life
 	sent   clock.Instant
+	seen   EndNumber
 	report Report
 	err    error
 }
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -111,7 +111,7 @@
 	switch {
 	case ev.err == nil:
 		if born := ev.reply.Born; born != 0 && born != w.entry.Born {
-			s.reborn(w, work.Life{Worker: w.id(), Born: born}, []RunningPart{{Attempt: ev.attempt}})
+			s.reborn(w, work.Life{Worker: w.id(), Born: born}, ev.attempt)
 		}
 		w.read(ev.reply)
 		o.started = clock.Now()
--- a/sard/sched/peer.go
+++ b/sard/sched/peer.go
@@ -80,6 +80,18 @@
 	Ended   []EndedPart
 }
 
+// attempts returns all attempts that the report shows.
+func (r *Report) attempts() []work.Attempt {
+	var shown []work.Attempt
+	for _, p := range r.Running {
+		shown = append(shown, p.Attempt)
+	}
+	for _, p := range r.Ended {
+		shown = append(shown, p.Attempt)
+	}
+	return shown
+}
+
 // RunningPart is an attempt that runs on a worker.
 type RunningPart struct {
 	Attempt    work.Attempt
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -51,7 +51,7 @@
 	answered   clock.Instant
 	// seen is the last end taken in, and confirmed the last one whose consequences are recorded.
 	seen, confirmed EndNumber
-	// acknowledged is the last confirmed end that the worker was told of.
+	// acknowledged is the last confirmed end that the worker has forgotten.
 	acknowledged EndNumber
 	lost         bool
 	// orders are the attempts that were ordered to start or stop here.
@@ -118,7 +118,7 @@
 		w.client = s.config.Open(entry)
 	}
 	if w.entry.Life != entry.Life {
-		s.reborn(w, entry.Life, nil)
+		s.reborn(w, entry.Life)
 	}
 	if entry.Leaving {
 		entry.Leaves = time.Now().Add(entry.Remaining)
@@ -145,13 +145,13 @@
 }
 
 // reborn starts a session anew with another process of the worker. All that ran on the former one is lost, but for
-// attempts that the new one runs, and those whose start is under way and may have reached the new one.
-func (s *Scheduler) reborn(w *session, life work.Life, running []RunningPart) {
+// attempts that the new one has shown, and those whose start is under way and may have reached the new one.
+func (s *Scheduler) reborn(w *session, life work.Life, shown ...work.Attempt) {
 	s.config.Logger.Info("worker started again", "worker", life.Worker, "born", life.Born, "was", w.entry.Born)
 	kept := map[work.Attempt]*order{}
-	for _, r := range running {
-		if o := w.orders[r.Attempt]; o != nil {
-			kept[r.Attempt] = o
+	for _, a := range shown {
+		if o := w.orders[a]; o != nil {
+			kept[a] = o
 		}
 	}
 	for a, o := range w.orders {
@@ -218,22 +218,25 @@
 }
 
 func (s *Scheduler) sendHold(ctx context.Context, w *session, busy bool) {
-	order := HoldOrder{Worker: w.entry.Life, Epoch: s.lease.Epoch(), Seen: w.confirmed}
+	order := HoldOrder{Worker: w.entry.Life, Epoch: s.lease.Epoch()}
+	if w.confirmed > w.acknowledged {
+		order.Seen = w.confirmed
+	}
 	if busy || !w.fenced {
 		order.Deadline = w.extend(s.config.WorkerLease)
 	}
-	if busy && w.fenced && w.seen == w.confirmed && !w.unanswered {
+	// A hold that waits tells no ends: it may reach a later process of the worker, whose ends have low numbers.
+	if busy && w.fenced && w.seen == w.acknowledged && !w.unanswered {
 		order.Wait = s.holdWait()
 	}
 	w.holding = true
-	w.acknowledged = max(w.acknowledged, w.confirmed)
 	client, life := w.client, w.entry.Life
 	sent := clock.Now()
 	s.start(ctx, func() event {
 		ctx, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
 		defer cancel()
 		report, err := client.Hold(ctx, order)
-		return holdAnswered{life: life, sent: sent, report: report, err: err}
+		return holdAnswered{life: life, sent: sent, seen: order.Seen, report: report, err: err}
 	})
 }
 
@@ -248,8 +251,9 @@
 		s.holdFailed(w, ev.err)
 		return
 	}
+	w.acknowledged = max(w.acknowledged, ev.seen)
 	if born := ev.report.Born; born != 0 && born != ev.life.Born {
-		s.reborn(w, work.Life{Worker: ev.life.Worker, Born: born}, ev.report.Running)
+		s.reborn(w, work.Life{Worker: ev.life.Worker, Born: born}, ev.report.attempts()...)
 	}
 	first := !w.fenced
 	w.fenced, w.lost = true, false
@@ -288,7 +292,7 @@
 		s.lease.Superseded()
 	}
 	if refusal.Cause == OtherLife && refusal.Reply.Born != 0 && refusal.Reply.Born != w.entry.Born {
-		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born}, nil)
+		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born})
 		s.engine.SetWorker(s.view(w))
 	}
 	w.due = clock.Now().Add(holdRetry)
