--- a/sard/pool/leave.go
+++ b/sard/pool/leave.go
@@ -17,7 +17,7 @@
 			if g.phase != placed || g.spec().Lasting && g.spec().MayMiss > 0 {
 				continue
 			}
-			if g.expectedEnd(now).After(n.Leaves.Add(leaveMargin)) {
+			if g.expectedEnd().After(n.Leaves.Add(leaveMargin)) {
 				g.phase = ending
 				e.haltGroup(g, ReasonLeaving)
 			}
@@ -26,7 +26,7 @@
 }
 
 // expectedEnd returns when the current attempt is expected to end, by its progress or else by its estimate.
-func (g *group) expectedEnd(now time.Time) time.Time {
+func (g *group) expectedEnd() time.Time {
 	if left, known := g.watch.remaining(); known {
 		return g.watch.checked.Add(left)
 	}
