--- /dev/null
+++ b/sardctl/trace.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/sardineline/sardineline/sard/fault"
+)
+
+// maxLogLine bounds a log line, in bytes.
+const maxLogLine = 1 << 20
+
+// fieldMark starts the names of the fields that every log line has.
+const fieldMark = "@"
+
+type traceCommand struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID"`
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"1"`
+	session *session
+}
+
+// Execute prints the log lines about an id, of all instances, in the order of their times.
+func (c *traceCommand) Execute([]string) error {
+	lines, err := c.read()
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return fault.New(fault.NotFound, "trace", "", "no line of the logs names %s", c.Args.ID)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	return c.session.print(lines, func(w *rows) {
+		w.row("TIME", "INSTANCE", "MODULE", "MESSAGE", "FIELDS")
+		for _, l := range lines {
+			w.row(l.Time, l.Instance, l.Module, l.Message, l.Fields)
+		}
+	})
+}
+
+func (c *traceCommand) read() ([]logLine, error) {
+	if len(c.Args.Files) == 0 {
+		return readLog(c.session.in, c.Args.ID)
+	}
+	var all []logLine
+	for _, name := range c.Args.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "read log", name)
+		}
+		lines, err := readLog(file, c.Args.ID)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// logLine is a line of a log.
+type logLine struct {
+	Time     string
+	Instance string
+	Module   string
+	Message  string
+	// Fields are the other fields as name=value, by name.
+	Fields string
+}
+
+// readLog returns the lines that name an id. What precedes the JSON of a line, and lines without any, are passed over.
+func readLog(in io.Reader, id string) ([]logLine, error) {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	var found []logLine
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 || !strings.Contains(text, id) {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal([]byte(text[start:]), &fields) != nil {
+			continue
+		}
+		found = append(found, newLogLine(fields))
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "read log", "")
+	}
+	return found, nil
+}
+
+func newLogLine(fields map[string]any) logLine {
+	text := func(name string) string {
+		value, _ := fields[name].(string)
+		return value
+	}
+	var rest []string
+	for name, value := range fields {
+		if !strings.HasPrefix(name, fieldMark) && name != "instance" {
+			rest = append(rest, fmt.Sprintf("%s=%v", name, value))
+		}
+	}
+	slices.Sort(rest)
+	return logLine{
+		Time: text("@timestamp"), Instance: text("instance"), Module: text("@module"), Message: text("@message"),
+		Fields: strings.Join(rest, " "),
+	}
+}
