--- a/sard/pool/health.go
+++ b/sard/pool/health.go
@@ -9,10 +9,6 @@
 const (
 	// failureLimit is how many different jobs in a row fail on a worker before it is left alone.
 	failureLimit = 2
-	// quickFailure is how soon after its start an attempt fails where the worker is likely at fault.
-	quickFailure = 300 * time.Millisecond
-	// suspectWorkers is on how many workers a job may fail before the job itself is likely at fault.
-	suspectWorkers = 2
 	// firstQuarantine is how long a failing worker is left alone; it doubles up to maxQuarantine.
 	firstQuarantine = 4 * time.Second
 	maxQuarantine   = 30 * time.Second
@@ -38,39 +34,18 @@
 	case Done:
 		n.health = health{}
 	case Failed:
-		g.job.failOn(n.Life.Worker)
 		n.health.fail(g.job.ID, now)
-		if now.Sub(g.startedAt) < quickFailure && len(g.job.failedOn) <= suspectWorkers {
-			n.health.isolate(now)
-		}
 	}
 }
 
-// failOn notes a worker on which a part of the job failed.
-func (j *job) failOn(id ident.Worker) {
-	if j.failedOn == nil {
-		j.failedOn = map[ident.Worker]bool{}
-	}
-	j.failedOn[id] = true
-}
-
-// unproven tells that the worker has done nothing since its last quarantine.
-func (h *health) unproven() bool {
-	return h.quarantine > 0
-}
-
 func (h *health) fail(job ident.Job, now time.Time) {
 	if h.failedJobs == nil {
 		h.failedJobs = map[ident.Job]bool{}
 	}
 	h.failedJobs[job] = true
-	if len(h.failedJobs) >= failureLimit {
-		h.isolate(now)
+	if len(h.failedJobs) < failureLimit {
+		return
 	}
-}
-
-// isolate leaves the worker alone for a while, longer each time.
-func (h *health) isolate(now time.Time) {
 	h.quarantine = min(max(2*h.quarantine, firstQuarantine), maxQuarantine)
 	h.until = now.Add(h.quarantine)
 }
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -20,8 +20,6 @@
 	begun bool
 	// covered tells that the account's guarantee covers the job.
 	covered bool
-	// failedOn are the workers on which parts of the job failed.
-	failedOn map[ident.Worker]bool
 	// dirty tells that the recorded progress is out of date.
 	dirty bool
 }
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -12,14 +12,10 @@
 type room func(*node) work.Amount
 
 // pack returns a node for each part of a group, within the room, or nil. Nodes that are slow, or that
-// the group avoids, are used only when the others do not suffice; gangs and guaranteed jobs also leave nodes alone that
-// have done nothing since their quarantine.
+// the group avoids, are used only when the others do not suffice.
 func (r *round) pack(g *group, within room) []*node {
 	candidates := r.candidates(g)
-	careful := len(g.parts) > 1 || g.job.terms.Priority == work.Guaranteed
-	shunned := func(n *node) bool {
-		return g.avoided[n.Life.Worker] || n.pace.slow(r.now) || careful && n.health.unproven()
-	}
+	shunned := func(n *node) bool { return g.avoided[n.Life.Worker] || n.pace.slow(r.now) }
 	if slices.ContainsFunc(candidates, shunned) {
 		others := slices.DeleteFunc(slices.Clone(candidates), shunned)
 		if nodes := r.packNear(g, others, within); nodes != nil {
--- a/sard/pool/trouble_test.go
+++ b/sard/pool/trouble_test.go
@@ -67,30 +67,18 @@
 	assert.Equal(t, len(r.stops), 0)
 }
 
-// unwell counts the workers that are left alone.
-func (r *rig) unwell() int {
-	count := 0
-	for _, n := range r.engine.nodes {
-		if !n.health.well(r.now) {
-			count++
-		}
-	}
-	return count
-}
-
-// TestPoisonedJobSparesWorkers: a job that fails everywhere ends as failed; only the workers of its first attempt are
-// left alone, and not for long.
+// TestPoisonedJobSparesWorkers: a job that fails everywhere ends as failed and keeps no worker from others.
 func TestPoisonedJobSparesWorkers(t *testing.T) {
-	r := newRig(t, 8)
+	r := newRig(t, 4)
 	r.add("poison", 1, work.Step{Parts: 2, Need: large, Gang: true})
 	for range 3 {
 		r.end("poison", Failed)
 		r.pass(retryPause)
 	}
 	assert.Assert(t, !r.engine.Knows("poison"))
-	assert.Assert(t, r.unwell() <= suspectWorkers)
-	r.pass(firstQuarantine)
-	assert.Equal(t, r.unwell(), 0)
+	for _, n := range r.engine.nodes {
+		assert.Assert(t, n.health.well(r.now))
+	}
 }
 
 // TestWorkerFailsAllThatItStarts: after failures of two jobs it gets nothing for a while.
@@ -108,30 +96,6 @@
 	}
 }
 
-// TestWorkerFailsAtOnce: one failure right after the start is enough to keep a guaranteed gang away.
-func TestWorkerFailsAtOnce(t *testing.T) {
-	r := newRig(t, 4)
-	r.add("first", work.Guaranteed, work.Step{Parts: 1, Need: large, Gang: true})
-	bad := r.on("first")[0]
-	r.pass(50 * time.Millisecond)
-	r.end("first", Failed)
-	r.add("second", work.Guaranteed, work.Step{Parts: 1, Need: large, Gang: true})
-	assert.Assert(t, !slices.Contains(r.on("second"), bad))
-	r.end("second", Done)
-	r.pass(firstQuarantine)
-	r.add("third", work.Guaranteed, work.Step{Parts: 1, Need: large, Gang: true})
-	assert.Assert(t, !slices.Contains(r.on("third"), bad), "it has done nothing since")
-}
-
-// TestPoisonedWideJobSparesWorkers: the parts of a job that fail at once everywhere keep most workers in use.
-func TestPoisonedWideJobSparesWorkers(t *testing.T) {
-	r := newRig(t, 8)
-	r.add("poison", 2, work.Step{Parts: 30, Need: small, Estimate: time.Millisecond})
-	r.pass(50 * time.Millisecond)
-	r.end("poison", Failed)
-	assert.Assert(t, r.unwell() <= suspectWorkers)
-}
-
 // TestWorkersTakenAtShortNotice: what would not end in time goes on elsewhere; the rest is left alone.
 func TestWorkersTakenAtShortNotice(t *testing.T) {
 	r := newRig(t, 2)
