One sleep for all packages; smaller files; settings that nothing used are gone

Cause: a sleep that ends with its context stood in five packages; session.go and front.go had several jobs.

--- a/sard/config/propose.go
+++ b/sard/config/propose.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/envdoc"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -131,7 +132,7 @@
 		if ctx.Err() != nil {
 			return fault.New(fault.OutcomeUnknown, "spread document", "", "version %d is written but only %d of %d instances are known to run it", version, n, listed)
 		}
-		sleep(ctx, mostPause)
+		clock.Sleep(ctx, mostPause)
 	}
 }
 
--- a/sard/config/spread.go
+++ b/sard/config/spread.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/roster"
@@ -256,20 +257,11 @@
 		case <-a.wake:
 		}
 		for a.fetch(ctx) != nil && ctx.Err() == nil {
-			sleep(ctx, jitter(fetchPause))
+			clock.Sleep(ctx, jitter(fetchPause))
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // fetch gets the wanted version from a peer that has it, or else from the table.
 func (a *Agent) fetch(ctx context.Context) error {
 	a.mu.Lock()
--- a/sard/domain/contend.go
+++ b/sard/domain/contend.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/roster"
@@ -62,7 +63,7 @@
 
 // pause waits for about the time between two looks at whose turn it is.
 func pause(ctx context.Context) {
-	_ = sleep(ctx, turnPause/2+rand.N(turnPause))
+	clock.Sleep(ctx, turnPause/2+rand.N(turnPause))
 }
 
 // isTurn tells whether this instance is the first of the live instances, but for the holder, to take a domain.
--- a/sard/domain/jobs.go
+++ b/sard/domain/jobs.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -193,7 +194,7 @@
 		if !fault.Is(err, fault.Fenced) {
 			return reply, err
 		}
-		if sleep(ctx, lookUpPause) != nil {
+		if !clock.Sleep(ctx, lookUpPause) {
 			break
 		}
 		reply, err = m.askHolder(ctx, dc, message, true)
@@ -204,18 +205,6 @@
 	return reply, err
 }
 
-// sleep waits, and fails when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (m *Manager) askHolder(ctx context.Context, dc ident.DataCentre, message peer.Message, fresh bool) (peer.Message, error) {
 	if h := m.holding(dc); h != nil {
 		return serve(ctx, h, message)
--- a/sard/gang/end.go
+++ b/sard/gang/end.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/place"
@@ -24,7 +25,7 @@
 		return nil
 	})
 	if e.result == place.Requeued && e.grace == 0 {
-		_ = sleep(ctx, requeuePause)
+		clock.Sleep(ctx, requeuePause)
 	}
 	if ctx.Err() != nil {
 		return
@@ -92,7 +93,7 @@
 			continue
 		}
 		d.fail("stop", err)
-		_ = sleep(ctx, callPause)
+		clock.Sleep(ctx, callPause)
 	}
 }
 
--- a/sard/gang/journal.go
+++ b/sard/gang/journal.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/lease"
 	"github.com/sardineline/sardineline/sard/table"
@@ -230,7 +231,7 @@
 	j.mu.Lock()
 	j.queue = append(keep, j.queue...)
 	j.mu.Unlock()
-	_ = sleep(ctx, writePause)
+	clock.Sleep(ctx, writePause)
 }
 
 func (c *change) fail(message string) {
@@ -254,15 +255,3 @@
 	default:
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/sard/gang/launch.go
+++ b/sard/gang/launch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/place"
@@ -110,7 +111,7 @@
 		default:
 			return e
 		}
-		if sleep(ctx, callPause) != nil {
+		if !clock.Sleep(ctx, callPause) {
 			return e
 		}
 	}
--- a/sard/gang/member.go
+++ b/sard/gang/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/fleet"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -81,7 +82,7 @@
 	for ctx.Err() == nil && d.wanted(m) {
 		if err := d.pollOnce(ctx, m); err != nil {
 			d.missed(m, err)
-			_ = sleep(ctx, callPause)
+			clock.Sleep(ctx, callPause)
 		}
 	}
 }
@@ -107,7 +108,7 @@
 	early := false
 	defer func() {
 		if early {
-			_ = sleep(ctx, callPause)
+			clock.Sleep(ctx, callPause)
 		}
 	}()
 	req, renewed := d.renewal(m)
--- a/sard/gang/recover.go
+++ b/sard/gang/recover.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/place"
 	"github.com/sardineline/sardineline/sard/table"
@@ -57,7 +58,7 @@
 			return items, true
 		}
 		d.log.Warn("jobs not read", "Error", err)
-		if sleep(ctx, writePause) != nil {
+		if !clock.Sleep(ctx, writePause) {
 			return nil, false
 		}
 	}
@@ -188,7 +189,7 @@
 		if a.known() || a.requested() != nil {
 			return true
 		}
-		_ = sleep(ctx, callPause)
+		clock.Sleep(ctx, callPause)
 	}
 	return false
 }
--- a/sard/lease/lease.go
+++ b/sard/lease/lease.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/table"
@@ -121,8 +122,8 @@
 			}
 			since = time.Time{}
 		}
-		if err := sleep(ctx, l.config.Term/observationsPerTerm); err != nil {
-			return nil, fault.Wrap(err, fault.Unavailable, "acquire lease of "+string(dc), "table")
+		if !clock.Sleep(ctx, l.config.Term/observationsPerTerm) {
+			return nil, fault.Wrap(ctx.Err(), fault.Unavailable, "acquire lease of "+string(dc), "table")
 		}
 	}
 }
@@ -180,14 +181,3 @@
 func key(dc ident.DataCentre) table.Key {
 	return table.Key{Partition: partition, Sort: string(dc)}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/sard/policy/policy.go
+++ b/sard/policy/policy.go
@@ -1,4 +1,4 @@
-// Package policy holds the operator's configuration of a pool: its queues, services and client accounts.
+// Package policy holds the operator's configuration of a pool: its queues and client accounts.
 package policy
 
 import (
@@ -16,7 +16,6 @@
 type Policy struct {
 	Version  ident.Version
 	Queues   []Queue
-	Services []Service
 	Accounts []Account
 	Limits   Limits
 
@@ -41,15 +40,6 @@
 	Advised bool
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name work.Service
-	// Guarded tells that its workers refuse what does not fit.
-	Guarded bool
-	// Standby tells that its workers are off.
-	Standby bool
-}
-
 // Account is a client account.
 type Account struct {
 	Name ident.Account
@@ -60,10 +50,8 @@
 
 // Limits bound the calls of clients.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes is the largest body of a call; 0 means no limit of the operator's.
+	BodyBytes int64
 }
 
 // Index prepares p for lookups.
--- a/sard/pool/decide.go
+++ b/sard/pool/decide.go
@@ -17,7 +17,7 @@
 		}
 	}
 	e.moveStuck(now)
-	e.moveLeaving(now)
+	e.moveLeaving()
 	r := newRound(e, now)
 	for _, g := range e.queue(now) {
 		r.serve(g)
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -17,8 +17,6 @@
 	Terms func(*work.Job) work.Terms
 	// Guarantee returns the accelerators guaranteed to an account.
 	Guarantee func(ident.Account) ident.Accelerators
-	// FarFactor is how many times longer parts take far from their data or apart from their gang.
-	FarFactor float64
 }
 
 // Engine holds jobs and workers and decides. It is not safe for concurrent use.
--- a/sard/pool/leave.go
+++ b/sard/pool/leave.go
@@ -7,7 +7,7 @@
 
 // moveLeaving stops attempts that would not end before their worker leaves. With checkpoints they go on elsewhere
 // from the one that the stop makes; others lose less the sooner they start anew.
-func (e *Engine) moveLeaving(now time.Time) {
+func (e *Engine) moveLeaving() {
 	for _, n := range e.nodes {
 		if n.Leaves.IsZero() {
 			continue
--- a/sard/pool/rig_test.go
+++ b/sard/pool/rig_test.go
@@ -35,7 +35,6 @@
 	r.engine = New(Config{
 		Terms:     func(j *work.Job) work.Terms { return j.Terms },
 		Guarantee: func(ident.Account) ident.Accelerators { return guarantee },
-		FarFactor: 3,
 	})
 	for i := range workers {
 		r.worker(i)
--- a/sard/route/call.go
+++ b/sard/route/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/envdoc"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -152,7 +153,7 @@
 			continue
 		}
 		c.failed = append(c.failed, s.backend)
-		pause(ctx, jitter(retryPause<<len(c.failed)))
+		clock.Sleep(ctx, jitter(retryPause<<len(c.failed)))
 	}
 }
 
--- a/sard/route/claim.go
+++ b/sard/route/claim.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/table"
@@ -203,7 +204,7 @@
 			return
 		}
 		r.log.Warn("claim not recorded", "request", c.ID, "state", own.State, "error", err)
-		if !pause(ctx, jitter(claimPause)) {
+		if !clock.Sleep(ctx, jitter(claimPause)) {
 			return
 		}
 	}
@@ -219,7 +220,7 @@
 			return
 		}
 		r.log.Warn("claim not dropped", "request", c.ID, "error", err)
-		if !pause(ctx, jitter(claimPause)) {
+		if !clock.Sleep(ctx, jitter(claimPause)) {
 			return
 		}
 	}
@@ -235,15 +236,3 @@
 	}
 	return r.cfg.Store.Apply(ctx, table.DecisionPriority, table.Delete{Key: c.claimKey(), If: table.AtRevision{Revision: 1}})
 }
-
-// pause waits, and returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/sard/sched/hold.go
@@ -0,0 +1,167 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// holdWait is how long a hold waits for an end at the worker, and longHoldWait beyond manyWorkers.
+	holdWait     = time.Second
+	longHoldWait = 2 * time.Second
+	manyWorkers  = 100
+	// holdSlack is added to the wait of a hold to bound the call.
+	holdSlack = 700 * time.Millisecond
+	// holdRetry lies between a failed hold and the next.
+	holdRetry = 250 * time.Millisecond
+	// unseenPause lies between holds while ends wait for their record.
+	unseenPause = 500 * time.Millisecond
+	// strangerPause lies between holds while a worker runs what is not accounted for.
+	strangerPause = 200 * time.Millisecond
+)
+
+// hold sends the holds that are due.
+func (s *Scheduler) hold(ctx context.Context) {
+	lapsed := s.lease.Lapsed()
+	if lapsed > leaseGrace {
+		return
+	}
+	now := clock.Now()
+	for _, w := range s.sessions {
+		if w.holding || now.Before(w.due) || w.client == nil {
+			continue
+		}
+		busy := s.engine.Busy(w.entry.Life)
+		if w.fenced && !busy && w.strangers == 0 && w.confirmed == w.acknowledged && !w.unanswered {
+			continue
+		}
+		s.sendHold(ctx, w, busy)
+	}
+}
+
+// holdWait is how long a hold waits for an end; longer where there are many workers to hold.
+func (s *Scheduler) holdWait() time.Duration {
+	if len(s.sessions) > manyWorkers {
+		return longHoldWait
+	}
+	return holdWait
+}
+
+func (s *Scheduler) sendHold(ctx context.Context, w *session, busy bool) {
+	order := HoldOrder{Worker: w.entry.Life, Epoch: s.lease.Epoch()}
+	if w.confirmed > w.acknowledged {
+		order.Seen = w.confirmed
+	}
+	if busy || !w.fenced {
+		order.Deadline = w.extend(s.config.WorkerLease)
+	}
+	// A hold that waits tells no ends: it may reach a later process of the worker, whose ends have low numbers.
+	if busy && w.fenced && w.seen == w.acknowledged && !w.unanswered {
+		order.Wait = s.holdWait()
+	}
+	w.holding = true
+	client, life := w.client, w.entry.Life
+	sent := clock.Now()
+	s.start(ctx, func() event {
+		ctx, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
+		defer cancel()
+		report, err := client.Hold(ctx, order)
+		return holdAnswered{life: life, sent: sent, seen: order.Seen, report: report, err: err}
+	})
+}
+
+// holdAnswered takes the answer of a worker in.
+func (s *Scheduler) holdAnswered(ctx context.Context, ev holdAnswered) {
+	w := s.sessions[ev.life.Worker]
+	if w == nil || w.entry.Life != ev.life {
+		return
+	}
+	w.holding = false
+	if ev.err != nil {
+		s.holdFailed(w, ev.err)
+		return
+	}
+	w.acknowledged = max(w.acknowledged, ev.seen)
+	if born := ev.report.Born; born != 0 && born != ev.life.Born {
+		s.reborn(w, work.Life{Worker: ev.life.Worker, Born: born}, ev.report.attempts()...)
+	}
+	first := !w.fenced
+	w.fenced, w.lost = true, false
+	w.read(ev.report.Reply)
+	s.ends(w, ev.report)
+	s.runs(ctx, w, ev.report)
+	s.missing(ctx, w, ev, first)
+	w.due = clock.Now()
+	switch {
+	case w.seen > w.confirmed:
+		w.due = w.due.Add(unseenPause)
+	case w.strangers > 0:
+		w.due = w.due.Add(strangerPause)
+	}
+	s.engine.SetWorker(s.view(w))
+}
+
+// holdFailed notes a hold without an answer, or a refusal.
+func (s *Scheduler) holdFailed(w *session, err error) {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		s.refusedHold(w, refusal)
+		return
+	}
+	if !w.unanswered {
+		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.answered).Milliseconds(), "error", err)
+	}
+	w.unanswered = true
+	w.due = clock.Now().Add(holdRetry)
+	s.engine.SetWorker(s.view(w))
+}
+
+func (s *Scheduler) refusedHold(w *session, refusal *Refusal) {
+	s.config.Logger.Warn("worker refused a hold", "worker", w.id(), "cause", refusal.Cause.String())
+	if refusal.Cause == Superseded {
+		s.lease.Superseded()
+	}
+	if refusal.Cause == OtherLife && refusal.Reply.Born != 0 && refusal.Reply.Born != w.entry.Born {
+		s.reborn(w, work.Life{Worker: w.id(), Born: refusal.Reply.Born})
+		s.engine.SetWorker(s.view(w))
+	}
+	w.due = clock.Now().Add(holdRetry)
+}
+
+// ends takes the ended attempts of a report in.
+func (s *Scheduler) ends(w *session, report Report) {
+	now := time.Now()
+	for _, end := range report.Ended {
+		if end.Number <= w.seen {
+			continue
+		}
+		w.seen = end.Number
+		s.config.Metrics.parts.WithLabelValues(end.How.String()).Inc()
+		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
+			"how", end.How.String(), "end", end.Number)
+		if s.engine.Expects(end.Attempt, w.id()) {
+			s.engine.Ended(end.Attempt, end.How, end.Checkpoint, now)
+		}
+		delete(w.orders, end.Attempt)
+	}
+}
+
+// runs takes the running attempts of a report in, and stops those that are not to run.
+func (s *Scheduler) runs(ctx context.Context, w *session, report Report) {
+	now := time.Now()
+	w.strangers = 0
+	for _, r := range report.Running {
+		if !s.engine.Expects(r.Attempt, w.id()) {
+			w.strangers++
+		}
+		if s.engine.Wanted(r.Attempt, w.id()) {
+			s.engine.Running(r.Attempt, r.Percent, r.Checkpoint, now)
+			continue
+		}
+		s.stopUnwanted(ctx, w, r.Attempt)
+	}
+}
--- a/sard/sched/rig_test.go
+++ b/sard/sched/rig_test.go
@@ -151,7 +151,7 @@
 			return &cutClient{Client: r.fleet.workers[e.Life.Worker], cut: killed}
 		},
 		Policy:      func() *policy.Policy { return r.policy },
-		WorkerLease: 5 * time.Second, StopTime: 400 * time.Millisecond, Retention: time.Minute, FarFactor: 3,
+		WorkerLease: 5 * time.Second, StopTime: 400 * time.Millisecond, Retention: time.Minute,
 		Logger: r.log.Named(name),
 	}
 }
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -48,8 +48,6 @@
 	StopTime time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
-	// FarFactor is how many times longer parts take far from their data or apart from their gang.
-	FarFactor float64
 	Metrics   *Metrics
 	Logger    hclog.Logger
 }
@@ -120,7 +118,7 @@
 	}
 	s.config.Metrics.held(true)
 	defer s.config.Metrics.held(false)
-	s.engine = pool.New(pool.Config{Terms: s.terms, Guarantee: s.guarantee, FarFactor: config.FarFactor})
+	s.engine = pool.New(pool.Config{Terms: s.terms, Guarantee: s.guarantee})
 	group.Go(func() error {
 		defer cancel()
 		return s.run(ctx)
