Keep at least 22% of the accelerators as headroom

Cause: guaranteed jobs still had others stopped in bursts, which costs them 0.4 s and the others their work. TestLargeGangStaysOnOneRack: its gangs now have little slack left, as patient ones leave the larger headroom alone; what it asserts of racks is the same.

--- a/sard/pool/headroom.go
+++ b/sard/pool/headroom.go
@@ -13,7 +13,7 @@
 	// demandWindow is how long a peak of guaranteed demand is remembered.
 	demandWindow = 8 * time.Second
 	// leastHeadroom and mostHeadroom bound the accelerators that are kept free, in percent of all.
-	leastHeadroom = 10
+	leastHeadroom = 22
 	mostHeadroom  = 35
 	// patientShare is the part of a job's objective, in percent, that must be left as slack for it to leave headroom.
 	patientShare = 25
