--- /dev/null
+++ b/sard/work/work_test.go
@@ -0,0 +1,43 @@
+package work
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/ident"
+)
+
+func TestRecordsSurviveTheStore(t *testing.T) {
+	progress := Progress{
+		State: ident.Running, Account: "a", Queue: "q", Lives: []Life{{Worker: "w", Born: 5}}, Complete: []int{0},
+		Groups: []Group{{Occurrence: 1, Step: 2, First: 3, Attempt: 4, Failures: 1, Placed: true, Ending: true, Checkpoint: "c", Workers: []int{0, NoWorker}}},
+	}
+	value, err := Encode(progress)
+	assert.NilError(t, err)
+	var read Progress
+	assert.NilError(t, Decode(value, &read))
+	assert.DeepEqual(t, read, progress)
+	assert.Assert(t, Decode([]byte("{"), &read) != nil)
+}
+
+func TestParsePartRefusesOtherTexts(t *testing.T) {
+	for _, text := range []string{"", "j.0.0", "j.0.0.x", "j.0.0.1.2"} {
+		_, err := ParsePart(text)
+		assert.Assert(t, err != nil, "%q", text)
+	}
+}
+
+func ExamplePart_String() {
+	p, err := ParsePart("5c0e7a21d94b36f8.0.1.17")
+	fmt.Println(p, p.Step, p.Index, err)
+	// Output: 5c0e7a21d94b36f8.0.1.17 1 17 <nil>
+}
+
+func ExampleRepeat_DueMs() {
+	r := Repeat{Count: 3, StartMs: 1000, Interval: 2 * time.Second}
+	fmt.Println(r.DueMs(0), r.DueMs(2), Repeat{}.DueMs(0))
+	// Output: 1000 5000 0
+}
