--- /dev/null
+++ b/sard/pool/audit.go
@@ -0,0 +1,74 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// breachPause is how long a group waits after a decision about it was refused.
+const breachPause = time.Second
+
+// Breach is a decision that was refused because it would have broken a promise. It tells of a defect.
+type Breach struct {
+	Job     ident.Job
+	Promise string
+}
+
+// The promises that are checked on each placement, apart from the search that found it.
+const (
+	promiseWhole    = "a group is placed whole"
+	promiseOnce     = "a group runs at most once at a time"
+	promiseOrder    = "a step waits for those before it"
+	promiseBudget   = "no attempt after the last failure allowed"
+	promiseRoom     = "no worker is given more than it has"
+	promiseStaying  = "a worker that leaves gets nothing new"
+	promiseSuitable = "parts run where their job may run"
+)
+
+// audit returns the promise that a placement would break, or nothing.
+func (r *round) audit(g *group, nodes []*node) string {
+	switch {
+	case len(nodes) != len(g.parts):
+		return promiseWhole
+	case g.phase != waiting || g.attached() > 0 || g.job.state.Terminal():
+		return promiseOnce
+	case !g.turn():
+		return promiseOrder
+	case g.failures >= g.job.terms.Failures && !g.spec().Lasting:
+		return promiseBudget
+	}
+	needs := map[*node]work.Amount{}
+	for _, n := range nodes {
+		needs[n] = needs[n].Plus(g.demand())
+	}
+	for n, need := range needs {
+		switch {
+		case !need.Fits(n.free()):
+			return promiseRoom
+		case !n.Accepting:
+			return promiseStaying
+		case !n.suits(g):
+			return promiseSuitable
+		}
+	}
+	return ""
+}
+
+// turn tells whether the group's step may start.
+func (g *group) turn() bool {
+	for _, o := range g.job.occurrences {
+		if o.number == g.occurrence {
+			return o.ready(g.job, g.step)
+		}
+	}
+	return false
+}
+
+// Breaches returns the decisions that were refused since the last call.
+func (e *Engine) Breaches() []Breach {
+	breaches := e.breaches
+	e.breaches = nil
+	return breaches
+}
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -28,6 +28,8 @@
 	out    []Decision
 	// dirty are jobs whose records are out of date.
 	dirty []*job
+	// breaches are decisions that were refused.
+	breaches []Breach
 	// demand follows what guaranteed jobs need.
 	demand demand
 }
--- a/sard/pool/headroom.go
+++ b/sard/pool/headroom.go
@@ -65,7 +65,8 @@
 	keep := min(max(e.demand.recent()-used, total*leastHeadroom/100), total*mostHeadroom/100)
 	held := make([]bool, len(e.nodes))
 	for _, n := range e.emptiest() {
-		if keep <= 0 {
+		if keep*2 < n.free().Accelerators || keep <= 0 {
+			// A worker of which little is needed is more use to others.
 			break
 		}
 		held[n.index] = true
--- a/sard/pool/load_test.go
+++ b/sard/pool/load_test.go
@@ -22,6 +22,13 @@
 	assert.Equal(t, len(r.stops), 0)
 }
 
+// TestSmallPoolIsNotKeptIdle: where the headroom is a small part of a worker, none is kept.
+func TestSmallPoolIsNotKeptIdle(t *testing.T) {
+	r := newRig(t, 1)
+	r.add("patient", 2, work.Step{Parts: 2, Need: small})
+	assert.Equal(t, len(r.on("patient")), 2)
+}
+
 // TestFloodWithoutSlackUsesAllWorkers: jobs that have to start now take the headroom too.
 func TestFloodWithoutSlackUsesAllWorkers(t *testing.T) {
 	r := newRig(t, 4)
--- a/sard/pool/rig_test.go
+++ b/sard/pool/rig_test.go
@@ -79,6 +79,7 @@
 			r.stops = append(r.stops, d)
 		}
 	}
+	assert.Equal(r.t, len(r.engine.Breaches()), 0)
 	r.engine.Written(r.engine.Changes(1<<20, r.now))
 	for _, n := range r.engine.nodes {
 		assert.Assert(r.t, n.used.Fits(n.Capacity), "worker %s uses %v", n.Life.Worker, n.used)
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -10,15 +10,16 @@
 
 // Metrics counts what the scheduler of an instance does. It outlives the times in which the instance holds the lease.
 type Metrics struct {
-	holding prometheus.Gauge
-	jobs    *prometheus.CounterVec
-	parts   *prometheus.CounterVec
-	stops   *prometheus.CounterVec
-	lost    prometheus.Counter
-	waits   prometheus.Histogram
-	records prometheus.Histogram
-	decides prometheus.Histogram
-	pool    *prometheus.GaugeVec
+	holding  prometheus.Gauge
+	jobs     *prometheus.CounterVec
+	parts    *prometheus.CounterVec
+	stops    *prometheus.CounterVec
+	breaches *prometheus.CounterVec
+	lost     prometheus.Counter
+	waits    prometheus.Histogram
+	records  prometheus.Histogram
+	decides  prometheus.Histogram
+	pool     *prometheus.GaugeVec
 }
 
 // NewMetrics registers the scheduler's metrics; registerer may be nil.
@@ -27,9 +28,10 @@
 		holding: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "holding", Help: "1 while the instance holds the scheduler lease.",
 		}),
-		jobs:  counters("jobs_ended_total", "Jobs whose end was recorded.", "state"),
-		parts: counters("attempts_ended_total", "Ends of attempts, as workers listed them.", "how"),
-		stops: counters("attempts_stopped_total", "Stops that were ordered.", "reason"),
+		jobs:     counters("jobs_ended_total", "Jobs whose end was recorded.", "state"),
+		parts:    counters("attempts_ended_total", "Ends of attempts, as workers listed them.", "how"),
+		stops:    counters("attempts_stopped_total", "Stops that were ordered.", "reason"),
+		breaches: counters("promise_breaches_total", "Decisions refused because they would have broken a promise.", "promise"),
 		lost: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "workers_lost_total", Help: "Workers whose leases lapsed with parts on them.",
 		}),
@@ -50,7 +52,7 @@
 		}, []string{"of"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.holding, m.jobs, m.parts, m.stops, m.lost, m.waits, m.records, m.decides, m.pool)
+		registerer.MustRegister(m.holding, m.jobs, m.parts, m.stops, m.breaches, m.lost, m.waits, m.records, m.decides, m.pool)
 	}
 	return m
 }
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -189,6 +189,7 @@
 	now := time.Now()
 	decisions := s.engine.Decide(now, now.UnixMilli())
 	observe(s.config.Metrics.decides, now)
+	s.reportBreaches()
 	for _, d := range decisions {
 		switch d := d.(type) {
 		case pool.Start:
@@ -199,6 +200,14 @@
 	}
 }
 
+// reportBreaches logs and counts decisions that the engine refused as they would have broken a promise.
+func (s *Scheduler) reportBreaches() {
+	for _, b := range s.engine.Breaches() {
+		s.config.Metrics.breaches.WithLabelValues(b.Promise).Inc()
+		s.config.Logger.Error("decision refused, it would have broken a promise", "job", b.Job, "promise", b.Promise)
+	}
+}
+
 // post gives an event to the loop.
 func (s *Scheduler) post(ctx context.Context, ev event) {
 	select {
--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -23,6 +23,7 @@
 // platformSettings are the flags of an instance on the users' platform. All else comes from the platform's file.
 type platformSettings struct {
 	Settings string          `long:"settings" description:"path of the platform's settings file; SARDINELINE_NODE_FILE is used when it is not given"`
+	Check    bool            `long:"check" description:"check the settings and exit"`
 	Log      loggingSettings `group:"Logging" namespace:"log" env-namespace:"SARDINED_LOG"`
 }
 
@@ -44,6 +45,9 @@
 	if s.Settings == "" {
 		s.Settings = os.Getenv(conf.FileVariable)
 	}
+	if s.Check {
+		return checkPlatform(s.Settings)
+	}
 	lines := logs.NewWriter(os.Stdout)
 	writing, stopWriting := context.WithCancel(context.Background())
 	var writer errgroup.Group
@@ -75,3 +79,13 @@
 	}
 	return exitStopped
 }
+
+// checkPlatform tells whether the settings file could be used.
+func checkPlatform(path string) int {
+	if _, err := conf.Load(path); err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		return exitSettings
+	}
+	_, _ = os.Stdout.WriteString("settings are good\n")
+	return exitStopped
+}
--- /dev/null
+++ b/sardined/platform_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPlatformCheck(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "node.toml")
+	assert.NilError(t, os.WriteFile(good, []byte(`
+node = "i1"
+zone = "z"
+ip = "10.0.0.1"
+port_range = [7000, 7015]
+[listen]
+front = "10.0.0.1:8521"
+ready = "10.0.0.1:8523"
+[bounds]
+hold_max_ms = 6000
+stop_ms = 400
+grace_s = 6
+revoke_ms = 5000
+status_s = 120
+[platform]
+address = "10.0.0.2:8524"
+form = "table"
+`), 0o600))
+	tests := []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"good", []string{"--check", "--settings", good}, exitStopped},
+		{"missing file", []string{"--check", "--settings", good + "x"}, exitSettings},
+		{"unknown flag", []string{"--chek"}, exitSettings},
+		{"help", []string{"--help"}, exitStopped},
+	}
+	for _, test := range tests {
+		assert.Equal(t, runPlatform(test.args), test.want, test.name)
+	}
+}
