--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,7 @@
 	store  *store.Memory
 	source *Source
 	// silent makes the feed tell nothing; away makes all calls fail.
-	silent, away bool
+	silent, away atomic.Bool
 }
 
 func play(t *testing.T, test func(*rig)) {
@@ -33,7 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := &rig{t: t, store: &store.Memory{}}
 		r.store.Fail = func(op string, _ bool) error {
-			if r.away || r.silent && op == "feed" {
+			if r.away.Load() || r.silent.Load() && op == "feed" {
 				return fault.New(fault.Unavailable, op, "store", "away")
 			}
 			return nil
@@ -84,7 +85,7 @@
 	play(t, func(r *rig) {
 		r.put("1")
 		time.Sleep(time.Second)
-		r.silent = true
+		r.silent.Store(true)
 		r.put("2")
 		time.Sleep(readPeriod + readTimeout)
 		assert.Equal(t, r.version(), ident.Version(2))
@@ -118,10 +119,10 @@
 		r.put("1")
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, r.source.Age() <= readPeriod)
-		r.away = true
+		r.away.Store(true)
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, r.source.Age() >= 5*time.Second)
-		r.away = false
+		r.away.Store(false)
 		time.Sleep(time.Second)
 		assert.Assert(t, r.source.Age() <= readPeriod)
 	})
@@ -131,10 +132,10 @@
 	play(t, func(r *rig) {
 		r.put("1")
 		time.Sleep(time.Second)
-		r.silent = true
+		r.silent.Store(true)
 		r.put("2")
 		r.store.Compact()
-		r.silent = false
+		r.silent.Store(false)
 		time.Sleep(time.Second)
 		r.put("3")
 		time.Sleep(10 * time.Millisecond)
--- a/sard/sched/rig_test.go
+++ b/sard/sched/rig_test.go
@@ -89,7 +89,9 @@
 // list puts a worker's entry into the list, as it is now.
 func (r *rig) list(w *fakeWorker) {
 	r.t.Helper()
-	value, err := json.Marshal(w.entry)
+	var value []byte
+	var err error
+	r.change(func() { value, err = json.Marshal(w.entry) })
 	assert.NilError(r.t, err)
 	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(w), Value: value}}})
 	assert.NilError(r.t, err)
@@ -103,7 +105,7 @@
 }
 
 func listKey(w *fakeWorker) store.Key {
-	return store.Key{Table: workerTable, Name: string(w.entry.Life.Worker)}
+	return store.Key{Table: workerTable, Name: string(w.name)}
 }
 
 // instance starts an instance and returns a function that kills it.
@@ -214,6 +216,13 @@
 	clock.Sleep(r.ctx, d)
 }
 
+// starts returns how many parts were started.
+func (r *rig) starts() int {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.fleet.starts
+}
+
 // change changes the fleet.
 func (r *rig) change(f func()) {
 	r.fleet.mu.Lock()
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -52,7 +52,7 @@
 		r.sleep(300 * time.Millisecond)
 		r.change(func() { w.advance(); w.mute = false })
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		assert.Equal(t, r.fleet.starts, 1)
+		assert.Equal(t, r.starts(), 1)
 	})
 }
 
@@ -78,7 +78,7 @@
 				r.sleep(test.kill)
 				kill()
 				r.await("j1", ident.Succeeded, 12*time.Second)
-				assert.Equal(t, r.fleet.starts, 4)
+				assert.Equal(t, r.starts(), 4)
 			})
 		})
 	}
@@ -142,7 +142,7 @@
 		r.change(w.crash)
 		r.list(w)
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		assert.Equal(t, r.fleet.starts, 6)
+		assert.Equal(t, r.starts(), 6)
 	})
 }
 
@@ -156,7 +156,7 @@
 		r.sleep(5 * time.Second)
 		r.away.Store(false)
 		r.await("j1", ident.Succeeded, 12*time.Second)
-		assert.Equal(t, r.fleet.starts, 4, "an outage of 5 s must not stop what runs")
+		assert.Equal(t, r.starts(), 4, "an outage of 5 s must not stop what runs")
 	})
 }
 
@@ -173,7 +173,7 @@
 		r.lost.Store(false)
 		r.sleep(time.Second)
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		assert.Equal(t, r.fleet.starts, 4)
+		assert.Equal(t, r.starts(), 4)
 	})
 }
 
@@ -196,10 +196,10 @@
 func TestPoisonedJobFails(t *testing.T) {
 	play(t, 4, func(r *rig) {
 		r.instance("i1")
-		r.fleet.poison["j1"] = true
+		r.change(func() { r.fleet.poison["j1"] = true })
 		r.submit("j1", time.Second, work.Step{Parts: 2, Gang: true})
 		r.await("j1", ident.Failed, 15*time.Second)
-		assert.Equal(t, r.fleet.starts, 3*2, "each attempt starts both parts once")
+		assert.Equal(t, r.starts(), 3*2, "each attempt starts both parts once")
 	})
 }
 
@@ -218,7 +218,7 @@
 		r.instance("i1")
 		r.sleep(time.Second)
 		w := r.fleet.workers["wa"]
-		w.entry.Accepting = false
+		r.change(func() { w.entry.Accepting = false })
 		r.list(w)
 		r.sleep(500 * time.Millisecond)
 		r.submit("j1", time.Second, work.Step{Parts: 8})
@@ -234,7 +234,7 @@
 		r.sleep(time.Second)
 		r.unlist(r.fleet.workers["wa"])
 		r.await("j1", ident.Succeeded, 8*time.Second)
-		assert.Equal(t, r.fleet.starts, 2)
+		assert.Equal(t, r.starts(), 2)
 	})
 }
 
--- a/sard/sched/worker_test.go
+++ b/sard/sched/worker_test.go
@@ -35,6 +35,7 @@
 // fakeWorker is a worker process in memory. Faults are set by the tests.
 type fakeWorker struct {
 	fleet *fakeFleet
+	name  ident.Worker
 	entry Entry
 	start time.Time
 
@@ -85,7 +86,7 @@
 
 // add makes a worker of 8 accelerators.
 func (f *fakeFleet) add(name string, rack string) *fakeWorker {
-	w := &fakeWorker{fleet: f, start: time.Now(), runs: map[work.Part]*fakeRun{}, barred: map[work.Part]ident.Attempt{}, changed: make(chan struct{})}
+	w := &fakeWorker{fleet: f, name: ident.Worker(name), start: time.Now(), runs: map[work.Part]*fakeRun{}, barred: map[work.Part]ident.Attempt{}, changed: make(chan struct{})}
 	w.entry = Entry{
 		Worker: pool.Worker{
 			Life: work.Life{Worker: ident.Worker(name), Born: time.Now().UnixMilli()}, Service: "s", Rack: ident.Rack(rack),
@@ -116,14 +117,14 @@
 	w.fleet.mu.Unlock()
 	if cut {
 		<-ctx.Done()
-		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", string(w.entry.Life.Worker))
+		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", string(life.Worker))
 	}
 	w.fleet.mu.Lock()
 	err := w.checked(life, epoch, f)
 	w.fleet.mu.Unlock()
 	if mute {
 		<-ctx.Done()
-		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", string(w.entry.Life.Worker))
+		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", string(life.Worker))
 	}
 	return err
 }
@@ -142,8 +143,12 @@
 
 // Start starts an attempt.
 func (w *fakeWorker) Start(ctx context.Context, o StartOrder) (Reply, error) {
-	err := w.call(ctx, o.Worker, o.Epoch, func() error { return w.begin(o) })
-	return w.reply(), err
+	var reply Reply
+	err := w.call(ctx, o.Worker, o.Epoch, func() error {
+		reply = w.reply()
+		return w.begin(o)
+	})
+	return reply, err
 }
 
 func (w *fakeWorker) begin(o StartOrder) error {
@@ -204,7 +209,9 @@
 
 // Stop stops an attempt.
 func (w *fakeWorker) Stop(ctx context.Context, o StopOrder) (Reply, error) {
+	var reply Reply
 	err := w.call(ctx, o.Worker, o.Epoch, func() error {
+		reply = w.reply()
 		w.fleet.stops++
 		part := o.Attempt.Part
 		w.barred[part] = max(w.barred[part], o.Attempt.Number)
@@ -214,7 +221,7 @@
 		w.advance()
 		return nil
 	})
-	return w.reply(), err
+	return reply, err
 }
 
 // Hold extends the lease and lists.
@@ -241,7 +248,7 @@
 		case <-changed:
 		case <-time.After(min(time.Until(limit), 50*time.Millisecond)):
 		case <-ctx.Done():
-			return report, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "hold", string(w.entry.Life.Worker))
+			return report, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "hold", string(o.Worker.Worker))
 		}
 	}
 }
