--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -25,32 +25,32 @@
 	answerTime = 150 * time.Millisecond
 )
 
-// Config describes the desk.
+// Config describes what Jobs needs.
 type Config struct {
 	Store  store.Store
 	Logger hclog.Logger
 }
 
-// Desk serves the calls on jobs.
-type Desk struct {
+// Jobs serves the calls on jobs.
+type Jobs struct {
 	config Config
 }
 
-// New makes a Desk.
-func New(config Config) *Desk {
-	return &Desk{config: config}
+// New makes a Jobs.
+func New(config Config) *Jobs {
+	return &Jobs{config: config}
 }
 
 // Submit stores a job. A nil error means that it is accepted, now or by an earlier call. Errors of the kinds
 // Unavailable and Throttled mean that this submission never takes effect; OutcomeUnknown that it may have; Conflict
 // that the id is another account's.
-func (d *Desk) Submit(ctx context.Context, job *work.Job) error {
-	settle, cancel := d.settling(ctx)
+func (j *Jobs) Submit(ctx context.Context, job *work.Job) error {
+	settle, cancel := j.settling(ctx)
 	defer cancel()
 	tries := 0
-	err := d.insist(settle, func(ctx context.Context) error {
+	err := j.retryUnknown(settle, func(ctx context.Context) error {
 		tries++
-		return d.create(ctx, job)
+		return j.create(ctx, job)
 	})
 	if surelyNot(err) && tries == 1 {
 		return err
@@ -58,11 +58,11 @@
 	if err == nil || fault.Is(err, fault.Conflict) {
 		return err
 	}
-	return d.refuse(ctx, job)
+	return j.refuse(ctx, job)
 }
 
 // settling limits ctx to the time in which a submission is tried.
-func (d *Desk) settling(ctx context.Context) (context.Context, context.CancelFunc) {
+func (j *Jobs) settling(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return context.WithCancel(ctx)
@@ -71,8 +71,8 @@
 	return context.WithTimeout(ctx, left*settleShare/100)
 }
 
-// insist repeats a call whose outcome is unknown until it is known or ctx ends.
-func (d *Desk) insist(ctx context.Context, call func(context.Context) error) error {
+// retryUnknown repeats a call whose outcome is unknown until it is known or ctx ends.
+func (j *Jobs) retryUnknown(ctx context.Context, call func(context.Context) error) error {
 	for {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		err := call(bounded)
@@ -93,7 +93,7 @@
 
 // create writes the job's rows when no job has its id. Sent again after an unknown outcome it tells whether the first
 // one took effect.
-func (d *Desk) create(ctx context.Context, job *work.Job) error {
+func (j *Jobs) create(ctx context.Context, job *work.Job) error {
 	value, err := work.Encode(work.Entry{Job: job})
 	if err != nil {
 		return err
@@ -102,16 +102,16 @@
 		Expect: []store.Expectation{{Key: work.JobKey(job.ID)}},
 		Put:    []store.Put{{Key: work.JobKey(job.ID), Value: value}, {Key: work.WaitKey(job.Queue, job.ID)}},
 	}
-	result, err := d.config.Store.Apply(ctx, tx)
+	result, err := j.config.Store.Apply(ctx, tx)
 	if !fault.Is(err, fault.Conflict) {
 		return err
 	}
-	accepted, refusal, err := d.known(result.Current, job)
+	accepted, refusal, err := j.known(result.Current, job)
 	if accepted || err != nil {
 		return err
 	}
 	tx.Expect[0].Version = refusal
-	_, err = d.config.Store.Apply(ctx, tx)
+	_, err = j.config.Store.Apply(ctx, tx)
 	if fault.Is(err, fault.Conflict) {
 		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
 	}
@@ -119,9 +119,9 @@
 }
 
 // known tells from the rows of an id whether it is the job's, and else the version of the refusal it was given.
-func (d *Desk) known(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
+func (j *Jobs) known(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
 	for _, row := range rows {
-		account, refused, err := d.owner(row)
+		account, refused, err := j.owner(row)
 		if err != nil {
 			return false, 0, err
 		}
@@ -138,7 +138,7 @@
 }
 
 // owner reads whose job a row shows.
-func (d *Desk) owner(row store.Row) (account ident.Account, refused bool, err error) {
+func (j *Jobs) owner(row store.Row) (account ident.Account, refused bool, err error) {
 	var e work.Entry
 	if err := work.Decode(row.Value, &e); err != nil {
 		return "", false, err
@@ -150,7 +150,7 @@
 }
 
 // refuse settles a submission of unknown outcome: with a refusal in its place it can't take effect any more.
-func (d *Desk) refuse(ctx context.Context, job *work.Job) error {
+func (j *Jobs) refuse(ctx context.Context, job *work.Job) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
@@ -165,8 +165,8 @@
 		Put:    []store.Put{{Key: work.JobKey(job.ID), Value: value}},
 	}
 	var result store.Result
-	err = d.insist(ctx, func(ctx context.Context) error {
-		result, err = d.config.Store.Apply(ctx, tx)
+	err = j.retryUnknown(ctx, func(ctx context.Context) error {
+		result, err = j.config.Store.Apply(ctx, tx)
 		return err
 	})
 	if err == nil {
@@ -175,7 +175,7 @@
 	if !fault.Is(err, fault.Conflict) {
 		return fault.Wrap(err, fault.OutcomeUnknown, "settle submission", "store")
 	}
-	accepted, _, err := d.known(result.Current, job)
+	accepted, _, err := j.known(result.Current, job)
 	if err != nil || accepted {
 		return err
 	}
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -14,20 +14,20 @@
 
 // State tells where a job is. It fails with NotFound when no such job exists, and with Denied when it is another
 // account's; an empty account may see all.
-func (d *Desk) State(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
-	progress, err := d.progress(ctx, id)
+func (j *Jobs) State(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+	progress, err := j.progress(ctx, id)
 	if err != nil {
 		return 0, err
 	}
 	if progress != nil {
 		return progress.State, permit(account, progress.Account)
 	}
-	job, _, err := d.open(ctx, id)
+	job, _, err := j.open(ctx, id)
 	if err != nil {
 		return 0, err
 	}
 	if job == nil {
-		return d.late(ctx, account, id)
+		return j.late(ctx, account, id)
 	}
 	if job.Cancelled {
 		return ident.Cancelled, permit(account, job.Account)
@@ -36,8 +36,8 @@
 }
 
 // late looks again for a job that ended between the readings of its two rows.
-func (d *Desk) late(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
-	progress, err := d.progress(ctx, id)
+func (j *Jobs) late(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+	progress, err := j.progress(ctx, id)
 	if err != nil {
 		return 0, err
 	}
@@ -55,31 +55,31 @@
 }
 
 // Cancel makes sure that nothing of a job runs any more. It fails with NotFound when no such job exists.
-func (d *Desk) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
-	return d.insist(ctx, func(ctx context.Context) error {
-		job, version, err := d.open(ctx, id)
+func (j *Jobs) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
+	return j.retryUnknown(ctx, func(ctx context.Context) error {
+		job, version, err := j.open(ctx, id)
 		if err != nil {
 			return err
 		}
 		if job == nil {
 			// An ended job has nothing left to cancel.
-			_, err := d.late(ctx, account, id)
+			_, err := j.late(ctx, account, id)
 			return err
 		}
 		if err := permit(account, job.Account); err != nil || job.Cancelled {
 			return err
 		}
-		return d.markCancelled(ctx, job, version)
+		return j.markCancelled(ctx, job, version)
 	})
 }
 
-func (d *Desk) markCancelled(ctx context.Context, job *work.Job, version store.Version) error {
+func (j *Jobs) markCancelled(ctx context.Context, job *work.Job, version store.Version) error {
 	job.Cancelled = true
 	value, err := work.Encode(work.Entry{Job: job})
 	if err != nil {
 		return err
 	}
-	_, err = d.config.Store.Apply(ctx, store.Tx{
+	_, err = j.config.Store.Apply(ctx, store.Tx{
 		Expect: []store.Expectation{{Key: work.JobKey(job.ID), Version: version}},
 		Put:    []store.Put{{Key: work.JobKey(job.ID), Value: value}},
 	})
@@ -91,12 +91,12 @@
 }
 
 // Waiting counts the accepted jobs of a queue of which no part was started.
-func (d *Desk) Waiting(ctx context.Context, queue work.QueueName) (int, error) {
+func (j *Jobs) Waiting(ctx context.Context, queue work.QueueName) (int, error) {
 	group, ctx := errgroup.WithContext(ctx)
 	counts := make([]int, len(work.Shards()))
 	for i, shard := range work.Shards() {
 		group.Go(func() error {
-			listing, err := d.list(ctx, work.WaitRange(shard, queue))
+			listing, err := j.list(ctx, work.WaitRange(shard, queue))
 			counts[i] = len(listing.Rows)
 			return err
 		})
@@ -110,8 +110,8 @@
 }
 
 // progress reads how far a job has come; nil when nothing was recorded.
-func (d *Desk) progress(ctx context.Context, id ident.Job) (*work.Progress, error) {
-	listing, err := d.list(ctx, store.One(work.RunKey(id)))
+func (j *Jobs) progress(ctx context.Context, id ident.Job) (*work.Progress, error) {
+	listing, err := j.list(ctx, store.One(work.RunKey(id)))
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, err
 	}
@@ -123,8 +123,8 @@
 }
 
 // open reads the record of an open job; nil when there is none.
-func (d *Desk) open(ctx context.Context, id ident.Job) (*work.Job, store.Version, error) {
-	listing, err := d.list(ctx, store.One(work.JobKey(id)))
+func (j *Jobs) open(ctx context.Context, id ident.Job) (*work.Job, store.Version, error) {
+	listing, err := j.list(ctx, store.One(work.JobKey(id)))
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, 0, err
 	}
@@ -139,10 +139,10 @@
 }
 
 // list reads a range, and tries again until ctx ends: a read changes nothing.
-func (d *Desk) list(ctx context.Context, r store.Range) (store.Listing, error) {
+func (j *Jobs) list(ctx context.Context, r store.Range) (store.Listing, error) {
 	for {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := d.config.Store.List(bounded, r)
+		listing, err := j.config.Store.List(bounded, r)
 		cancel()
 		if err == nil || fault.Is(err, fault.Invalid) {
 			return listing, err
--- a/sard/pool/decide.go
+++ b/sard/pool/decide.go
@@ -29,7 +29,7 @@
 
 // claim is how much of a worker's capacity is left for the groups that come later in the round.
 type claim struct {
-	// free is not used and not promised.
+	// free is not used and not reserved.
 	free work.Amount
 	// soon is free once what is being stopped is gone.
 	soon work.Amount
@@ -93,7 +93,7 @@
 	return r
 }
 
-// serve places a group, or promises it capacity that is being freed, or has capacity freed for it.
+// serve places a group, or reserves capacity for it that is being freed, or has capacity freed for it.
 func (r *round) serve(g *group) {
 	key := r.demandKey(g)
 	if r.misses[key] {
@@ -108,7 +108,7 @@
 		return
 	}
 	if nodes := r.pack(g, r.soon); nodes != nil {
-		r.promise(g, nodes)
+		r.reserve(g, nodes)
 		return
 	}
 	if !r.reclaim(g) {
@@ -119,8 +119,8 @@
 func (r *round) free(n *node) work.Amount { return r.claims[n.index].free }
 func (r *round) soon(n *node) work.Amount { return r.claims[n.index].soon }
 
-// promise keeps capacity on nodes for a group.
-func (r *round) promise(g *group, nodes []*node) {
+// reserve keeps capacity on nodes for a group.
+func (r *round) reserve(g *group, nodes []*node) {
 	for _, n := range nodes {
 		c := &r.claims[n.index]
 		c.free = c.free.Minus(g.demand())
@@ -135,7 +135,7 @@
 		g.retryAt = r.now.Add(breachPause)
 		return
 	}
-	r.promise(g, nodes)
+	r.reserve(g, nodes)
 	g.attempt++
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -15,9 +15,9 @@
 // the group avoids, are used only when the others do not suffice.
 func (r *round) pack(g *group, within room) []*node {
 	candidates := r.candidates(g)
-	shunned := func(n *node) bool { return g.avoided[n.Life.Worker] || n.pace.slow(r.now) }
-	if slices.ContainsFunc(candidates, shunned) {
-		others := slices.DeleteFunc(slices.Clone(candidates), shunned)
+	avoided := func(n *node) bool { return g.avoided[n.Life.Worker] || n.pace.slow(r.now) }
+	if slices.ContainsFunc(candidates, avoided) {
+		others := slices.DeleteFunc(slices.Clone(candidates), avoided)
 		if nodes := r.packNear(g, others, within); nodes != nil {
 			return nodes
 		}
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -15,7 +15,7 @@
 	cost  time.Duration
 }
 
-// reclaim has groups that come after g stopped, so that g fits, and promises it their capacity. It does nothing and
+// reclaim has groups that come after g stopped, so that g fits, and reserves their capacity for it. It does nothing and
 // returns false when g would not fit even then.
 func (r *round) reclaim(g *group) bool {
 	step := g.spec()
@@ -30,7 +30,7 @@
 	}
 	for _, o := range best {
 		for range o.parts {
-			r.promise(g, []*node{o.node})
+			r.reserve(g, []*node{o.node})
 		}
 		for _, v := range o.victims {
 			if v.phase == placed {
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	for _, table := range []string{s.config.WorkerTable, work.JobTable} {
-		listing, err := s.insist(ctx, table)
+		listing, err := s.listRetrying(ctx, table)
 		if err != nil {
 			return err
 		}
@@ -51,7 +51,7 @@
 
 // loadProgress reads how far jobs have come.
 func (s *Scheduler) loadProgress(ctx context.Context) error {
-	listing, err := s.insist(ctx, work.RunTable)
+	listing, err := s.listRetrying(ctx, work.RunTable)
 	if err != nil {
 		return err
 	}
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// insist reads a table until it succeeds, ctx ends, or the lease is lost.
-func (s *Scheduler) insist(ctx context.Context, table string) (store.Listing, error) {
+// listRetrying reads a table until it succeeds, ctx ends, or the lease is lost.
+func (s *Scheduler) listRetrying(ctx context.Context, table string) (store.Listing, error) {
 	for {
 		listing, err := s.list(ctx, table)
 		if err == nil {
--- a/sard/sched/hold.go
+++ b/sard/sched/hold.go
@@ -20,8 +20,8 @@
 	holdRetry = 250 * time.Millisecond
 	// unseenPause lies between holds while ends wait for their record.
 	unseenPause = 500 * time.Millisecond
-	// strangerPause lies between holds while a worker runs what is not accounted for.
-	strangerPause = 200 * time.Millisecond
+	// unaccountedPause lies between holds while a worker runs what is not accounted for.
+	unaccountedPause = 200 * time.Millisecond
 )
 
 // hold sends the holds that are due.
@@ -36,7 +36,7 @@
 			continue
 		}
 		busy := s.engine.Busy(w.entry.Life)
-		if w.fenced && !busy && w.strangers == 0 && w.confirmed == w.acknowledged && !w.unanswered {
+		if w.fenced && !busy && w.unaccounted == 0 && w.confirmed == w.acknowledged && !w.unanswered {
 			continue
 		}
 		s.sendHold(ctx, w, busy)
@@ -99,8 +99,8 @@
 	switch {
 	case w.seen > w.confirmed:
 		w.due = w.due.Add(unseenPause)
-	case w.strangers > 0:
-		w.due = w.due.Add(strangerPause)
+	case w.unaccounted > 0:
+		w.due = w.due.Add(unaccountedPause)
 	}
 	s.engine.SetWorker(s.view(w))
 }
@@ -153,10 +153,10 @@
 // runs takes the running attempts of a report in, and stops those that are not to run.
 func (s *Scheduler) runs(ctx context.Context, w *session, report Report) {
 	now := time.Now()
-	w.strangers = 0
+	w.unaccounted = 0
 	for _, r := range report.Running {
 		if !s.engine.Expects(r.Attempt, w.id()) {
-			w.strangers++
+			w.unaccounted++
 		}
 		if s.engine.Wanted(r.Attempt, w.id()) {
 			s.engine.Running(r.Attempt, r.Percent, r.Checkpoint, now)
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -117,7 +117,7 @@
 		return
 	}
 	id := s.jobs[s.draw.IntN(len(s.jobs))]
-	assert.NilError(s.t, s.desk.Cancel(s.ctx, "a", id))
+	assert.NilError(s.t, s.api.Cancel(s.ctx, "a", id))
 	s.cancel[id] = true
 }
 
@@ -180,7 +180,7 @@
 func (s *script) ends(id ident.Job) {
 	limit := time.Now().Add(3 * time.Minute)
 	for {
-		state, err := s.desk.State(s.ctx, "a", id)
+		state, err := s.api.State(s.ctx, "a", id)
 		assert.NilError(s.t, err)
 		if state == ident.Cancelled {
 			assert.Assert(s.t, s.cancel[id], "job %s is cancelled", id)
--- a/sard/sched/rig_test.go
+++ b/sard/sched/rig_test.go
@@ -31,7 +31,7 @@
 	ctx    context.Context
 	store  *store.Memory
 	fleet  *fakeFleet
-	desk   *entry.Desk
+	api    *entry.Jobs
 	policy *policy.Policy
 	group  errgroup.Group
 	log    hclog.Logger
@@ -70,7 +70,7 @@
 		}
 		return nil
 	}
-	r.desk = entry.New(entry.Config{Store: r.store, Logger: r.log})
+	r.api = entry.New(entry.Config{Store: r.store, Logger: r.log})
 	r.policy = &policy.Policy{
 		Queues:   []policy.Queue{{Name: "q", Terms: terms(1)}, {Name: "urgent", Terms: terms(work.Guaranteed)}},
 		Accounts: []policy.Account{{Name: "a", Guarantee: 16}},
@@ -187,7 +187,7 @@
 	if id[len(id)-1] == '!' {
 		queue = "urgent"
 	}
-	assert.NilError(r.t, r.desk.Submit(r.ctx, &work.Job{
+	assert.NilError(r.t, r.api.Submit(r.ctx, &work.Job{
 		ID: id, Account: "a", Queue: queue, Terms: r.policy.Queue(queue).Terms, Payload: "run",
 		Steps: []work.Step{step}, AcceptedMs: time.Now().UnixMilli(),
 	}))
@@ -198,7 +198,7 @@
 	r.t.Helper()
 	limit := time.Now().Add(within)
 	for {
-		state, err := r.desk.State(r.ctx, "a", id)
+		state, err := r.api.State(r.ctx, "a", id)
 		assert.NilError(r.t, err)
 		if state == want {
 			return
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -28,13 +28,13 @@
 func TestWaitingRowGoesWithTheFirstStart(t *testing.T) {
 	play(t, 1, func(r *rig) {
 		r.submit("j1", time.Second, work.Step{Parts: 1})
-		count, err := r.desk.Waiting(r.ctx, "q")
+		count, err := r.api.Waiting(r.ctx, "q")
 		assert.NilError(t, err)
 		assert.Equal(t, count, 1)
 		r.instance("i1")
 		r.await("j1", ident.Succeeded, 5*time.Second)
 		r.sleep(2 * time.Second)
-		count, err = r.desk.Waiting(r.ctx, "q")
+		count, err = r.api.Waiting(r.ctx, "q")
 		assert.NilError(t, err)
 		assert.Equal(t, count, 0)
 	})
@@ -182,7 +182,7 @@
 		r.instance("i1")
 		r.submit("j1", 30*time.Second, work.Step{Parts: 4, Gang: true})
 		r.sleep(2 * time.Second)
-		assert.NilError(t, r.desk.Cancel(r.ctx, "a", "j1"))
+		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j1"))
 		r.sleep(time.Second)
 		r.change(func() {
 			for _, w := range r.fleet.workers {
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -20,7 +20,7 @@
 	listed bool
 	// fenced tells that the worker has answered under this epoch.
 	fenced bool
-	// clock was read by the worker between clockSent and clockAt.
+	// clock was read by the worker before clockAt.
 	clock   WorkerClock
 	clockAt clock.Instant
 	// deadline is the latest that was ever sent.
@@ -40,8 +40,8 @@
 	lost         bool
 	// orders are the attempts that were ordered to start or stop here.
 	orders map[work.Attempt]*order
-	// strangers is how many attempts the worker runs that are not accounted for.
-	strangers int
+	// unaccounted is how many attempts the worker runs that are not accounted for.
+	unaccounted int
 }
 
 func (w *session) id() ident.Worker {
@@ -165,7 +165,7 @@
 // view returns the worker as the engine is to see it.
 func (s *Scheduler) view(w *session) pool.Worker {
 	v := w.entry.Worker
-	v.Accepting = v.Accepting && w.listed && w.fenced && w.strangers == 0 && !w.silent()
+	v.Accepting = v.Accepting && w.listed && w.fenced && w.unaccounted == 0 && !w.silent()
 	return v
 }
 
