Take out what the change held twice or never used

Cause: a last reading of the whole change. Never used: whether a part is confirmed as running, the notice of a changed configuration, the logger of entry.Config, LoseWorker (its test now calls LoseLife). In the wrong place: each decision sorted all parts of all workers and judged a gang once for each part, to find the few that stand still; occurrences were searched by a number that is their index. Ruled out: merging the switches from errors to statuses of front, domain and oper; they tell different protocols. Behaviour: the same, but for the time limit, and that a reading after a dropped history confirms the configuration too.

--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -5,8 +5,6 @@
 	"context"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -27,8 +25,7 @@
 
 // Config describes what Jobs needs.
 type Config struct {
-	Store  store.Store
-	Logger hclog.Logger
+	Store store.Store
 }
 
 // Jobs serves the calls on jobs.
--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -45,12 +45,11 @@
 	version   store.Version
 	confirmed clock.Instant
 	reachable bool
-	changed   chan struct{}
 }
 
 // NewSource makes a Source; Run fills it.
 func NewSource(config Config) *Source {
-	return &Source{config: config, confirmed: clock.Never, changed: make(chan struct{})}
+	return &Source{config: config, confirmed: clock.Never}
 }
 
 // Current returns the configuration in force, or nil before the first was read.
@@ -67,13 +66,6 @@
 	return clock.Since(s.confirmed)
 }
 
-// Changed returns a channel that is closed with the next change.
-func (s *Source) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
-
 // Run follows the row until ctx ends.
 func (s *Source) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -86,7 +78,7 @@
 func (s *Source) poll(ctx context.Context) error {
 	for {
 		pause := readPeriod
-		if err := s.read(ctx); err != nil {
+		if _, err := s.read(ctx); err != nil {
 			pause = retryPause
 		}
 		if !clock.Sleep(ctx, pause) {
@@ -95,20 +87,21 @@
 	}
 }
 
-func (s *Source) read(ctx context.Context) error {
+// read reads the row and returns the version from which the feed can continue.
+func (s *Source) read(ctx context.Context) (store.Version, error) {
 	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	listing, err := s.config.Store.List(ctx, store.One(s.config.Key))
 	if err != nil {
 		s.lost(err)
-		return err
+		return 0, err
 	}
 	for _, row := range listing.Rows {
 		s.take(row)
 	}
 	s.confirm(sent)
-	return nil
+	return listing.Version, nil
 }
 
 // follow takes changes as soon as the store tells them.
@@ -121,7 +114,8 @@
 			continue
 		}
 		if fault.Is(err, fault.NotFound) {
-			after = s.newest(ctx)
+			// When the reading fails too, the feed tells once more that the history is gone.
+			after, _ = s.read(ctx)
 		}
 		if !clock.Sleep(ctx, retryPause) {
 			break
@@ -145,21 +139,6 @@
 	return changes.Version, nil
 }
 
-// newest reads the row and returns the version from which the feed can continue.
-func (s *Source) newest(ctx context.Context) store.Version {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	listing, err := s.config.Store.List(ctx, store.One(s.config.Key))
-	if err != nil {
-		s.lost(err)
-		return 0
-	}
-	for _, row := range listing.Rows {
-		s.take(row)
-	}
-	return listing.Version
-}
-
 // take puts a row in force unless it is older than what is in force, or unreadable.
 func (s *Source) take(row store.Row) {
 	s.mu.Lock()
@@ -178,8 +157,6 @@
 	}
 	p.Index()
 	s.current, s.version = p, row.Version
-	close(s.changed)
-	s.changed = make(chan struct{})
 	s.config.Logger.Info("configuration in force", "version", p.Version, "row_version", row.Version,
 		"queues", len(p.Queues), "accounts", len(p.Accounts))
 }
--- a/sard/pool/audit.go
+++ b/sard/pool/audit.go
@@ -36,7 +36,7 @@
 		return promiseOnce
 	case !g.turn():
 		return promiseOrder
-	case g.failures >= g.job.terms.Failures && !g.spec().Lasting:
+	case g.spent():
 		return promiseBudget
 	}
 	needs := map[*node]work.Amount{}
@@ -58,12 +58,7 @@
 
 // turn tells whether the group's step may start.
 func (g *group) turn() bool {
-	for _, o := range g.job.occurrences {
-		if o.number == g.occurrence {
-			return o.ready(g.job, g.step)
-		}
-	}
-	return false
+	return g.job.occurrences[g.occurrence].ready(g.job, g.step)
 }
 
 // Breaches returns the decisions that were refused since the last call.
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -58,13 +58,25 @@
 	if n == nil {
 		return
 	}
+	e.lose(n, kept, now)
+	n.Life = life
+	n.health, n.pace = health{}, pace{}
+}
+
+// LoseLife tells that nothing of a worker's process runs any more.
+func (e *Engine) LoseLife(life work.Life, now time.Time) {
+	if n := e.byID[life.Worker]; n != nil && n.Life == life {
+		e.lose(n, func(work.Attempt) bool { return false }, now)
+	}
+}
+
+// lose ends the attempts on a node that are not kept.
+func (e *Engine) lose(n *node, kept func(work.Attempt) bool, now time.Time) {
 	for _, p := range n.sorted() {
 		if p.node == n && !kept(p.attemptOf()) {
 			e.end(p, Lost, "", now)
 		}
 	}
-	n.Life = life
-	n.health, n.pace = health{}, pace{}
 }
 
 // DropWorker tells that nothing new may be started on a worker. What may run there stays accounted for.
@@ -74,21 +86,6 @@
 	}
 }
 
-// LoseWorker tells that nothing runs on a worker any more.
-func (e *Engine) LoseWorker(id ident.Worker, now time.Time) {
-	if n := e.byID[id]; n != nil {
-		e.loseAll(n, now)
-	}
-}
-
-func (e *Engine) loseAll(n *node, now time.Time) {
-	for _, p := range n.sorted() {
-		if p.node == n {
-			e.end(p, Lost, "", now)
-		}
-	}
-}
-
 // sorted returns the node's parts in a fixed order.
 func (n *node) sorted() []*part {
 	parts := make([]*part, 0, len(n.parts))
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -35,20 +35,12 @@
 	return p != nil && p.node.Life.Worker == worker && !p.halting
 }
 
-// Confirmed tells that a worker has taken an attempt.
-func (e *Engine) Confirmed(a work.Attempt) {
-	if p := e.current(a); p != nil {
-		p.running = true
-	}
-}
-
 // Running tells that a worker runs an attempt, how much of it is done, and its newest checkpoint.
 func (e *Engine) Running(a work.Attempt, percent int, saved work.Checkpoint, now time.Time) {
 	p := e.current(a)
 	if p == nil {
 		return
 	}
-	p.running = true
 	g := p.group
 	e.save(g, saved, now)
 	g.watch.see(percent, now)
@@ -85,7 +77,6 @@
 func (e *Engine) end(p *part, how End, saved work.Checkpoint, now time.Time) {
 	g, n := p.group, p.node
 	n.detach(p)
-	p.running = false
 	e.save(g, saved, now)
 	e.judge(n, g, how, now)
 	e.touch(g.job)
@@ -112,11 +103,7 @@
 func (e *Engine) complete(g *group) {
 	g.phase = done
 	j := g.job
-	for _, o := range j.occurrences {
-		if o.number == g.occurrence {
-			o.steps[g.step].open--
-		}
-	}
+	j.occurrences[g.occurrence].steps[g.step].open--
 	if j.complete() {
 		j.state = ident.Succeeded
 		e.retire(j)
@@ -129,7 +116,7 @@
 		g.failures++
 	}
 	g.failed = false
-	if g.failures >= g.job.terms.Failures && !g.spec().Lasting {
+	if g.spent() {
 		e.finish(g.job, ident.Failed, ReasonFailed)
 		return
 	}
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -53,8 +53,6 @@
 	index int
 	// node is where the current attempt may run, or nil.
 	node *node
-	// running tells that the worker has shown the attempt as running, or confirmed its start.
-	running bool
 	// halting tells that the attempt is being stopped.
 	halting bool
 }
@@ -86,6 +84,11 @@
 	moves int
 }
 
+// spent tells that the group has failed as often as its job allows.
+func (g *group) spent() bool {
+	return g.failures >= g.job.terms.Failures && !g.spec().Lasting
+}
+
 // avoid has the group placed elsewhere where that is possible.
 func (g *group) avoid(id ident.Worker) {
 	if g.avoided == nil {
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -14,7 +14,7 @@
 	state ident.JobState
 	// acceptedAt is when the job was accepted, as far as that is known.
 	acceptedAt time.Time
-	// occurrences are those that were ever due, in order.
+	// occurrences are those that were ever due, by their numbers.
 	occurrences []*occurrence
 	// begun tells that a part was placed.
 	begun bool
@@ -117,13 +117,10 @@
 
 // find returns a part, or nil.
 func (j *job) find(p work.Part) *part {
-	for _, o := range j.occurrences {
-		if o.number != p.Occurrence || p.Step < 0 || p.Step >= len(o.steps) {
-			continue
-		}
-		return o.steps[p.Step].find(p.Index)
+	if p.Occurrence < 0 || p.Occurrence >= len(j.occurrences) || p.Step < 0 || p.Step >= len(j.Steps) {
+		return nil
 	}
-	return nil
+	return j.occurrences[p.Occurrence].steps[p.Step].find(p.Index)
 }
 
 func (s *stage) find(index int) *part {
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -29,7 +29,7 @@
 func (r *round) packNear(g *group, candidates []*node, within room) []*node {
 	step := g.spec()
 	if step.DataRack != "" {
-		near := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return n.Rack != step.DataRack })
+		near := onRack(candidates, step.DataRack)
 		if nodes := r.packAny(g, near, within); nodes != nil {
 			return nodes
 		}
@@ -94,6 +94,11 @@
 	return r.packAny(g, candidates, within)
 }
 
+// onRack returns the nodes of a rack.
+func onRack(nodes []*node, rack ident.Rack) []*node {
+	return slices.DeleteFunc(slices.Clone(nodes), func(n *node) bool { return n.Rack != rack })
+}
+
 // byRack groups nodes by rack, in the order of their first node.
 func byRack(nodes []*node) [][]*node {
 	var racks [][]*node
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -22,7 +22,7 @@
 	candidates := r.candidates(g)
 	near := candidates
 	if step.DataRack != "" {
-		near = slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return n.Rack != step.DataRack })
+		near = onRack(candidates, step.DataRack)
 	}
 	best := r.cheapestRack(g, near)
 	if best == nil {
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -138,14 +138,12 @@
 
 // restoreComplete marks an occurrence of which nothing is left to run.
 func (e *Engine) restoreComplete(j *job, number int) {
-	for _, o := range j.occurrences {
-		if o.number != number {
-			continue
-		}
-		for s := range o.steps {
-			for _, g := range o.steps[s].groups {
-				e.complete(g)
-			}
+	if number >= len(j.occurrences) {
+		return
+	}
+	for _, st := range j.occurrences[number].steps {
+		for _, g := range st.groups {
+			e.complete(g)
 		}
 	}
 }
@@ -157,7 +155,7 @@
 		return
 	}
 	if !r.Placed {
-		if g.failures >= g.job.terms.Failures && !g.spec().Lasting {
+		if g.spent() {
 			e.finish(g.job, ident.Failed, ReasonFailed)
 		}
 		return
@@ -188,20 +186,11 @@
 	return n
 }
 
-// Placements calls visit for each attempt that may run, and whether a worker has confirmed it.
-func (e *Engine) Placements(visit func(a work.Attempt, worker work.Life, running bool)) {
+// Placements calls visit for each attempt that may run, with its worker.
+func (e *Engine) Placements(visit func(a work.Attempt, worker work.Life)) {
 	for _, n := range e.nodes {
 		for _, p := range n.sorted() {
-			visit(p.attemptOf(), n.Life, p.running)
-		}
-	}
-}
-
-// LoseLife tells that nothing of a worker's process runs any more.
-func (e *Engine) LoseLife(life work.Life, now time.Time) {
-	for _, n := range e.nodes {
-		if n.Life == life {
-			e.loseAll(n, now)
+			visit(p.attemptOf(), n.Life)
 		}
 	}
 }
--- a/sard/pool/trouble_test.go
+++ b/sard/pool/trouble_test.go
@@ -114,7 +114,7 @@
 func TestLostWorkerBringsItsGangBack(t *testing.T) {
 	r := newRig(t, 8)
 	r.add("gang", 1, work.Step{Parts: 3, Need: large, Gang: true})
-	r.engine.LoseWorker(r.on("gang")[0], r.now)
+	r.engine.LoseLife(r.engine.byID[r.on("gang")[0]].Life, r.now)
 	r.decide()
 	assert.Equal(t, r.stoppedJobs()["gang"], 2)
 	assert.Equal(t, len(r.starts), 3)
--- a/sard/pool/watch.go
+++ b/sard/pool/watch.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/work"
@@ -95,20 +97,24 @@
 
 // moveStuck stops attempts that stand still, or are so slow that they end sooner elsewhere.
 func (e *Engine) moveStuck(now time.Time) {
+	stuck := map[*group]Reason{}
 	for _, n := range e.nodes {
-		for _, p := range n.sorted() {
+		for p := range n.parts {
 			g := p.group
-			if g.phase != placed || g.spec().Lasting {
+			if p.index != g.first || g.phase != placed || g.spec().Lasting {
 				continue
 			}
 			switch {
 			case g.watch.stalled(g.spec().Estimate):
-				e.move(g, ReasonStalled, now)
+				stuck[g] = ReasonStalled
 			case g.slow(now):
-				e.move(g, ReasonSlow, now)
+				stuck[g] = ReasonSlow
 			}
 		}
 	}
+	for _, g := range slices.SortedFunc(maps.Keys(stuck), compareGroup) {
+		e.move(g, stuck[g], now)
+	}
 }
 
 // move stops a group so that it runs on other nodes. The node of a single part is left alone for a while; which node
--- a/sard/sched/follow.go
+++ b/sard/sched/follow.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	for _, table := range []string{s.config.WorkerTable, work.JobTable} {
-		listing, err := s.listRetrying(ctx, table)
+		listing, err := s.listRetrying(ctx, ranges(table)...)
 		if err != nil {
 			return err
 		}
@@ -51,7 +51,7 @@
 
 // loadProgress reads how far jobs have come.
 func (s *Scheduler) loadProgress(ctx context.Context) error {
-	listing, err := s.listRetrying(ctx, work.RunTable)
+	listing, err := s.listRetrying(ctx, ranges(work.RunTable)...)
 	if err != nil {
 		return err
 	}
@@ -76,10 +76,22 @@
 	return nil
 }
 
-// listRetrying reads a table until it succeeds, ctx ends, or the lease is lost.
-func (s *Scheduler) listRetrying(ctx context.Context, table string) (store.Listing, error) {
+// ranges returns the parts of a table.
+func ranges(table string) []store.Range {
+	if table != work.JobTable {
+		return []store.Range{{Table: table, Part: work.Main}}
+	}
+	var parts []store.Range
+	for _, shard := range work.Shards() {
+		parts = append(parts, store.Range{Table: table, Part: shard})
+	}
+	return parts
+}
+
+// listRetrying reads ranges until it succeeds, ctx ends, or the lease is lost.
+func (s *Scheduler) listRetrying(ctx context.Context, parts ...store.Range) (store.Listing, error) {
 	for {
-		listing, err := s.list(ctx, table)
+		listing, err := s.list(ctx, parts...)
 		if err == nil {
 			return listing, nil
 		}
@@ -92,17 +104,13 @@
 	}
 }
 
-// list reads all parts of a table.
-func (s *Scheduler) list(ctx context.Context, table string) (store.Listing, error) {
+// list reads ranges, one after another.
+func (s *Scheduler) list(ctx context.Context, parts ...store.Range) (store.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	parts := []string{work.Main}
-	if table == work.JobTable {
-		parts = work.Shards()
-	}
 	var all store.Listing
 	for i, part := range parts {
-		listing, err := s.config.Store.List(ctx, store.Range{Table: table, Part: part})
+		listing, err := s.config.Store.List(ctx, part)
 		if err != nil {
 			return listing, err
 		}
@@ -119,7 +127,7 @@
 	listed := clock.Now()
 	for ctx.Err() == nil {
 		if clock.Since(listed) > relistPeriod {
-			if listing, err := s.list(ctx, table); err == nil {
+			if listing, err := s.list(ctx, ranges(table)...); err == nil {
 				s.post(ctx, rowsChanged{table: table, rows: listing.Rows, whole: true})
 				after, listed = listing.Version, clock.Now()
 			}
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -51,22 +51,13 @@
 	seen    map[ident.Worker]EndNumber
 }
 
+// loadJournal reads the version of the last batch of any holder.
 func (s *Scheduler) loadJournal(ctx context.Context) error {
-	for {
-		listing, err := s.config.Store.List(ctx, store.One(journalKey))
-		if err == nil {
-			for _, row := range listing.Rows {
-				s.journal.version = row.Version
-			}
-			return nil
-		}
-		if lost := s.lease.Check(); fault.Is(lost, fault.Fenced) {
-			return lost
-		}
-		if !clock.Sleep(ctx, followPause) {
-			return err
-		}
+	listing, err := s.listRetrying(ctx, store.One(journalKey))
+	for _, row := range listing.Rows {
+		s.journal.version = row.Version
 	}
+	return err
 }
 
 // commit writes what has changed, unless a write is under way.
--- a/sard/sched/orders.go
+++ b/sard/sched/orders.go
@@ -45,7 +45,7 @@
 
 // adopt makes orders of the placements that were recorded by an earlier holder, at the workers that are known.
 func (s *Scheduler) adopt() {
-	s.engine.Placements(func(a work.Attempt, life work.Life, _ bool) {
+	s.engine.Placements(func(a work.Attempt, life work.Life) {
 		if w := s.session(life); w != nil && !w.fenced {
 			w.order(a)
 		}
@@ -117,7 +117,6 @@
 		o.started = clock.Now()
 		s.config.Logger.Info("part started", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(),
 			"epoch", s.lease.Epoch())
-		s.engine.Confirmed(ev.attempt)
 	case errors.As(ev.err, &refusal):
 		s.refusedStart(o, w, ev, refusal)
 	default:
--- a/sard/sched/rig_test.go
+++ b/sard/sched/rig_test.go
@@ -70,7 +70,7 @@
 		}
 		return nil
 	}
-	r.api = entry.New(entry.Config{Store: r.store, Logger: r.log})
+	r.api = entry.New(entry.Config{Store: r.store})
 	r.policy = &policy.Policy{
 		Queues:   []policy.Queue{{Name: "q", Terms: terms(1)}, {Name: "urgent", Terms: terms(work.Guaranteed)}},
 		Accounts: []policy.Account{{Name: "a", Guarantee: 16}},
--- a/sard/table/client.go
+++ b/sard/table/client.go
@@ -12,6 +12,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"golang.org/x/time/rate"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 )
@@ -96,14 +97,7 @@
 	if tried >= c.config.MaxAttempts || ctx.Err() != nil || !c.retries.Allow() {
 		return false
 	}
-	timer := time.NewTimer(c.jitter.backoff(tried))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, c.jitter.backoff(tried))
 }
 
 func (c *Client) note(err error) {
