Move the workers of sched's tests into sard/fakes, and check more promises there

Cause: the workers that play against the scheduler stood in a test file, so no other program could use them, and they did not check payloads, checkpoints, failures, labels, the order of steps or cancelled and refused jobs. Ruled out: a second stand-in for the soak (the same logic twice).

--- /dev/null
+++ b/sard/fakes/worker.go
@@ -0,0 +1,319 @@
+package fakes
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/sched"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// holdPoll lies between two looks of a waiting hold at what has ended.
+const holdPoll = 50 * time.Millisecond
+
+// Worker is a worker process; it is a sched.Client. Its exported fields are changed within Fleet.Change.
+type Worker struct {
+	fleet *Fleet
+	// Entry is what the worker reports of itself.
+	Entry sched.Entry
+	// Cut makes calls hang until they time out, and are not carried out.
+	Cut bool
+	// Mute carries calls out and loses their answers.
+	Mute bool
+	// StopTime is how long a stop takes.
+	StopTime time.Duration
+	// Failing makes all runs fail at once; Stalling makes new ones stand still.
+	Failing, Stalling bool
+	// Slow is by how much runs take longer; 0 means 1.
+	Slow float64
+	// ClockSlow is by how much the worker's clock is slow, in percent.
+	ClockSlow int
+	// Refuse is the cause for which all starts are refused; nil for none.
+	Refuse *sched.Cause
+
+	start    time.Time
+	epoch    ident.Epoch
+	deadline sched.WorkerClock
+	runs     map[work.Part]*run
+	// barred is the highest attempt of each part that was stopped or has ended.
+	barred map[work.Part]ident.Attempt
+	ends   []sched.EndedPart
+	number sched.EndNumber
+	// excused is the last end that was listed when the lease lapsed: its part may run again.
+	excused sched.EndNumber
+	changed chan struct{}
+}
+
+// Client returns the worker's interface to schedulers.
+func (w *Worker) Client() sched.Client {
+	return w
+}
+
+// Crash ends all that runs, without a word, and starts another process.
+func (w *Worker) Crash() {
+	for part := range w.runs {
+		w.fleet.running[part]--
+	}
+	w.reset()
+	w.Entry.Born = time.Now().UnixMilli()
+}
+
+func (w *Worker) reset() {
+	w.runs, w.barred = map[work.Part]*run{}, map[work.Part]ident.Attempt{}
+	w.ends, w.number, w.excused, w.epoch, w.deadline = nil, 0, 0, 0, 0
+	w.start = time.Now()
+	w.wake()
+}
+
+// Runs returns how many attempts run.
+func (w *Worker) Runs() int {
+	return len(w.runs)
+}
+
+// Ends returns how many attempts have ended in this process.
+func (w *Worker) Ends() int {
+	return int(w.number)
+}
+
+// Recover ends all faults of the worker.
+func (w *Worker) Recover() {
+	w.Cut, w.Mute, w.Failing, w.Stalling, w.Slow, w.Refuse = false, false, false, false, 0, nil
+	for _, r := range w.runs {
+		r.stalled = false
+	}
+}
+
+// Clock returns the time on the worker's clock.
+func (w *Worker) Clock() sched.WorkerClock {
+	passed := time.Since(w.start) * time.Duration(100-w.ClockSlow) / 100
+	return sched.WorkerClock(passed.Milliseconds()) + 1
+}
+
+func (w *Worker) labelled(label string) bool {
+	return slices.Contains(w.Entry.Labels, label)
+}
+
+func (w *Worker) reply() sched.Reply {
+	return sched.Reply{Clock: w.Clock(), Born: w.Entry.Born}
+}
+
+func (w *Worker) refusal(cause sched.Cause) error {
+	return &sched.Refusal{Cause: cause, Worker: w.Entry.Life.Worker, Reply: w.reply()}
+}
+
+// call carries f out under the fleet's lock, with the worker's faults.
+func (w *Worker) call(ctx context.Context, life work.Life, epoch ident.Epoch, f func() error) error {
+	w.fleet.mu.Lock()
+	cut, mute := w.Cut, w.Mute
+	w.fleet.mu.Unlock()
+	if cut {
+		return hang(ctx, life)
+	}
+	w.fleet.mu.Lock()
+	err := w.checked(life, epoch, f)
+	w.fleet.mu.Unlock()
+	if mute {
+		return hang(ctx, life)
+	}
+	return err
+}
+
+// hang waits until the caller gives up.
+func hang(ctx context.Context, life work.Life) error {
+	<-ctx.Done()
+	return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", string(life.Worker))
+}
+
+func (w *Worker) checked(life work.Life, epoch ident.Epoch, f func() error) error {
+	if life.Worker != w.Entry.Life.Worker {
+		return w.refusal(sched.OtherLife)
+	}
+	if epoch < w.epoch {
+		return w.refusal(sched.Superseded)
+	}
+	w.epoch = epoch
+	w.advance()
+	return f()
+}
+
+// Start starts an attempt.
+func (w *Worker) Start(ctx context.Context, o sched.StartOrder) (sched.Reply, error) {
+	var reply sched.Reply
+	err := w.call(ctx, o.Worker, o.Epoch, func() error {
+		reply = w.reply()
+		return w.begin(o)
+	})
+	return reply, err
+}
+
+func (w *Worker) begin(o sched.StartOrder) error {
+	part := o.Attempt.Part
+	if w.Refuse != nil {
+		return w.refusal(*w.Refuse)
+	}
+	if o.Deadline != 0 && o.Deadline <= w.Clock() {
+		return w.refusal(sched.Expired)
+	}
+	w.deadline = max(w.deadline, o.Deadline)
+	if r := w.runs[part]; r != nil && r.attempt == o.Attempt {
+		return nil
+	}
+	if o.Attempt.Number <= w.barred[part] {
+		return w.refusal(sched.Outdated)
+	}
+	w.fleet.advance()
+	j := w.fleet.expected(part)
+	if j == nil {
+		return w.refusal(sched.Outdated)
+	}
+	w.fleet.checkStart(w, j, o)
+	j.begun[part] = true
+	w.fleet.starts++
+	w.fleet.running[part]++
+	w.runs[part] = newRun(w, o)
+	w.checkRoom()
+	w.wake()
+	return nil
+}
+
+// checkRoom notes when more runs than the worker has room for.
+func (w *Worker) checkRoom() {
+	var sum work.Amount
+	for _, r := range w.runs {
+		sum = sum.Plus(r.step().Demand())
+	}
+	if !sum.Fits(w.Entry.Capacity) {
+		w.fleet.breached("worker %s runs %+v of %+v", w.Entry.Life.Worker, sum, w.Entry.Capacity)
+	}
+}
+
+// Stop stops an attempt.
+func (w *Worker) Stop(ctx context.Context, o sched.StopOrder) (sched.Reply, error) {
+	var reply sched.Reply
+	err := w.call(ctx, o.Worker, o.Epoch, func() error {
+		reply = w.reply()
+		part := o.Attempt.Part
+		w.barred[part] = max(w.barred[part], o.Attempt.Number)
+		if r := w.runs[part]; r != nil && r.attempt == o.Attempt && r.stopAt.IsZero() {
+			r.stopAt = time.Now().Add(w.StopTime)
+		}
+		w.advance()
+		return nil
+	})
+	return reply, err
+}
+
+// Hold extends the lease and lists.
+func (w *Worker) Hold(ctx context.Context, o sched.HoldOrder) (sched.Report, error) {
+	limit := time.Now().Add(o.Wait)
+	born := w.born()
+	for {
+		if w.born() != born {
+			return sched.Report{}, fault.New(fault.OutcomeUnknown, "hold", string(o.Worker.Worker), "connection lost")
+		}
+		var report sched.Report
+		var changed chan struct{}
+		err := w.call(ctx, o.Worker, o.Epoch, func() error {
+			w.deadline = max(w.deadline, o.Deadline)
+			w.ack(o.Seen)
+			report = w.report()
+			changed = w.changed
+			return nil
+		})
+		if err != nil || len(report.Ended) > 0 || !time.Now().Before(limit) {
+			return report, err
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(time.Until(limit), holdPoll)):
+		case <-ctx.Done():
+			return report, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "hold", string(o.Worker.Worker))
+		}
+	}
+}
+
+// born tells processes of the worker apart.
+func (w *Worker) born() int64 {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return w.Entry.Born
+}
+
+func (w *Worker) ack(seen sched.EndNumber) {
+	for len(w.ends) > 0 && w.ends[0].Number <= seen {
+		if w.ends[0].Number > w.excused {
+			w.fleet.acknowledged(w.ends[0])
+		}
+		w.ends = w.ends[1:]
+	}
+}
+
+func (w *Worker) report() sched.Report {
+	report := sched.Report{Reply: w.reply()}
+	report.Ended = append(report.Ended, w.ends...)
+	for _, r := range w.runs {
+		report.Running = append(report.Running, sched.RunningPart{Attempt: r.attempt, Percent: r.percent(), Checkpoint: r.checkpoint()})
+	}
+	return report
+}
+
+// advance ends what is due on the worker.
+func (w *Worker) advance() {
+	lapsed := w.deadline != 0 && w.Clock() > w.deadline
+	if lapsed {
+		w.excused = w.number
+	}
+	for _, r := range w.runs {
+		r.work()
+		switch {
+		case !r.stopAt.IsZero() && !time.Now().Before(r.stopAt):
+			w.end(r, pool.Stopped)
+		case lapsed:
+			w.end(r, pool.Lapsed)
+		case w.Failing || r.job().Poison:
+			w.endGang(r, pool.Failed, pool.Broken)
+		case !r.complete() && time.Since(r.began) > gangPatience:
+			w.end(r, pool.Alone)
+		case r.done():
+			w.endGang(r, pool.Done, pool.Done)
+		}
+	}
+}
+
+// endGang ends a run, and the others of its gang.
+func (w *Worker) endGang(r *run, how, others pool.End) {
+	for _, m := range r.members() {
+		if m != r {
+			m.worker.end(m, others)
+		}
+	}
+	w.end(r, how)
+}
+
+func (w *Worker) end(r *run, how pool.End) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	part := r.attempt.Part
+	w.number++
+	w.ends = append(w.ends, sched.EndedPart{Number: w.number, Attempt: r.attempt, How: how, Checkpoint: r.checkpoint()})
+	w.barred[part] = max(w.barred[part], r.attempt.Number)
+	if how == pool.Done {
+		r.job().done[part] = true
+	}
+	w.fleet.running[part]--
+	delete(w.runs, part)
+	w.wake()
+}
+
+func (w *Worker) wake() {
+	if w.changed != nil {
+		close(w.changed)
+	}
+	w.changed = make(chan struct{})
+}
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -1,4 +1,4 @@
-package sched
+package sched_test
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -107,7 +108,7 @@
 	if s.away.Load() || s.lost.Load() {
 		return
 	}
-	s.change(func() { s.fleet.poison[id] = s.draw.IntN(12) == 0 })
+	s.poison[id] = s.draw.IntN(12) == 0
 	s.submit(id, time.Duration(100+s.draw.IntN(4000))*time.Millisecond, step)
 	s.jobs = append(s.jobs, id)
 }
@@ -123,26 +124,25 @@
 
 // trouble changes what one worker does.
 func (s *script) trouble() {
-	name := ident.Worker("w" + string(rune('a'+s.draw.IntN(8))))
+	name := workerName(s.draw.IntN(8))
 	kind := s.draw.IntN(8)
+	w := s.fleet.Worker(name)
 	s.change(func() {
-		w := s.fleet.workers[name]
-		w.advance()
 		switch kind {
 		case 0:
-			w.cut = true
+			w.Cut = true
 		case 1:
-			w.mute = true
+			w.Mute = true
 		case 2:
-			w.failing = true
+			w.Failing = true
 		case 3:
-			w.stalling = true
+			w.Stalling = true
 		case 4:
-			w.crash()
+			w.Crash()
 		case 5:
-			w.stopTime = time.Duration(s.draw.IntN(400)) * time.Millisecond
+			w.StopTime = time.Duration(s.draw.IntN(400)) * time.Millisecond
 		default:
-			w.cut, w.mute, w.failing, w.stalling = false, false, false, false
+			w.Cut, w.Mute, w.Failing, w.Stalling = false, false, false, false
 		}
 	})
 	if kind == 4 {
@@ -155,24 +155,16 @@
 	if s.away.Load() || s.lost.Load() {
 		return
 	}
-	s.list(s.fleet.workers[name])
+	s.list(s.fleet.Worker(name))
 }
 
 // heal ends all troubles.
 func (s *script) heal() {
 	s.away.Store(false)
 	s.lost.Store(false)
-	s.change(func() {
-		for _, w := range s.fleet.workers {
-			w.advance()
-			w.cut, w.mute, w.failing, w.stalling = false, false, false, false
-			for _, run := range w.runs {
-				run.stall = false
-			}
-		}
-	})
-	for name := range s.fleet.workers {
-		s.relist(name)
+	s.fleet.Workers((*fakes.Worker).Recover)
+	for i := range 8 {
+		s.relist(workerName(i))
 	}
 }
 
--- a/sard/sched/rig_test.go
+++ b/sard/sched/rig_test.go
@@ -1,8 +1,9 @@
-package sched
+package sched_test
 
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,9 +16,12 @@
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/elect"
 	"github.com/sardineline/sardineline/sard/entry"
+	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/policy"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/sched"
 	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -30,7 +34,7 @@
 	t      *testing.T
 	ctx    context.Context
 	store  *store.Memory
-	fleet  *fakeFleet
+	fleet  *fakes.Fleet
 	api    *entry.Jobs
 	policy *policy.Policy
 	group  errgroup.Group
@@ -38,6 +42,8 @@
 	stops  []context.CancelFunc
 	// away makes all calls to the store fail; lost loses the answers of writes.
 	away, lost atomic.Bool
+	// poison are the jobs of which all attempts fail.
+	poison map[ident.Job]bool
 }
 
 // play runs a test with a rig of some workers, 8 a rack.
@@ -50,14 +56,12 @@
 			stop()
 		}
 		assert.NilError(t, r.group.Wait())
-		r.fleet.mu.Lock()
-		defer r.fleet.mu.Unlock()
-		assert.DeepEqual(t, r.fleet.breach, []string(nil))
+		assert.DeepEqual(t, r.fleet.Breaches(), []string(nil))
 	})
 }
 
 func newRig(t *testing.T, workers int) *rig {
-	r := &rig{t: t, ctx: t.Context(), store: &store.Memory{}, fleet: newFleet(), log: hclog.NewNullLogger()}
+	r := &rig{t: t, ctx: t.Context(), store: &store.Memory{}, fleet: fakes.NewFleet(nil), poison: map[ident.Job]bool{}, log: hclog.NewNullLogger()}
 	if testing.Verbose() {
 		r.log = hclog.New(&hclog.LoggerOptions{Output: t.Output()})
 	}
@@ -77,35 +81,51 @@
 	}
 	r.policy.Index()
 	for i := range workers {
-		r.list(r.fleet.add("w"+string(rune('a'+i)), "r"+string(rune('0'+i/8))))
+		r.list(r.fleet.Add(newEntry(workerName(i), ident.Rack(fmt.Sprintf("r%d", i/8)))))
 	}
 	return r
 }
 
+// workerName names the workers of a rig: wa, wb and so on.
+func workerName(i int) ident.Worker {
+	return ident.Worker("w" + string(rune('a'+i)))
+}
+
+// newEntry is a worker of 8 accelerators.
+func newEntry(name ident.Worker, rack ident.Rack) sched.Entry {
+	return sched.Entry{
+		Worker: pool.Worker{
+			Life: work.Life{Worker: name, Born: time.Now().UnixMilli()}, Service: "s", Rack: rack,
+			Capacity: work.Amount{CPU: 128000, Memory: 262144, Accelerators: 8}, Accepting: true,
+		},
+		Address: string(name),
+	}
+}
+
 func terms(p work.Priority) work.Terms {
 	return work.Terms{Service: "s", Priority: p, Failures: 3, Stretch: 3, Target: time.Second}
 }
 
 // list puts a worker's entry into the list, as it is now.
-func (r *rig) list(w *fakeWorker) {
+func (r *rig) list(w *fakes.Worker) {
 	r.t.Helper()
 	var value []byte
 	var err error
-	r.change(func() { value, err = json.Marshal(w.entry) })
+	r.change(func() { value, err = json.Marshal(w.Entry) })
 	assert.NilError(r.t, err)
 	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(w), Value: value}}})
 	assert.NilError(r.t, err)
 }
 
 // unlist takes a worker out of the list.
-func (r *rig) unlist(w *fakeWorker) {
+func (r *rig) unlist(w *fakes.Worker) {
 	r.t.Helper()
 	_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{listKey(w)}})
 	assert.NilError(r.t, err)
 }
 
-func listKey(w *fakeWorker) store.Key {
-	return store.Key{Table: workerTable, Name: string(w.name)}
+func listKey(w *fakes.Worker) store.Key {
+	return store.Key{Table: workerTable, Name: string(w.Entry.Life.Worker)}
 }
 
 // instance starts an instance and returns a function that kills it.
@@ -117,7 +137,7 @@
 	c := elect.New(elect.Config{Store: rows, Instance: ident.Instance(name), Process: "1", Logger: r.log.Named(name)})
 	r.group.Go(func() error {
 		return c.Run(ctx, func(ctx context.Context, held *elect.Held) error {
-			return Run(ctx, held, r.config(name, rows, &killed))
+			return sched.Run(ctx, held, r.config(name, rows, &killed))
 		})
 	})
 	return func() {
@@ -140,17 +160,15 @@
 	return c.Store.Apply(ctx, tx)
 }
 
-func (r *rig) config(name string, rows store.Store, killed *atomic.Bool) Config {
-	return Config{
+func (r *rig) config(name string, rows store.Store, killed *atomic.Bool) sched.Config {
+	return sched.Config{
 		Store: rows, WorkerTable: workerTable,
-		Entry: func(row store.Row) (Entry, error) {
-			var e Entry
+		Entry: func(row store.Row) (sched.Entry, error) {
+			var e sched.Entry
 			return e, json.Unmarshal(row.Value, &e)
 		},
-		Open: func(e Entry) Client {
-			r.fleet.mu.Lock()
-			defer r.fleet.mu.Unlock()
-			return &cutClient{Client: r.fleet.workers[e.Life.Worker], cut: killed}
+		Open: func(e sched.Entry) sched.Client {
+			return &cutClient{Client: r.fleet.Worker(e.Life.Worker), cut: killed}
 		},
 		Policy:      func() *policy.Policy { return r.policy },
 		WorkerLease: 5 * time.Second, StopTime: 400 * time.Millisecond, Retention: time.Minute,
@@ -160,37 +178,41 @@
 
 // cutClient is a client that a killed instance can't use.
 type cutClient struct {
-	Client
+	sched.Client
 	cut *atomic.Bool
 }
 
 // Start starts an attempt unless the instance was killed.
-func (c *cutClient) Start(ctx context.Context, o StartOrder) (Reply, error) {
+func (c *cutClient) Start(ctx context.Context, o sched.StartOrder) (sched.Reply, error) {
 	if c.cut.Load() {
-		return Reply{}, fault.New(fault.Unavailable, "start", "worker", "killed")
+		return sched.Reply{}, fault.New(fault.Unavailable, "start", "worker", "killed")
 	}
 	return c.Client.Start(ctx, o)
 }
 
+// acceleratorsOf returns what each part of a job needs: one accelerator, or eight where the id starts with "w".
+func acceleratorsOf(id ident.Job) ident.Accelerators {
+	if id[0] == 'w' {
+		return 8
+	}
+	return 1
+}
+
 // submit hands a job of one step in.
 func (r *rig) submit(id ident.Job, length time.Duration, step work.Step) {
 	r.t.Helper()
-	r.fleet.mu.Lock()
-	r.fleet.lengths[id] = length
-	if step.Gang {
-		r.fleet.gangs[id] = step.Parts
-	}
-	r.fleet.mu.Unlock()
-	step.Need = work.Amount{CPU: 10000, Memory: 10000, Accelerators: ident.Accelerators(acceleratorsOf(id))}
+	step.Need = work.Amount{CPU: 10000, Memory: 10000, Accelerators: acceleratorsOf(id)}
 	step.Estimate = length
 	queue := work.QueueName("q")
 	if id[len(id)-1] == '!' {
 		queue = "urgent"
 	}
-	assert.NilError(r.t, r.api.Submit(r.ctx, &work.Job{
+	job := &work.Job{
 		ID: id, Account: "a", Queue: queue, Terms: r.policy.Queue(queue).Terms, Payload: "run",
 		Steps: []work.Step{step}, AcceptedMs: time.Now().UnixMilli(),
-	}))
+	}
+	r.fleet.Expect(&fakes.Job{Spec: job, Length: length, Poison: r.poison[id]})
+	assert.NilError(r.t, r.api.Submit(r.ctx, job))
 }
 
 // await waits until a job is in a state.
@@ -216,16 +238,7 @@
 	clock.Sleep(r.ctx, d)
 }
 
-// starts returns how many parts were started.
-func (r *rig) starts() int {
-	r.fleet.mu.Lock()
-	defer r.fleet.mu.Unlock()
-	return r.fleet.starts
-}
-
 // change changes the fleet.
 func (r *rig) change(f func()) {
-	r.fleet.mu.Lock()
-	defer r.fleet.mu.Unlock()
-	f()
+	r.fleet.Change(f)
 }
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -1,4 +1,4 @@
-package sched
+package sched_test
 
 import (
 	"testing"
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -46,13 +47,13 @@
 	play(t, 1, func(r *rig) {
 		r.instance("i1")
 		r.sleep(time.Second)
-		w := r.fleet.workers["wa"]
-		r.change(func() { w.mute = true })
+		w := r.fleet.Worker("wa")
+		r.change(func() { w.Mute = true })
 		r.submit("j1", 100*time.Millisecond, work.Step{Parts: 1})
 		r.sleep(300 * time.Millisecond)
-		r.change(func() { w.advance(); w.mute = false })
+		r.change(func() { w.Mute = false })
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		assert.Equal(t, r.starts(), 1)
+		assert.Equal(t, r.fleet.Starts(), 1)
 	})
 }
 
@@ -78,7 +79,7 @@
 				r.sleep(test.kill)
 				kill()
 				r.await("j1", ident.Succeeded, 12*time.Second)
-				assert.Equal(t, r.starts(), 4)
+				assert.Equal(t, r.fleet.Starts(), 4)
 			})
 		})
 	}
@@ -93,14 +94,12 @@
 		r.instance("i2")
 		r.submit("w1", 6*time.Second, work.Step{Parts: 2, Gang: true})
 		r.sleep(time.Second)
-		var crashed *fakeWorker
-		r.change(func() {
-			for _, w := range r.fleet.workers {
-				w.stopTime = 2 * time.Second
-				if crashed == nil && len(w.runs) > 0 {
-					crashed = w
-					w.crash()
-				}
+		var crashed *fakes.Worker
+		r.fleet.Workers(func(w *fakes.Worker) {
+			w.StopTime = 2 * time.Second
+			if crashed == nil && w.Runs() > 0 {
+				crashed = w
+				w.Crash()
 			}
 		})
 		r.list(crashed)
@@ -115,19 +114,14 @@
 		r.instance("i1")
 		r.submit("w1", 8*time.Second, work.Step{Parts: 1})
 		r.sleep(2 * time.Second)
-		r.change(func() {
-			for _, w := range r.fleet.workers {
-				w.cut = len(w.runs) > 0
-			}
+		r.fleet.Workers(func(w *fakes.Worker) {
+			w.Cut = w.Runs() > 0
 		})
 		// The cut worker ends its run when its lease lapses; only then may the part start elsewhere.
 		for range 60 {
 			r.sleep(200 * time.Millisecond)
-			r.change(func() {
-				for _, w := range r.fleet.workers {
-					w.advance()
-				}
-			})
+			// The workers end what is due.
+			r.change(func() {})
 		}
 		r.await("w1", ident.Succeeded, 20*time.Second)
 	})
@@ -138,11 +132,11 @@
 		r.instance("i1")
 		r.submit("j1", 3*time.Second, work.Step{Parts: 3})
 		r.sleep(time.Second)
-		w := r.fleet.workers["wa"]
-		r.change(w.crash)
+		w := r.fleet.Worker("wa")
+		r.change(w.Crash)
 		r.list(w)
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		assert.Equal(t, r.starts(), 6)
+		assert.Equal(t, r.fleet.Starts(), 6)
 	})
 }
 
@@ -156,7 +150,7 @@
 		r.sleep(5 * time.Second)
 		r.away.Store(false)
 		r.await("j1", ident.Succeeded, 12*time.Second)
-		assert.Equal(t, r.starts(), 4, "an outage of 5 s must not stop what runs")
+		assert.Equal(t, r.fleet.Starts(), 4, "an outage of 5 s must not stop what runs")
 	})
 }
 
@@ -173,7 +167,7 @@
 		r.lost.Store(false)
 		r.sleep(time.Second)
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		assert.Equal(t, r.starts(), 4)
+		assert.Equal(t, r.fleet.Starts(), 4)
 	})
 }
 
@@ -184,10 +178,8 @@
 		r.sleep(2 * time.Second)
 		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j1"))
 		r.sleep(time.Second)
-		r.change(func() {
-			for _, w := range r.fleet.workers {
-				assert.Equal(t, len(w.runs), 0)
-			}
+		r.fleet.Workers(func(w *fakes.Worker) {
+			assert.Equal(t, w.Runs(), 0)
 		})
 		r.await("j1", ident.Cancelled, time.Second)
 	})
@@ -196,10 +188,10 @@
 func TestPoisonedJobFails(t *testing.T) {
 	play(t, 4, func(r *rig) {
 		r.instance("i1")
-		r.change(func() { r.fleet.poison["j1"] = true })
+		r.poison["j1"] = true
 		r.submit("j1", time.Second, work.Step{Parts: 2, Gang: true})
 		r.await("j1", ident.Failed, 15*time.Second)
-		assert.Equal(t, r.starts(), 3*2, "each attempt starts both parts once")
+		assert.Equal(t, r.fleet.Starts(), 3*2, "each attempt starts both parts once")
 	})
 }
 
@@ -217,13 +209,13 @@
 	play(t, 2, func(r *rig) {
 		r.instance("i1")
 		r.sleep(time.Second)
-		w := r.fleet.workers["wa"]
-		r.change(func() { w.entry.Accepting = false })
+		w := r.fleet.Worker("wa")
+		r.change(func() { w.Entry.Accepting = false })
 		r.list(w)
 		r.sleep(500 * time.Millisecond)
 		r.submit("j1", time.Second, work.Step{Parts: 8})
 		r.await("j1", ident.Succeeded, 10*time.Second)
-		r.change(func() { assert.Equal(t, int(w.number), 0) })
+		r.change(func() { assert.Equal(t, w.Ends(), 0) })
 	})
 }
 
@@ -232,16 +224,16 @@
 		r.instance("i1")
 		r.submit("j1", 6*time.Second, work.Step{Parts: 2})
 		r.sleep(time.Second)
-		r.unlist(r.fleet.workers["wa"])
+		r.unlist(r.fleet.Worker("wa"))
 		r.await("j1", ident.Succeeded, 8*time.Second)
-		assert.Equal(t, r.starts(), 2)
+		assert.Equal(t, r.fleet.Starts(), 2)
 	})
 }
 
 func TestStalledPartIsMoved(t *testing.T) {
 	play(t, 2, func(r *rig) {
 		r.instance("i1")
-		r.change(func() { r.fleet.workers["wa"].stalling = true })
+		r.fleet.Worker("wa").Stalling = true
 		r.submit("w1", 3*time.Second, work.Step{Parts: 1})
 		r.await("w1", ident.Succeeded, 12*time.Second)
 	})
