Serve the store and workers by the platform's protocol in memory; links that disturb connections

Trace: the stop of a part overtakes its start when the other part of the gang has failed at once, the worker refuses the start, and five parts start instead of six.

--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -88,6 +88,17 @@
 			time.Sleep(4 * time.Second)
 			s.start(s.w, first, 1, nil)
 		}, "after its cancellation"},
+		{"leaving worker", func(s *scene) {
+			s.w.DrainingSince = time.Now()
+			time.Sleep(3 * time.Second)
+			s.start(s.w, first, 1, nil)
+		}, "after it reported to leave"},
+		{"gang without a part", func(s *scene) {
+			s.job.Spec.Steps[0].Gang = true
+			s.start(s.w, first, 1, nil)
+			time.Sleep(4 * time.Second)
+			s.hold(s.w, 0)
+		}, "waited alone"},
 		{"after an acknowledged end", func(s *scene) {
 			s.start(s.w, first, 1, nil)
 			time.Sleep(2 * time.Second)
--- a/sard/fakes/fleet.go
+++ b/sard/fakes/fleet.go
@@ -20,6 +20,8 @@
 	saveEvery = time.Second
 	// cancelGrace is how long after a cancellation was answered, in calm, nothing of its job may be started.
 	cancelGrace = 3 * time.Second
+	// drainGrace is how long after its report, in calm, a leaving worker may be given parts.
+	drainGrace = 2 * time.Second
 )
 
 // Job is what the fleet knows of a job that a client has handed in.
@@ -38,8 +40,8 @@
 	done map[work.Part]bool
 	// failures are the failed attempts whose ends were acknowledged, by part, or by the first part of a gang.
 	failures map[work.Part]map[ident.Attempt]bool
-	// begun are the parts of which an attempt was started.
-	begun map[work.Part]bool
+	// begun are the parts of which an attempt was started, with the highest one.
+	begun map[work.Part]ident.Attempt
 }
 
 // Fleet is a set of workers that share a record of what ran.
@@ -103,7 +105,7 @@
 func (f *Fleet) Expect(j *Job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	j.done, j.failures, j.begun = map[work.Part]bool{}, map[work.Part]map[ident.Attempt]bool{}, map[work.Part]bool{}
+	j.done, j.failures, j.begun = map[work.Part]bool{}, map[work.Part]map[ident.Attempt]bool{}, map[work.Part]ident.Attempt{}
 	f.jobs[j.Spec.ID] = j
 }
 
@@ -169,6 +171,17 @@
 	return len(j.begun) >= j.Spec.Steps[0].Parts
 }
 
+// Attempts returns the highest attempt that was started of any part of a job.
+func (f *Fleet) Attempts(id ident.Job) ident.Attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	highest := ident.Attempt(0)
+	for _, attempt := range f.jobs[id].begun {
+		highest = max(highest, attempt)
+	}
+	return highest
+}
+
 func (f *Fleet) isCalm(span time.Duration) bool {
 	return f.calm == nil || f.calm(span)
 }
@@ -211,6 +224,8 @@
 		f.breached("%v: attempt %d started on %s after %d failures", part, o.Attempt.Number, w.Entry.Life.Worker, j.failedBefore(o.Attempt))
 	case !j.Cancelled.IsZero() && time.Since(j.Cancelled) > cancelGrace && f.isCalm(cancelGrace):
 		f.breached("%v: started %v after its cancellation", part, time.Since(j.Cancelled))
+	case !w.DrainingSince.IsZero() && time.Since(w.DrainingSince) > drainGrace && f.isCalm(drainGrace):
+		f.breached("%v: started on %s %v after it reported to leave", part, w.Entry.Life.Worker, time.Since(w.DrainingSince))
 	case step.Label != "" && !w.labelled(step.Label):
 		f.breached("%v: started on %s, which lacks %q", part, w.Entry.Life.Worker, step.Label)
 	}
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -32,6 +32,8 @@
 	Slow float64
 	// ClockSlow is by how much the worker's clock is slow, in percent.
 	ClockSlow int
+	// DrainingSince is when the worker has reported that it leaves; zero when it stays.
+	DrainingSince time.Time
 	// Refuse is the cause for which all starts are refused; nil for none.
 	Refuse *sched.Cause
 
@@ -171,7 +173,7 @@
 		return w.refusal(sched.Outdated)
 	}
 	w.fleet.checkStart(w, j, o)
-	j.begun[part] = true
+	j.begun[part] = max(j.begun[part], o.Attempt.Number)
 	w.fleet.starts++
 	w.fleet.running[part]++
 	w.runs[part] = newRun(w, o)
@@ -277,6 +279,7 @@
 		case w.Failing || r.job().Poison:
 			w.endGang(r, pool.Failed, pool.Broken)
 		case !r.complete() && time.Since(r.began) > gangPatience:
+			w.checkAlone(r)
 			w.end(r, pool.Alone)
 		case r.done():
 			w.endGang(r, pool.Done, pool.Done)
@@ -284,6 +287,13 @@
 	}
 }
 
+// checkAlone notes a part of a gang that waited in vain for the others though nothing was disturbed.
+func (w *Worker) checkAlone(r *run) {
+	if r.job().Cancelled.IsZero() && w.fleet.isCalm(2*gangPatience) {
+		w.fleet.breached("%v: attempt %d waited alone on %s", r.attempt.Part, r.attempt.Number, w.Entry.Life.Worker)
+	}
+}
+
 // endGang ends a run, and the others of its gang.
 func (w *Worker) endGang(r *run, how, others pool.End) {
 	for _, m := range r.members() {
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -54,6 +54,7 @@
 }
 
 func (s *script) play() {
+	s.disturbed.Store(true)
 	for range 3 {
 		s.launch()
 	}
--- /dev/null
+++ b/sardsoak/play/instance.go
@@ -0,0 +1,194 @@
+package play
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/sardineline/sardineline/platform/conf"
+	platformrows "github.com/sardineline/sardineline/platform/rows"
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sardsoak/procs"
+	"github.com/sardineline/sardineline/sardsoak/proxy"
+)
+
+// The ports of an instance, each on an IP number of its own.
+const (
+	frontPort   = 8521
+	readyPort   = 8523
+	metricsPort = 7000
+)
+
+// storeLinks is how many ways lead an instance to the store; its settings name one of them.
+const storeLinks = 2
+
+// instance is an entry instance: its way to the store and its process.
+type instance struct {
+	world *world
+	name  string
+	ip    netip.Addr
+	rows  *rows
+	links [storeLinks]*proxy.Link
+	// link is the one that the settings name.
+	link int
+
+	mu      sync.Mutex
+	process *procs.Process
+	// away tells that the instance is not to be started again now.
+	away bool
+}
+
+func (w *world) newInstance(number int, draw *rand.Rand) (*instance, error) {
+	i := &instance{
+		world: w, name: fmt.Sprintf("i%d", number), ip: w.address(number),
+		rows: &rows{memory: &w.memory, group: w.group.Go, draw: draw},
+	}
+	address, err := w.serve(platformrows.Handler(i.rows))
+	if err != nil {
+		return nil, err
+	}
+	for n := range i.links {
+		if i.links[n], err = proxy.New(w.ctx, w.group, address); err != nil {
+			return nil, err
+		}
+	}
+	return i, i.write()
+}
+
+// serve serves a handler on loopback until the run ends, and returns its address.
+func (w *world) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fault.Wrap(err, fault.Unavailable, "listen", "loopback")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: callTime, ErrorLog: w.discard}
+	w.group.Go(func() error {
+		// Serve always fails in the end, here since the server was closed.
+		_ = server.Serve(listener)
+		return nil
+	})
+	w.group.Go(func() error {
+		<-w.ctx.Done()
+		return server.Close()
+	})
+	return listener.Addr().String(), nil
+}
+
+func (i *instance) settingsPath() string { return filepath.Join(i.world.config.Dir, i.name+".toml") }
+func (i *instance) logPath() string      { return filepath.Join(i.world.config.Dir, i.name+".log") }
+func (i *instance) front() string        { return netip.AddrPortFrom(i.ip, frontPort).String() }
+
+// write writes the settings file.
+func (i *instance) write() error {
+	address, err := netip.ParseAddrPort(i.links[i.link].Address())
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "write settings", i.name)
+	}
+	return conf.Write(i.settingsPath(), conf.Settings{
+		Instance: ident.Instance(i.name), DataCentre: "dc", Cores: 1, MemoryBytes: 284 << 20,
+		Front: netip.AddrPortFrom(i.ip, frontPort), Ready: netip.AddrPortFrom(i.ip, readyPort),
+		Metrics: netip.AddrPortFrom(i.ip, metricsPort), Store: address,
+		Bounds: conf.Bounds{
+			MaxWorkerLease: workerLeaseMax, StopTime: stopTime, Grace: grace, Revocation: revocation, Retention: retention,
+		},
+	})
+}
+
+// start starts the process unless one runs.
+func (i *instance) start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.away || i.process != nil && !i.process.Gone() {
+		return nil
+	}
+	p, err := procs.Start(procs.Config{
+		Program: i.world.config.Program, Args: []string{"platform", "--log.json", "--settings", i.settingsPath()},
+		Log: i.logPath(), Group: i.world.group,
+	})
+	if err != nil {
+		return err
+	}
+	i.process = p
+	i.world.group.Go(func() error {
+		<-p.Ended()
+		if err := p.Failure(); err != nil {
+			i.world.breached("instance %s: %v", i.name, err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// current returns the newest process.
+func (i *instance) current() *procs.Process {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.process
+}
+
+// kill ends the process by force; it is started again after a while.
+func (i *instance) kill(after time.Duration) error {
+	p := i.current()
+	p.Kill()
+	<-p.Ended()
+	clock.Sleep(i.world.ctx, after)
+	return i.start()
+}
+
+// stop ends the process by plan, by force when it takes too long, and starts it again.
+func (i *instance) stop() error {
+	p := i.current()
+	p.Stop()
+	select {
+	case <-p.Ended():
+	case <-time.After(grace):
+		if !p.Gone() {
+			i.world.timed("instance %s did not end within %v", i.name, grace)
+		}
+		p.Kill()
+		<-p.Ended()
+	}
+	return i.start()
+}
+
+// pause suspends the process for a while.
+func (i *instance) pause(span time.Duration) {
+	p := i.current()
+	p.Pause()
+	clock.Sleep(i.world.ctx, span)
+	p.Resume()
+}
+
+// reload has the settings name the other link, with or without a signal.
+func (i *instance) reload(signal bool) error {
+	i.mu.Lock()
+	i.link = (i.link + 1) % storeLinks
+	i.mu.Unlock()
+	if err := i.write(); err != nil {
+		return err
+	}
+	if signal {
+		i.current().Hangup()
+	}
+	return nil
+}
+
+// disturb sets what the links to the store do.
+func (i *instance) disturb(t proxy.Trouble) {
+	for _, l := range i.links {
+		l.Set(t)
+	}
+}
+
+func (i *instance) each(visit func(*proxy.Link)) {
+	for _, l := range i.links {
+		visit(l)
+	}
+}
