A fault soak of real processes on the users' platform's protocol (sardsoak)

Change: sardsoak starts instances as processes against a store and workers in memory, behind loopback links. 40 kinds of trouble come at random from a seed and overlap: kills, planned stops, suspensions, reloads, links that are silent in one or both directions, mute for good, slow, refusing or reset, a store that is busy, throttles, loses or delays writes, turns some away or forgets its history, workers that start again, leave, are lost, fail, stall or turn slow, unreadable entries, revoked keys, added queues, bursts. Clients hand jobs in, ask, cancel, send copies; probes try revoked keys and new queues. Promises are checked by sard/fakes (workers) and sardsoak/play (clients). Ruled out: growing scripts/soak, which drives the product's own interface by sardctl and sees only its ledger; it stays as make soak-own.

--- a/Makefile
+++ b/Makefile
@@ -5,15 +5,16 @@
 LINT := $(BIN)/golangci-lint
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 SEED ?= 1
+SEEDS ?= 1
 MINUTES ?= 1
 
-.PHONY: all build demo test short lint format generate bench soak clean
+.PHONY: all build demo test short lint format generate bench soak soak-own clean
 
 all: build
 
 # build compiles the programs into .bin.
 build:
-	go build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./sardined ./sardctl ./standin ./sardbench
+	go build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./sardined ./sardctl ./standin ./sardbench ./sardsoak
 
 # test runs the unit, example and randomised tests with the race detector.
 test:
@@ -45,7 +46,12 @@
 demo: build
 	scripts/demo
 
+# soak plays SEEDS seeds from SEED on against real processes on the users' platform's protocol.
 soak: build
+	$(BIN)/sardsoak --program $(BIN)/sardined --seed $(SEED) --seeds $(SEEDS)
+
+# soak-own plays one seed for MINUTES minutes on the product's own interface.
+soak-own: build
 	scripts/soak $(SEED) $(MINUTES)
 
 clean:
--- /dev/null
+++ b/sardsoak/main.go
@@ -0,0 +1,129 @@
+// Command sardsoak plays runs of random jobs and troubles against real processes and checks the promises of the
+// scheduler. It ends only processes that it started.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/sardineline/sardineline/sardsoak/play"
+)
+
+// version is set when the program is built.
+var version = "devel"
+
+// options are the settings of the program.
+type options struct {
+	Seed      uint64        `long:"seed" env:"SARDSOAK_SEED" default:"1" description:"First seed."`
+	Seeds     int           `long:"seeds" env:"SARDSOAK_SEEDS" default:"1" description:"How many seeds to play, one after the other."`
+	Span      time.Duration `long:"span" env:"SARDSOAK_SPAN" default:"40s" description:"How long jobs and troubles come for each seed."`
+	Program   string        `long:"program" env:"SARDSOAK_PROGRAM" default:".bin/sardined" description:"The daemon."`
+	Dir       string        `long:"dir" env:"SARDSOAK_DIR" default:".run/soak" description:"Folder for settings and logs; a folder for each seed is made in it."`
+	Instances int           `long:"instances" env:"SARDSOAK_INSTANCES" default:"5" description:"Entry instances, each a process."`
+	Workers   int           `long:"workers" env:"SARDSOAK_WORKERS" default:"16" description:"Workers of 8 accelerators."`
+	Jobs      float64       `long:"jobs" env:"SARDSOAK_JOBS" default:"2.5" description:"Jobs a second."`
+	Every     time.Duration `long:"trouble-every" env:"SARDSOAK_TROUBLE_EVERY" default:"1500ms" description:"Mean time between two troubles; 0 for none."`
+	Untimed   bool          `long:"untimed" env:"SARDSOAK_UNTIMED" description:"Don't check promises that name a time; for overloaded machines."`
+	Keep      bool          `long:"keep" env:"SARDSOAK_KEEP" description:"Keep the logs of seeds that broke no promise too."`
+	Version   bool          `long:"version" description:"Print the version and exit."`
+}
+
+// The exit codes.
+const (
+	exitKept     = 0
+	exitBroken   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			return exitKept
+		}
+		return exitSettings
+	}
+	if opts.Version {
+		_, _ = fmt.Fprintln(os.Stdout, version)
+		return exitKept
+	}
+	if err := opts.check(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := exitKept
+	for seed := opts.Seed; seed < opts.Seed+uint64(opts.Seeds) && ctx.Err() == nil; seed++ {
+		if !opts.play(ctx, seed) {
+			code = exitBroken
+		}
+	}
+	return code
+}
+
+func (o *options) check() error {
+	switch {
+	case o.Instances < 1 || o.Workers < 1 || o.Seeds < 1:
+		return errors.New("instances, workers and seeds must be 1 or more")
+	case o.Span <= 0 || o.Jobs <= 0 || o.Every < 0:
+		return errors.New("span and jobs must be over 0, trouble-every must not be negative")
+	}
+	if _, err := os.Stat(o.Program); err != nil {
+		return fmt.Errorf("program: %w", err)
+	}
+	return nil
+}
+
+// play plays one seed and tells whether no promise was broken.
+func (o *options) play(ctx context.Context, seed uint64) bool {
+	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
+	log, err := openLog(dir)
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer func() { _ = log.Close() }()
+	report, err := play.Run(ctx, play.Config{
+		Seed: seed, Span: o.Span, Program: o.Program, Dir: dir, Instances: o.Instances, Workers: o.Workers,
+		JobsPerSecond: o.Jobs, TroubleEvery: o.Every, Timed: !o.Untimed,
+		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: log, JSONFormat: true}),
+	})
+	if err != nil {
+		_, _ = fmt.Fprintf(os.Stdout, "seed %d: could not be played: %v\n", seed, err)
+		return false
+	}
+	_, _ = fmt.Fprintln(os.Stdout, report)
+	if len(report.Breaches) > 0 {
+		_, _ = fmt.Fprintf(os.Stdout, "\tsettings, logs and troubles are in %s\n", dir)
+		return false
+	}
+	if !o.Keep {
+		if err := os.RemoveAll(dir); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	return true
+}
+
+// openLog makes the folder of a seed, empty, and the log of its troubles.
+func openLog(dir string) (*os.File, error) {
+	if err := errors.Join(os.RemoveAll(dir), os.MkdirAll(dir, 0o755)); err != nil {
+		return nil, err
+	}
+	return os.Create(filepath.Join(dir, "troubles.log"))
+}
--- a/sardsoak/play/config.go
+++ b/sardsoak/play/config.go
@@ -24,8 +24,9 @@
 	JobsPerSecond float64
 	// TroubleEvery is the mean time between the beginnings of two troubles, which overlap; 0 for no troubles.
 	TroubleEvery time.Duration
-	// Timed has the promises that name a time checked too. They need a machine that is not overloaded.
-	Timed bool
+	// Timed has the promises that name a time checked too. They need a machine that is not overloaded; without them all
+	// other times are stretched by untimedStretch.
+	Timed  bool
 	Logger hclog.Logger
 }
 
@@ -49,8 +50,18 @@
 	callTime = 3 * time.Second
 	// finishTime is how long after the last trouble all accepted jobs must have ended.
 	finishTime = 60 * time.Second
+	// untimedStretch is by how much times are longer where promises that name a time are not checked.
+	untimedStretch = 5
 )
 
+// stretch returns a time as it counts on this machine.
+func (c *Config) stretch(d time.Duration) time.Duration {
+	if c.Timed {
+		return d
+	}
+	return d * untimedStretch
+}
+
 // What is played has one host and one service.
 const (
 	host    = "soak.example"
--- a/sardsoak/play/instance.go
+++ b/sardsoak/play/instance.go
@@ -41,8 +41,10 @@
 
 	mu      sync.Mutex
 	process *procs.Process
-	// away tells that the instance is not to be started again now.
-	away bool
+	// retired tells that the instance is not to be started again.
+	retired bool
+	// pausedUntil is when the last suspension of the process ended.
+	pausedUntil time.Time
 }
 
 func (w *world) newInstance(number int, draw *rand.Rand) (*instance, error) {
@@ -105,7 +107,7 @@
 func (i *instance) start() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.away || i.process != nil && !i.process.Gone() {
+	if i.retired || i.process != nil && !i.process.Gone() {
 		return nil
 	}
 	p, err := procs.Start(procs.Config{
@@ -161,11 +163,36 @@
 // pause suspends the process for a while.
 func (i *instance) pause(span time.Duration) {
 	p := i.current()
+	i.mu.Lock()
+	i.pausedUntil = time.Now().Add(span)
+	i.mu.Unlock()
 	p.Pause()
 	clock.Sleep(i.world.ctx, span)
 	p.Resume()
 }
 
+// wasPaused tells whether the process was suspended lately.
+func (i *instance) wasPaused() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return time.Since(i.pausedUntil) < stableTime
+}
+
+// retire keeps the process from being started again.
+func (i *instance) retire() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.retired = true
+}
+
+// leave ends the process by force, for good.
+func (i *instance) leave() {
+	i.retire()
+	p := i.current()
+	p.Kill()
+	<-p.Ended()
+}
+
 // reload has the settings name the other link, with or without a signal.
 func (i *instance) reload(signal bool) error {
 	i.mu.Lock()
--- /dev/null
+++ b/sardsoak/play/report.go
@@ -0,0 +1,67 @@
+package play
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// tally counts what happens in a run.
+type tally struct {
+	jobs, accepted, refused, unknown atomic.Int64
+	completed, failed, cancelled     atomic.Int64
+	calls, troubles                  atomic.Int64
+}
+
+func (t *tally) add(n *atomic.Int64) { n.Add(1) }
+
+// end counts a last state.
+func (t *tally) end(state string) {
+	switch state {
+	case stateCompleted:
+		t.completed.Add(1)
+	case stateFailed:
+		t.failed.Add(1)
+	case stateCancelled:
+		t.cancelled.Add(1)
+	}
+}
+
+// Report is what came of a run.
+type Report struct {
+	Seed uint64
+	Took time.Duration
+	// Jobs were handed in; Accepted, Refused and Unknown tell with what answer.
+	Jobs, Accepted, Refused, Unknown int64
+	// Completed, Failed and Cancelled are the last states of accepted jobs.
+	Completed, Failed, Cancelled int64
+	// Calls of clients, Troubles and Starts of parts were counted.
+	Calls, Troubles int64
+	Starts          int
+	// Breaches are the promises that were broken.
+	Breaches []string
+}
+
+func (w *world) report(started time.Time) Report {
+	t := &w.tally
+	return Report{
+		Seed: w.config.Seed, Took: time.Since(started).Truncate(time.Millisecond),
+		Jobs: t.jobs.Load(), Accepted: t.accepted.Load(), Refused: t.refused.Load(), Unknown: t.unknown.Load(),
+		Completed: t.completed.Load(), Failed: t.failed.Load(), Cancelled: t.cancelled.Load(),
+		Calls: t.calls.Load(), Troubles: t.troubles.Load(), Starts: w.fleet.Starts(), Breaches: w.broken(),
+	}
+}
+
+// String formats the report as one line, and one more for each broken promise.
+func (r Report) String() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "seed %d: %v, %d troubles, %d calls, %d jobs (%d accepted, %d refused, %d unknown), "+
+		"%d completed, %d failed, %d cancelled, %d starts, %d promises broken",
+		r.Seed, r.Took, r.Troubles, r.Calls, r.Jobs, r.Accepted, r.Refused, r.Unknown,
+		r.Completed, r.Failed, r.Cancelled, r.Starts, len(r.Breaches))
+	for _, breach := range r.Breaches {
+		_, _ = fmt.Fprintf(&b, "\n\t%s", breach)
+	}
+	return b.String()
+}
--- a/sardsoak/proxy/proxy_test.go
+++ b/sardsoak/proxy/proxy_test.go
@@ -21,9 +21,12 @@
 	group.Go(func() error {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if err != nil {
+				return err
+			}
 			group.Go(func() error {
 				_, _ = io.Copy(conn, conn)
 				return conn.Close()
