sardctl causes: why jobs were late, and what work was lost, from the logs

Change: causes counts jobs by priority and cause (first wait, the most frequent reason of a stop or kind of bad end, long work, failure, not ended) and lost core-seconds by reason. Reading of logs is shared with trace.

--- /dev/null
+++ b/sardctl/causes_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// schedulerLog tells of a job in time, one that waited, one whose worker was taken back, one that was longer than
+// estimated, one that failed, one that is open and one that was cancelled.
+const schedulerLog = `{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"a","priority":0,"need":{"CPU":2000,"Accelerators":1}}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"part started","part":"a.0.0.0","attempt":1}
+{"@timestamp":"2026-01-01T00:00:01Z","@module":"sardined.sched","@message":"job ended","job":"a","state":"Succeeded","took_ms":1000,"objective_ms":2000}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"b","priority":0,"need":{"CPU":2000,"Accelerators":1}}
+{"@timestamp":"2026-01-01T00:00:03Z","@module":"sardined.sched","@message":"part started","part":"b.0.0.0","attempt":1}
+{"@timestamp":"2026-01-01T00:00:04Z","@module":"sardined.sched","@message":"job ended","job":"b","state":"Succeeded","took_ms":4000,"objective_ms":2000}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"c","priority":1,"need":{"CPU":2000,"Accelerators":1}}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"part started","part":"c.0.0.0","attempt":1}
+{"@timestamp":"2026-01-01T00:00:02Z","@module":"sardined.sched","@message":"part is stopped","part":"c.0.0.0","attempt":1,"reason":"capacity reclaimed"}
+{"@timestamp":"2026-01-01T00:00:02Z","@module":"sardined.sched","@message":"part ended","part":"c.0.0.0","attempt":1,"how":"Stopped"}
+{"@timestamp":"2026-01-01T00:00:09Z","@module":"sardined.sched","@message":"job ended","job":"c","state":"Succeeded","took_ms":9000,"objective_ms":4000}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"d","priority":1,"need":{"CPU":2000,"Accelerators":1}}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"part started","part":"d.0.0.0","attempt":1}
+{"@timestamp":"2026-01-01T00:00:09Z","@module":"sardined.sched","@message":"job ended","job":"d","state":"Succeeded","took_ms":9000,"objective_ms":4000}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"e","priority":2,"need":{}}
+{"@timestamp":"2026-01-01T00:00:01Z","@module":"sardined.sched","@message":"job ended","job":"e","state":"Failed","took_ms":1000,"objective_ms":4000}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"f","priority":2,"need":{}}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"g","priority":2,"need":{}}
+{"@timestamp":"2026-01-01T00:00:01Z","@module":"sardined.sched","@message":"job ended","job":"g","state":"Cancelled","took_ms":1000,"objective_ms":4000}
+`
+
+func TestCauses(t *testing.T) {
+	var out, errs bytes.Buffer
+	code := run([]string{"causes"}, strings.NewReader(schedulerLog), &out, &errs)
+	assert.Equal(t, code, exitOK, errs.String())
+	text := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{
+		"0 in time 1 0s -1s", "0 waited for the first start 1 3s 2s", "1 capacity reclaimed 1 0s 5s",
+		"1 work longer than estimated 1 0s 5s", "2 failed 1 0s -3s", "2 not ended 1 0s 0s",
+		"LOST WORK CORE SECONDS capacity reclaimed 20",
+	} {
+		assert.Assert(t, strings.Contains(text, want), "%q is missing in %q", want, text)
+	}
+	assert.Assert(t, !strings.Contains(text, "Cancelled"))
+}
--- a/sardctl/options.go
+++ b/sardctl/options.go
@@ -44,6 +44,7 @@
 		{"cancel", "Cancel jobs", "Cancels jobs of the account. Safe to repeat.", &cancelCommand{session: s}},
 		{"explain", "Tell why a job waits or where it was placed", "Tells why a job waits, or where and why it was placed.", &explainCommand{session: s}},
 		{"trace", "Tell what the logs say of a job", "Reads the JSON logs of all instances from files or standard input and prints the lines that name an id, in order.", &traceCommand{session: s}},
+		{"causes", "Tell from the logs why jobs were late", "Reads the JSON logs of all instances from files or standard input and counts the jobs of each priority by what made them late, and the work that was lost by its reason.", &causesCommand{session: s}},
 		{"wait", "Wait until jobs have ended", "Waits until all jobs have ended. Fails when one did not succeed.", &waitCommand{session: s}},
 		{"request", "Send a short request", "Sends one request to a backend server and prints the answer. It is never sent twice.", &requestCommand{session: s}},
 		{"completion", "Print the shell completion script", "Prints a script for bash: source <(sardctl completion)", &completionCommand{session: s}},
--- a/sardctl/trace.go
+++ b/sardctl/trace.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 
@@ -45,23 +44,16 @@
 }
 
 func (c *traceCommand) read() ([]logLine, error) {
-	if len(c.Args.Files) == 0 {
-		return readLog(c.session.in, c.Args.ID)
-	}
-	var all []logLine
-	for _, name := range c.Args.Files {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, fault.Wrap(err, fault.Invalid, "read log", name)
-		}
-		lines, err := readLog(file, c.Args.ID)
-		_ = file.Close()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, lines...)
-	}
-	return all, nil
+	var lines []logLine
+	err := eachLog(c.Args.Files, c.session.in, func(in io.Reader) error {
+		return scanLog(in, c.Args.ID, func(text string) {
+			var fields map[string]any
+			if json.Unmarshal([]byte(text), &fields) == nil {
+				lines = append(lines, newLogLine(fields))
+			}
+		})
+	})
+	return lines, err
 }
 
 // logLine is a line of a log.
@@ -74,27 +66,21 @@
 	Fields string
 }
 
-// readLog returns the lines that name an id. What precedes the JSON of a line, and lines without any, are passed over.
-func readLog(in io.Reader, id string) ([]logLine, error) {
+// scanLog calls visit with the JSON of each line that holds a text. What precedes the JSON of a line, and lines without
+// any, are passed over.
+func scanLog(in io.Reader, holds string, visit func(text string)) error {
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLogLine)
-	var found []logLine
 	for scanner.Scan() {
 		text := scanner.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, id) {
-			continue
-		}
-		var fields map[string]any
-		if json.Unmarshal([]byte(text[start:]), &fields) != nil {
-			continue
+		if start := strings.IndexByte(text, '{'); start >= 0 && strings.Contains(text, holds) {
+			visit(text[start:])
 		}
-		found = append(found, newLogLine(fields))
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "read log", "")
+		return fault.Wrap(err, fault.Invalid, "read log", "")
 	}
-	return found, nil
+	return nil
 }
 
 func newLogLine(fields map[string]any) logLine {
