Record the end of a gang's job once

Cause: each part of a gang that ended after the first one marked its job as changed, so the job was recorded, logged ('job ended') and counted in sardine_sched_jobs_ended_total once more for each batch of such ends. Ruled out: logging only once, which leaves the writes. Ends of parts whose group is done change no record. Test: TestLaterEndsOfAGangChangeNoRecord, which failed before (1 unrecorded change).

--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -79,11 +79,12 @@
 	n.detach(p)
 	e.save(g, saved, now)
 	e.judge(n, g, how, now)
-	e.touch(g.job)
 	if g.phase == done || g.job.state.Terminal() {
+		// The record tells the end already.
 		e.retire(g.job)
 		return
 	}
+	e.touch(g.job)
 	if how == Done && !g.spec().Lasting {
 		e.complete(g)
 		return
