Have the soak's operator change the configuration all the time

Change: an operator of its own adds a queue or revokes a key every 4 s in the mean, beside the troubles.

--- a/sardsoak/play/operator.go
+++ b/sardsoak/play/operator.go
@@ -1,10 +1,13 @@
 package play
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/policy"
 	"github.com/sardineline/sardineline/sard/work"
@@ -44,6 +47,24 @@
 	return o
 }
 
+// changeEvery is the mean time between two changes of the configuration.
+const changeEvery = 4 * time.Second
+
+// work changes the configuration at random times until ctx ends.
+func (o *operator) work(ctx context.Context, draw *rand.Rand) error {
+	for clock.Sleep(ctx, time.Duration(draw.ExpFloat64()*float64(changeEvery))) {
+		change := o.addQueue
+		if draw.IntN(2) == 0 {
+			change = func() error { return o.revoke(draw.IntN(accounts)) }
+		}
+		if err := change(); err != nil {
+			return err
+		}
+		o.world.tally.add(&o.world.tally.changes)
+	}
+	return nil
+}
+
 // issue makes a new key.
 func (o *operator) issue() string {
 	o.issued++
--- a/sardsoak/play/report.go
+++ b/sardsoak/play/report.go
@@ -11,7 +11,7 @@
 type tally struct {
 	jobs, accepted, refused, unknown atomic.Int64
 	completed, failed, cancelled     atomic.Int64
-	calls, troubles                  atomic.Int64
+	calls, troubles, changes         atomic.Int64
 }
 
 func (t *tally) add(n *atomic.Int64) { n.Add(1) }
@@ -36,9 +36,9 @@
 	Jobs, Accepted, Refused, Unknown int64
 	// Completed, Failed and Cancelled are the last states of accepted jobs.
 	Completed, Failed, Cancelled int64
-	// Calls of clients, Troubles and Starts of parts were counted.
-	Calls, Troubles int64
-	Starts          int
+	// Calls of clients, Troubles, Changes of the configuration and Starts of parts were counted.
+	Calls, Troubles, Changes int64
+	Starts                   int
 	// Breaches are the promises that were broken.
 	Breaches []string
 }
@@ -49,16 +49,16 @@
 		Seed: w.config.Seed, Took: time.Since(started).Truncate(time.Millisecond),
 		Jobs: t.jobs.Load(), Accepted: t.accepted.Load(), Refused: t.refused.Load(), Unknown: t.unknown.Load(),
 		Completed: t.completed.Load(), Failed: t.failed.Load(), Cancelled: t.cancelled.Load(),
-		Calls: t.calls.Load(), Troubles: t.troubles.Load(), Starts: w.fleet.Starts(), Breaches: w.broken(),
+		Calls: t.calls.Load(), Troubles: t.troubles.Load(), Changes: t.changes.Load(), Starts: w.fleet.Starts(), Breaches: w.broken(),
 	}
 }
 
 // String formats the report as one line, and one more for each broken promise.
 func (r Report) String() string {
 	var b strings.Builder
-	_, _ = fmt.Fprintf(&b, "seed %d: %v, %d troubles, %d calls, %d jobs (%d accepted, %d refused, %d unknown), "+
+	_, _ = fmt.Fprintf(&b, "seed %d: %v, %d troubles, %d changes, %d calls, %d jobs (%d accepted, %d refused, %d unknown), "+
 		"%d completed, %d failed, %d cancelled, %d starts, %d promises broken",
-		r.Seed, r.Took, r.Troubles, r.Calls, r.Jobs, r.Accepted, r.Refused, r.Unknown,
+		r.Seed, r.Took, r.Troubles, r.Changes, r.Calls, r.Jobs, r.Accepted, r.Refused, r.Unknown,
 		r.Completed, r.Failed, r.Cancelled, r.Starts, len(r.Breaches))
 	for _, breach := range r.Breaches {
 		_, _ = fmt.Fprintf(&b, "\n\t%s", breach)
--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -51,7 +51,9 @@
 	}
 	probing, stop := context.WithCancel(w.ctx)
 	defer stop()
-	w.group.Go(func() error { return w.probe(probing, w.random()) })
+	probes, changes := w.random(), w.random()
+	w.group.Go(func() error { return w.probe(probing, probes) })
+	w.group.Go(func() error { return w.operator.work(probing, changes) })
 	var playing errgroup.Group
 	playing.Go(func() error { w.sendJobs(w.random()); return nil })
 	playing.Go(func() error { return w.disturb(w.random()) })
--- a/sardsoak/play/troubles.go
+++ b/sardsoak/play/troubles.go
@@ -81,8 +81,6 @@
 	})},
 	{"workers silent", 1, false, workersSilent},
 
-	{"key revoked", 2, true, func(w *world, draw *rand.Rand, _ time.Duration) error { return w.operator.revoke(draw.IntN(accounts)) }},
-	{"queue added", 2, true, func(w *world, _ *rand.Rand, _ time.Duration) error { return w.operator.addQueue() }},
 	{"burst", 2, true, burst},
 }
 
