Learn how fast workers are, and expect slowness to last as long again as it has lasted

An attempt that became slow is expected to stay so for as long as it has been, 3 s at least, and is moved when starting anew is 1.6 times sooner. A gang that is slow on several racks is spread only when no rack could hold it empty; workers kept as headroom, avoided or slow no longer make a rack look too small.

--- a/sard/pool/decide.go
+++ b/sard/pool/decide.go
@@ -40,6 +40,8 @@
 	engine *Engine
 	now    time.Time
 	claims []claim
+	// speeds are those of the nodes.
+	speeds []speedClass
 	// held tells which nodes are kept free for guaranteed jobs.
 	held []bool
 	// misses are demands that did not fit, so that equal ones need not be tried.
@@ -89,6 +91,10 @@
 		free := n.free()
 		r.claims[i] = claim{free: free, soon: free.Plus(n.leaving)}
 	}
+	r.speeds = make([]speedClass, len(e.nodes))
+	for i, n := range e.nodes {
+		r.speeds[i] = n.class()
+	}
 	r.held = e.hold(now)
 	return r
 }
@@ -139,7 +145,7 @@
 	g.attempt++
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
-	g.watch = watch{}
+	g.watch = watch{whole: g.checkpoint == ""}
 	j := g.job
 	j.begun = true
 	j.state = ident.Running
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -30,13 +30,15 @@
 	dirty []*job
 	// breaches are decisions that were refused.
 	breaches []Breach
+	// estimates are what is known of each queue's.
+	estimates map[work.QueueName]*estimates
 	// demand follows what guaranteed jobs need.
 	demand demand
 }
 
 // New makes an Engine.
 func New(config Config) *Engine {
-	return &Engine{config: config, jobs: map[ident.Job]*job{}, byID: map[ident.Worker]*node{}}
+	return &Engine{config: config, jobs: map[ident.Job]*job{}, byID: map[ident.Worker]*node{}, estimates: map[work.QueueName]*estimates{}}
 }
 
 // SetWorker adds a worker or changes what is known of it. Reborn tells what becomes of its parts when it is another
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -76,6 +76,9 @@
 
 func (e *Engine) end(p *part, how End, saved work.Checkpoint, now time.Time) {
 	g, n := p.group, p.node
+	if how == Done {
+		e.learn(g, now)
+	}
 	n.detach(p)
 	e.save(g, saved, now)
 	e.judge(n, g, how, now)
@@ -104,7 +107,11 @@
 func (e *Engine) complete(g *group) {
 	g.phase = done
 	j := g.job
-	j.occurrences[g.occurrence].steps[g.step].open--
+	stage := g.stage()
+	stage.open--
+	if stage.open == 0 {
+		stage.compare()
+	}
 	if j.complete() {
 		j.state = ident.Succeeded
 		e.retire(j)
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -78,6 +78,9 @@
 	savedAt time.Time
 	// watch follows the progress of the current attempt.
 	watch watch
+	// took is how long the attempt took that ended well, on ranOn; 0 when it did not do all of the work.
+	took  time.Duration
+	ranOn []*node
 	// avoided are the workers on which the group has failed, stood still or was slow.
 	avoided map[ident.Worker]bool
 	// moves counts the stops for standing still or being slow.
@@ -101,6 +104,11 @@
 	return &g.job.Steps[g.step]
 }
 
+// stage is the step of the group's occurrence.
+func (g *group) stage() *stage {
+	return &g.job.occurrences[g.occurrence].steps[g.step]
+}
+
 // demand is what each part counts against its worker's capacity.
 func (g *group) demand() work.Amount {
 	return g.spec().Demand()
--- a/sard/pool/load_test.go
+++ b/sard/pool/load_test.go
@@ -101,6 +101,18 @@
 	assert.Equal(t, len(r.on("third")), 0)
 }
 
+// TestHeadroomDoesNotSpreadAGang: a patient gang waits for its rack when a part of each rack is kept free for others.
+func TestHeadroomDoesNotSpreadAGang(t *testing.T) {
+	r := newRig(t, 16)
+	r.add("dots", work.Guaranteed, work.Step{Parts: 7, Need: small, MaxPerWorker: 1})
+	half := work.Amount{CPU: 52000, Memory: 140000, Accelerators: 4}
+	r.add("gang", 1, work.Step{Parts: 8, Need: half, Gang: true, SameRack: true})
+	assert.Equal(t, len(r.on("gang")), 0, "%v", r.on("gang"))
+	r.pass(20 * time.Second)
+	assert.Equal(t, len(r.on("gang")), 8, "without slack it takes the headroom")
+	assert.Equal(t, r.racks("gang"), 1)
+}
+
 // TestGangWiderThanARackSpansRacks: it could never run otherwise.
 func TestGangWiderThanARackSpansRacks(t *testing.T) {
 	r := newRig(t, 16)
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -25,15 +25,32 @@
 	return r.packNear(g, candidates, within)
 }
 
-// packNear packs parts near their data and, where they are to stay on one rack, near each other.
+// packNear packs the parts of a gang on workers that are as fast as possible, as it works at the pace of the slowest.
 func (r *round) packNear(g *group, candidates []*node, within room) []*node {
+	if len(g.parts) > 1 {
+		for _, least := range []speedClass{swift, usual} {
+			fast := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return r.speeds[n.index] < least })
+			if len(fast) == len(candidates) {
+				break
+			}
+			if nodes := r.packData(g, fast, within, false); nodes != nil {
+				return nodes
+			}
+		}
+	}
+	return r.packData(g, candidates, within, true)
+}
+
+// packData packs parts near their data and, where they are to stay on one rack, near each other; elsewhere only if that
+// is allowed and they could never be near.
+func (r *round) packData(g *group, candidates []*node, within room, elsewhere bool) []*node {
 	step := g.spec()
 	if step.DataRack != "" {
 		near := onRack(candidates, step.DataRack)
 		if nodes := r.packAny(g, near, within); nodes != nil {
 			return nodes
 		}
-		if !r.mayGoFar(g, near) {
+		if !elsewhere || !r.mayGoFar(g) {
 			return nil
 		}
 		return r.packAny(g, candidates, within)
@@ -41,7 +58,10 @@
 	if !step.SameRack {
 		return r.packAny(g, candidates, within)
 	}
-	return r.packRack(g, candidates, within)
+	if nodes := r.packRack(g, candidates, within); nodes != nil || !elsewhere || !r.mayGoFar(g) {
+		return nodes
+	}
+	return r.packAny(g, candidates, within)
 }
 
 // candidates returns the nodes that may run parts of a group.
@@ -88,10 +108,7 @@
 			best, bestLeft = nodes, left
 		}
 	}
-	if best != nil || !r.mayGoFar(g, largest(racks)) {
-		return best
-	}
-	return r.packAny(g, candidates, within)
+	return best
 }
 
 // onRack returns the nodes of a rack.
@@ -115,20 +132,18 @@
 	return racks
 }
 
-func largest(racks [][]*node) []*node {
-	var found []*node
-	for _, rack := range racks {
-		if len(rack) > len(found) {
-			found = rack
+// mayGoFar tells whether a group may be placed away from its data, or on several racks, because no rack that would do
+// could take it even if it were empty. Nodes that are only kept free, or avoided, count as near.
+func (r *round) mayGoFar(g *group) bool {
+	for _, rack := range byRack(r.usableNodes(g, false)) {
+		if data := g.spec().DataRack; data != "" && rack[0].Rack != data {
+			continue
+		}
+		if r.enough(g, rack, func(n *node) work.Amount { return n.Capacity }) {
+			return false
 		}
 	}
-	return found
-}
-
-// mayGoFar tells whether a group may be placed away from its data, or on several racks, because the near nodes could
-// not take it even if they were empty.
-func (r *round) mayGoFar(g *group, near []*node) bool {
-	return r.packAny(g, near, func(n *node) work.Amount { return n.Capacity }) == nil
+	return true
 }
 
 // fit is how many parts a node can take, and how much of it stays free then.
--- a/sard/pool/watch.go
+++ b/sard/pool/watch.go
@@ -14,7 +14,9 @@
 	// stallPercent is the part of the estimate, in percent, that is added to stallTime.
 	stallPercent = 8
 	// slowFactor is how many times longer staying must take than starting anew for an attempt to be moved.
-	slowFactor = 2.7
+	slowFactor = 1.6
+	// slowLeast is how long an attempt that has become slow is expected to stay so at least.
+	slowLeast = 3 * time.Second
 	// dropFactor is how many times slower than before an attempt must be for its worker to count as slow.
 	dropFactor = 2.5
 	// slowMargin is added to the time that a start anew takes.
@@ -30,9 +32,13 @@
 	percent int
 	// first is the first report, advanced the last that showed progress, checked the last.
 	first, advanced, checked time.Time
+	// whole tells that the attempt does all of the work, as it did not begin with a checkpoint.
+	whole bool
 	// markPercent was shown at markAt; the rate is measured from there.
 	markPercent int
 	markAt      time.Time
+	// slowSince is when the attempt was first seen to be much slower than it was; zero when it is not.
+	slowSince time.Time
 	// rate is the newest measured progress in percent a second, best the highest; 0 when not known.
 	rate, best float64
 }
@@ -40,7 +46,7 @@
 // see notes a report of progress.
 func (w *watch) see(percent int, now time.Time) {
 	if w.first.IsZero() {
-		*w = watch{percent: percent, first: now, advanced: now, markPercent: percent, markAt: now}
+		*w = watch{percent: percent, first: now, advanced: now, markPercent: percent, markAt: now, whole: w.whole}
 	}
 	w.checked = now
 	if percent != w.percent {
@@ -50,6 +56,12 @@
 		w.rate = float64(percent-w.markPercent) / passed.Seconds()
 		w.markPercent, w.markAt = percent, now
 		w.best = max(w.best, w.rate)
+		switch {
+		case !w.dropped():
+			w.slowSince = time.Time{}
+		case w.slowSince.IsZero():
+			w.slowSince = now
+		}
 	}
 }
 
@@ -71,9 +83,23 @@
 	return time.Duration(float64(100-w.percent) / w.rate * float64(time.Second)), true
 }
 
+// likely returns how long the attempt still takes when slowness lasts as long again as it has lasted.
+func (w *watch) likely(now time.Time) (time.Duration, bool) {
+	left, known := w.remaining()
+	if !known || w.slowSince.IsZero() {
+		return left, known
+	}
+	slow := max(now.Sub(w.slowSince), slowLeast)
+	if slow >= left {
+		return left, true
+	}
+	rest := float64(100-w.percent) - w.rate*slow.Seconds()
+	return slow + time.Duration(rest/w.best*float64(time.Second)), true
+}
+
 // slow tells whether the group would end much sooner if it were started anew elsewhere.
 func (g *group) slow(now time.Time) bool {
-	left, known := g.watch.remaining()
+	left, known := g.watch.likely(now)
 	if !known || g.moves >= maxMoves || !g.watch.dropped() && !g.onSlowNode(now) {
 		return false
 	}
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -33,6 +33,8 @@
 	parts   map[*part]struct{}
 	health  health
 	pace    pace
+	// speed is the logarithm of how fast the worker is when nothing disturbs it, against the others.
+	speed average
 }
 
 func (n *node) free() work.Amount {
