--- a/sard/place/offer.go
+++ b/sard/place/offer.go
@@ -58,11 +58,9 @@
 		if !r.inUse() || !r.admits(g) || r.size-r.taken() < g.size() && !g.mayEvictOwn() || (closed != nil && closed(r.home)) {
 			continue
 		}
-		avail := e.reclaimable(g, r)
-		o, ok := e.pickIn(g, spot{node: r.home}, avail)
+		o, ok := e.offerWithin(g, r)
 		if ok && (!found || o.lost < best.lost) {
 			best, found = o, true
-			best.grant = r
 		}
 		if found && len(best.victims) == 0 {
 			return best, true
@@ -180,7 +178,17 @@
 			break
 		}
 	}
-	return best, found
+	if found || closed != nil && closed(r.home) {
+		return best, found
+	}
+	return e.offerWithin(g, r)
+}
+
+// offerWithin looks for the gang's place in a grant's region as it is.
+func (e *Engine) offerWithin(g *gang, r *grant) (offer, bool) {
+	o, ok := e.pickIn(g, spot{node: r.home}, e.reclaimable(g, r))
+	o.grant = r
+	return o, ok
 }
 
 // unheld returns the loose accelerators that no claim within a guarantee holds.
--- a/sardsoak/play/troubles.go
+++ b/sardsoak/play/troubles.go
@@ -41,6 +41,10 @@
 		return w.each(func(i *instance) error { i.pause(span); return nil })
 	}},
 	{"hangup", 2, true, func(w *world, draw *rand.Rand, _ time.Duration) error { return w.some(draw).reload(true) }},
+	{"output not read", 2, true, func(w *world, draw *rand.Rand, span time.Duration) error {
+		w.some(draw).current().StickOutput(2 * span)
+		return nil
+	}},
 	{"settings change", 1, true, func(w *world, draw *rand.Rand, _ time.Duration) error { return w.some(draw).reload(false) }},
 
 	{"store link silent", 3, false, storeLink(proxy.Trouble{HoldThere: true, HoldBack: true})},
--- a/sardsoak/procs/procs.go
+++ b/sardsoak/procs/procs.go
@@ -3,8 +3,10 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"os/exec"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -14,6 +16,9 @@
 	"github.com/sardineline/sardineline/sard/fault"
 )
 
+// outputBuffer is how much output is read at once, in bytes.
+const outputBuffer = 4 << 10
+
 // Config describes a process.
 type Config struct {
 	// Program and Args are what is run.
@@ -30,8 +35,9 @@
 // Process is a running program.
 type Process struct {
 	cmd   *exec.Cmd
-	log   *os.File
 	ended chan struct{}
+	// stuck is held while nobody reads the process's output.
+	stuck sync.Mutex
 	// killed and stopped tell what was sent to the process.
 	killed, stopped atomic.Bool
 	started         time.Time
@@ -45,21 +51,53 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, step, config.Log)
 	}
+	output, input, err := os.Pipe()
+	if err != nil {
+		return nil, errors.Join(fault.Wrap(err, fault.Internal, step, config.Program), log.Close())
+	}
 	cmd := exec.Command(config.Program, config.Args...)
 	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, config.Env...)
-	cmd.Stdout, cmd.Stderr = log, log
-	p := &Process{cmd: cmd, log: log, ended: make(chan struct{}), started: time.Now()}
+	cmd.Stdout, cmd.Stderr = input, input
+	p := &Process{cmd: cmd, ended: make(chan struct{}), started: time.Now()}
 	if err := cmd.Start(); err != nil {
-		return nil, errors.Join(fault.Wrap(err, fault.Internal, step, config.Program), log.Close())
+		return nil, errors.Join(fault.Wrap(err, fault.Internal, step, config.Program), input.Close(), output.Close(), log.Close())
 	}
 	config.Group.Go(func() error {
 		p.err = cmd.Wait()
 		close(p.ended)
-		return log.Close()
+		return input.Close()
 	})
+	config.Group.Go(func() error { return errors.Join(p.copyOutput(log, output), output.Close(), log.Close()) })
 	return p, nil
 }
 
+// copyOutput copies the process's output to its log until the process has ended.
+func (p *Process) copyOutput(log io.Writer, output io.Reader) error {
+	buffer := make([]byte, outputBuffer)
+	for {
+		n, err := output.Read(buffer)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "read output", p.cmd.Path)
+		}
+		p.stuck.Lock()
+		_, err = log.Write(buffer[:n])
+		p.stuck.Unlock()
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "write log", p.cmd.Path)
+		}
+	}
+}
+
+// StickOutput has nobody read the process's output for a span.
+func (p *Process) StickOutput(span time.Duration) {
+	p.stuck.Lock()
+	defer p.stuck.Unlock()
+	time.Sleep(span)
+}
+
 // Kill ends the process by force.
 func (p *Process) Kill() {
 	p.killed.Store(true)
