Soak: clients that give up after a refusal

Change: each client tries once to five times. Jobs that fill the pool and claim guarantees at the end try five times.

--- a/sardsoak/play/clients.go
+++ b/sardsoak/play/clients.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// submitTries is how often a client tries to hand a job in.
+	// submitTries is how often a client tries to hand a job in at most; some give up sooner.
 	submitTries = 5
 	// retryPause lies between two tries, and pollPause between two questions about a job.
 	retryPause = 300 * time.Millisecond
@@ -40,6 +40,8 @@
 	job     *fakes.Job
 	account int
 	prefix  string
+	// tries is how often the client tries to hand the job in.
+	tries int
 	// cancelAfter is when the job is cancelled, after its acceptance; 0 for never.
 	cancelAfter time.Duration
 	// repeat has the submission sent once more after it was answered.
@@ -103,7 +105,7 @@
 // submit hands the job in. It returns whether the job was accepted, or surely refused.
 func (c *client) submit() (accepted, refused bool) {
 	refused = true
-	for range submitTries {
+	for range c.tries {
 		reply, err := c.call(func(ctx context.Context, t front.Target) (front.Reply, error) {
 			return c.world.client.Submit(ctx, t, c.job.Spec)
 		})
@@ -239,7 +241,7 @@
 
 // newClient draws a client with its job.
 func (w *world) newClient(draw *rand.Rand) *client {
-	c := &client{world: w, draw: draw, account: draw.IntN(accounts), repeat: draw.IntN(10) == 0}
+	c := &client{world: w, draw: draw, account: draw.IntN(accounts), repeat: draw.IntN(10) == 0, tries: 1 + draw.IntN(submitTries)}
 	priority := work.Priority(draw.IntN(priorities))
 	c.prefix = queuePrefix(priority)
 	spec := &work.Job{
--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -22,6 +22,9 @@
 	// troubleLeast and troubleMost bound how long a trouble lasts.
 	troubleLeast = 300 * time.Millisecond
 	troubleMost  = 6 * time.Second
+	// borrowTime and claimTime are how long the jobs work that fill the pool at the end and that claim guarantees.
+	borrowTime = 8 * time.Second
+	claimTime  = time.Second
 )
 
 // Run plays a run and reports it. The error tells why it could not be played.
@@ -195,21 +198,26 @@
 // borrower is a client whose job takes a whole worker.
 func (w *world) borrower(draw *rand.Rand) *client {
 	c := w.newClient(draw)
-	c.prefix, c.cancelAfter, c.job.Poison, c.job.Length = queuePrefix(1), 0, false, 8*time.Second
-	c.job.Spec.Terms = terms(1)
-	c.job.Spec.Steps = []work.Step{newStep(c.job, work.Step{Parts: 1}, int(capacity.Accelerators))}
+	c.steady(1, borrowTime, work.Step{Parts: 1})
 	return c
 }
 
 // claimant is a client whose job takes the whole guarantee of an account.
 func (w *world) claimant(draw *rand.Rand, account int) *client {
 	c := w.newClient(draw)
-	c.account, c.prefix, c.cancelAfter, c.job.Poison, c.job.Length = account, queuePrefix(work.Guaranteed), 0, false, time.Second
-	c.job.Spec.Account, c.job.Spec.Terms = accountName(account), terms(work.Guaranteed)
-	c.job.Spec.Steps = []work.Step{newStep(c.job, work.Step{Parts: guarantee / int(capacity.Accelerators), Gang: true}, int(capacity.Accelerators))}
+	c.account, c.job.Spec.Account = account, accountName(account)
+	c.steady(work.Guaranteed, claimTime, work.Step{Parts: guarantee / int(capacity.Accelerators), Gang: true})
 	return c
 }
 
+// steady gives the client a sound job whose parts take whole workers, and has it wait for the job's end.
+func (c *client) steady(priority work.Priority, length time.Duration, step work.Step) {
+	c.prefix, c.tries, c.cancelAfter = queuePrefix(priority), submitTries, 0
+	c.job.Poison, c.job.Length = false, length
+	c.job.Spec.Terms = terms(priority)
+	c.job.Spec.Steps = []work.Step{newStep(c.job, step, int(capacity.Accelerators))}
+}
+
 // checkIdle checks that nothing runs once all jobs have ended. Jobs whose submission was never answered may run on.
 func (w *world) checkIdle() {
 	if w.tally.unknown.Load() > 0 {
