Soak: fill the headroom too before guarantees are claimed

Cause: a daemon that never reclaims (a broken build) broke no promise in the soak: the accounts' claims fitted into the headroom. The jobs that fill the pool now say of themselves that they are short, so they have no slack and take it.

--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -25,6 +25,8 @@
 	// borrowTime and claimTime are how long the jobs work that fill the pool at the end and that claim guarantees.
 	borrowTime = 8 * time.Second
 	claimTime  = time.Second
+	// borrowEstimate is what the former say of themselves.
+	borrowEstimate = 100 * time.Millisecond
 )
 
 // Run plays a run and reports it. The error tells why it could not be played.
@@ -195,10 +197,12 @@
 	clock.Sleep(w.ctx, reclaimTime+2*retryPause)
 }
 
-// borrower is a client whose job takes a whole worker.
+// borrower is a client whose job takes a whole worker. It is estimated to be so short that it soon has no slack left
+// and takes what is kept free for guaranteed jobs.
 func (w *world) borrower(draw *rand.Rand) *client {
 	c := w.newClient(draw)
 	c.steady(1, borrowTime, work.Step{Parts: 1})
+	c.job.Spec.Steps[0].Estimate = borrowEstimate
 	return c
 }
 
