--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -25,6 +25,8 @@
 	// borrowTime and claimTime are how long the jobs work that fill the pool at the end and that claim guarantees.
 	borrowTime = 8 * time.Second
 	claimTime  = time.Second
+	// leavingJobs is how many jobs are handed in while a worker leaves.
+	leavingJobs = 16
 	// borrowEstimate is what the former say of themselves.
 	borrowEstimate = 100 * time.Millisecond
 )
@@ -69,6 +71,10 @@
 	w.fleet.Workers((*fakes.Worker).Recover)
 	w.awaitClients()
 	if w.config.Timed && w.ctx.Err() == nil && !w.late.Load() {
+		if err := w.checkLeaving(); err != nil {
+			return err
+		}
+		w.awaitClients()
 		w.checkReclaim(w.random())
 		w.awaitClients()
 	}
@@ -174,6 +180,21 @@
 	}
 }
 
+// checkLeaving hands jobs in while half of the workers leave and nothing is disturbed.
+func (w *world) checkLeaving() error {
+	clock.Sleep(w.ctx, 2*stableTime)
+	var leaving errgroup.Group
+	all := w.workers()
+	for _, m := range all[:len(all)/2] {
+		leaving.Go(func() error { return w.exchange(m) })
+	}
+	for range leavingJobs {
+		w.submitOne()
+		clock.Sleep(w.ctx, retryPause)
+	}
+	return leaving.Wait()
+}
+
 // checkReclaim fills the pool with jobs that may be stopped, and has each account ask for its guarantee.
 func (w *world) checkReclaim(draw *rand.Rand) {
 	clock.Sleep(w.ctx, stableTime)
--- a/sardsoak/play/troubles.go
+++ b/sardsoak/play/troubles.go
@@ -245,7 +245,11 @@
 }
 
 func workersLeave(w *world, draw *rand.Rand, _ time.Duration) error {
-	m := w.part(draw)[0]
+	return w.exchange(w.part(draw)[0])
+}
+
+// exchange has a worker leave by plan, and another one come.
+func (w *world) exchange(m *member) error {
 	w.dropMember(m)
 	m.leave()
 	return w.addMember()
