--- a/sard/sched/hold.go
+++ b/sard/sched/hold.go
@@ -13,7 +13,7 @@
 	// holdWait is how long a hold waits for an end at the worker, and longHoldWait beyond manyWorkers.
 	holdWait     = time.Second
 	longHoldWait = 2 * time.Second
-	manyWorkers  = 100
+	manyWorkers  = 500
 	// holdSlack is added to the wait of a hold to bound the call.
 	holdSlack = 700 * time.Millisecond
 	// holdRetry lies between a failed hold and the next.
