Soak: every draw from the seed, and no process left behind

Cause, found in reading: sources of random numbers were numbered in the order in which goroutines asked for them, so a seed gave other jobs in each run; a run that failed while it began, or whose killed instance was about to start again when it ended, could leave processes running. Change: each thing that draws has a source forked from the seed's in a fixed order; an instance is known before its process starts, and none starts once the run is over.

--- a/sardsoak/play/clients.go
+++ b/sardsoak/play/clients.go
@@ -52,14 +52,14 @@
 }
 
 // submitOne starts a client with a new job.
-func (w *world) submitOne() {
-	w.submitJob(w.newClient(w.random()))
+func (w *world) submitOne(draw *rand.Rand) {
+	w.submitJob(w.newClient(fork(draw)))
 }
 
 // submitJob starts a client.
 func (w *world) submitJob(c *client) {
 	w.fleet.Expect(c.job)
-	w.tally.add(&w.tally.jobs)
+	w.tally.jobs.Add(1)
 	w.clients.Add(1)
 	w.group.Go(func() error {
 		defer w.clients.Done()
@@ -71,21 +71,21 @@
 func (c *client) run() {
 	switch accepted, refused := c.submit(); {
 	case accepted:
-		c.world.tally.add(&c.world.tally.accepted)
+		c.world.tally.accepted.Add(1)
 		c.follow()
 	case refused:
-		c.world.tally.add(&c.world.tally.refused)
+		c.world.tally.refused.Add(1)
 		c.world.fleet.Change(func() { c.job.Refused = true })
 	default:
-		c.world.tally.add(&c.world.tally.unknown)
+		c.world.tally.unknown.Add(1)
 	}
 }
 
 // call makes one call at an instance and checks that a planned stop does not cut it off.
-func (c *client) call(make func(ctx context.Context, t front.Target) (front.Reply, error)) (front.Reply, error) {
+func (c *client) call(send func(ctx context.Context, t front.Target) (front.Reply, error)) (front.Reply, error) {
 	i := c.world.some(c.draw)
 	t := front.Target{Address: i.front(), Host: host, Prefix: c.prefix, Key: c.world.operator.key(c.account)}
-	return i.observe(func(ctx context.Context) (front.Reply, error) { return make(ctx, t) })
+	return i.observe(func(ctx context.Context) (front.Reply, error) { return send(ctx, t) })
 }
 
 // observe makes a call at the instance.
@@ -94,7 +94,7 @@
 	defer cancel()
 	process, sent := i.current(), time.Now()
 	reply, err := call(ctx)
-	i.world.tally.add(&i.world.tally.calls)
+	i.world.tally.calls.Add(1)
 	if err != nil && ctx.Err() == nil && fault.Is(err, fault.OutcomeUnknown) && time.Since(sent) > i.world.config.stretch(lossSlack) &&
 		process.Stopping() && !i.wasPaused() {
 		i.world.breached("instance %s: a planned stop cut a call off after %v: %v", i.name, time.Since(sent), err)
--- a/sardsoak/play/instance.go
+++ b/sardsoak/play/instance.go
@@ -107,7 +107,7 @@
 func (i *instance) start() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.retired || i.process != nil && !i.process.Gone() {
+	if i.retired || i.world.ctx.Err() != nil || i.process != nil && !i.process.Gone() {
 		return nil
 	}
 	p, err := procs.Start(procs.Config{
--- a/sardsoak/play/operator.go
+++ b/sardsoak/play/operator.go
@@ -60,7 +60,7 @@
 		if err := change(); err != nil {
 			return err
 		}
-		o.world.tally.add(&o.world.tally.changes)
+		o.world.tally.changes.Add(1)
 	}
 	return nil
 }
--- a/sardsoak/play/report.go
+++ b/sardsoak/play/report.go
@@ -14,8 +14,6 @@
 	calls, troubles, changes         atomic.Int64
 }
 
-func (t *tally) add(n *atomic.Int64) { n.Add(1) }
-
 // end counts a last state.
 func (t *tally) end(state string) {
 	switch state {
--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -37,14 +37,13 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	started := time.Now()
-	w, err := open(ctx, group, config)
+	draw := rand.New(rand.NewPCG(config.Seed, 0))
+	w, err := open(ctx, group, config, draw)
 	if err == nil {
-		err = w.play()
-	}
-	if w != nil {
-		cancel()
-		w.shut()
+		err = w.play(draw)
 	}
+	cancel()
+	w.shut()
 	if err := errors.Join(err, group.Wait()); err != nil {
 		return Report{}, err
 	}
@@ -52,18 +51,18 @@
 }
 
 // play lets jobs and troubles come, heals everything and waits for all jobs to end.
-func (w *world) play() error {
+func (w *world) play(draw *rand.Rand) error {
 	if err := w.awaitReady(); err != nil {
 		return err
 	}
 	probing, stop := context.WithCancel(w.ctx)
 	defer stop()
-	probes, changes := w.random(), w.random()
+	probes, changes, jobs, troubles := fork(draw), fork(draw), fork(draw), fork(draw)
 	w.group.Go(func() error { return w.probe(probing, probes) })
 	w.group.Go(func() error { return w.operator.work(probing, changes) })
 	var playing errgroup.Group
-	playing.Go(func() error { w.sendJobs(w.random()); return nil })
-	playing.Go(func() error { return w.disturb(w.random()) })
+	playing.Go(func() error { w.sendJobs(jobs); return nil })
+	playing.Go(func() error { return w.disturb(troubles) })
 	if err := playing.Wait(); err != nil {
 		return err
 	}
@@ -71,11 +70,11 @@
 	w.fleet.Workers((*fakes.Worker).Recover)
 	w.awaitClients()
 	if w.config.Timed && w.ctx.Err() == nil && !w.late.Load() {
-		if err := w.checkLeaving(); err != nil {
+		if err := w.checkLeaving(draw); err != nil {
 			return err
 		}
 		w.awaitClients()
-		w.checkReclaim(w.random())
+		w.checkReclaim(draw)
 		w.awaitClients()
 	}
 	w.checkIdle()
@@ -109,7 +108,7 @@
 func (w *world) sendJobs(draw *rand.Rand) {
 	end := time.Now().Add(w.config.Span)
 	for time.Now().Before(end) {
-		w.submitOne()
+		w.submitOne(draw)
 		pause := draw.ExpFloat64() / w.config.JobsPerSecond
 		if !clock.Sleep(w.ctx, time.Duration(pause*float64(time.Second))) {
 			return
@@ -135,7 +134,7 @@
 		}
 		t := pick(draw, total)
 		span := between(draw, troubleLeast, troubleMost)
-		own := w.random()
+		own := fork(draw)
 		group.Go(func() error { return w.trouble(t, own, span) })
 	}
 }
@@ -153,7 +152,7 @@
 // trouble plays one trouble.
 func (w *world) trouble(t trouble, draw *rand.Rand, span time.Duration) error {
 	w.config.Logger.Info("trouble begins", "kind", t.name, "span_ms", span.Milliseconds())
-	w.tally.add(&w.tally.troubles)
+	w.tally.troubles.Add(1)
 	if !t.harmless {
 		w.calendar.begin()
 		defer w.calendar.end()
@@ -181,15 +180,16 @@
 }
 
 // checkLeaving hands jobs in while half of the workers leave and nothing is disturbed.
-func (w *world) checkLeaving() error {
+func (w *world) checkLeaving(draw *rand.Rand) error {
 	clock.Sleep(w.ctx, 2*stableTime)
 	var leaving errgroup.Group
 	all := w.workers()
 	for _, m := range all[:len(all)/2] {
-		leaving.Go(func() error { return w.exchange(m) })
+		own := fork(draw)
+		leaving.Go(func() error { return w.exchange(m, own) })
 	}
 	for range leavingJobs {
-		w.submitOne()
+		w.submitOne(draw)
 		clock.Sleep(w.ctx, retryPause)
 	}
 	return leaving.Wait()
@@ -221,7 +221,7 @@
 // borrower is a client whose job takes a whole worker. It is estimated to be so short that it soon has no slack left
 // and takes what is kept free for guaranteed jobs.
 func (w *world) borrower(draw *rand.Rand) *client {
-	c := w.newClient(draw)
+	c := w.newClient(fork(draw))
 	c.steady(1, borrowTime, work.Step{Parts: 1})
 	c.job.Spec.Steps[0].Estimate = borrowEstimate
 	return c
@@ -229,7 +229,7 @@
 
 // claimant is a client whose job takes the whole guarantee of an account.
 func (w *world) claimant(draw *rand.Rand, account int) *client {
-	c := w.newClient(draw)
+	c := w.newClient(fork(draw))
 	c.account, c.job.Spec.Account = account, accountName(account)
 	c.steady(work.Guaranteed, claimTime, work.Step{Parts: guarantee / int(capacity.Accelerators), Gang: true})
 	return c
@@ -269,7 +269,7 @@
 
 // checkLogs looks for alarms in the instances' logs.
 func (w *world) checkLogs() error {
-	for _, i := range w.every() {
+	for _, i := range w.everyInstance() {
 		text, err := os.ReadFile(i.logPath())
 		if err != nil {
 			return fault.Wrap(err, fault.Internal, "read log", i.name)
@@ -285,9 +285,9 @@
 
 // shut kills the processes that still run.
 func (w *world) shut() {
-	for _, i := range w.every() {
+	for _, i := range w.everyInstance() {
+		i.retire()
 		if p := i.current(); p != nil && !p.Gone() {
-			i.retire()
 			p.Kill()
 		}
 	}
--- a/sardsoak/play/troubles.go
+++ b/sardsoak/play/troubles.go
@@ -110,14 +110,13 @@
 	for n, i := range w.instances {
 		if i == old && len(w.instances) > 1 {
 			w.instances = append(w.instances[:n:n], w.instances[n+1:]...)
-			w.retired = append(w.retired, old)
 			break
 		}
 	}
 	w.mu.Unlock()
 	old.leave()
 	clock.Sleep(w.ctx, span)
-	return w.addInstance()
+	return w.addInstance(draw)
 }
 
 func stopInTurn(w *world, _ *rand.Rand, span time.Duration) error {
@@ -241,18 +240,18 @@
 	m := w.part(draw)[0]
 	m.remove()
 	w.dropMember(m)
-	return w.addMember()
+	return w.addMember(draw)
 }
 
 func workersLeave(w *world, draw *rand.Rand, _ time.Duration) error {
-	return w.exchange(w.part(draw)[0])
+	return w.exchange(w.part(draw)[0], draw)
 }
 
 // exchange has a worker leave by plan, and another one come.
-func (w *world) exchange(m *member) error {
+func (w *world) exchange(m *member, draw *rand.Rand) error {
 	w.dropMember(m)
 	m.leave()
-	return w.addMember()
+	return w.addMember(draw)
 }
 
 func workerFaults(set func(f *fakes.Worker, on bool)) func(*world, *rand.Rand, time.Duration) error {
@@ -288,7 +287,7 @@
 // burst hands many jobs in at once.
 func burst(w *world, draw *rand.Rand, _ time.Duration) error {
 	for range 5 + draw.IntN(10) {
-		w.submitOne()
+		w.submitOne(draw)
 	}
 	return nil
 }
--- a/sardsoak/play/world.go
+++ b/sardsoak/play/world.go
@@ -40,18 +40,16 @@
 
 	mu        sync.Mutex
 	instances []*instance
-	// retired are instances that were taken away.
-	retired []*instance
+	// started are all instances that ever were.
+	started []*instance
 	members []*member
 	// named and numbered count the instances and workers that ever were.
 	named, numbered int
 	breaches        []string
-	// draws makes sources of random numbers, one for each thing that draws.
-	draws uint64
 }
 
-// open builds the world and starts its instances.
-func open(ctx context.Context, group *errgroup.Group, config Config) (*world, error) {
+// open builds the world and starts its instances. When it fails, what was started is in the world that it returns.
+func open(ctx context.Context, group *errgroup.Group, config Config, draw *rand.Rand) (*world, error) {
 	w := &world{
 		config: config, ctx: ctx, group: group, calendar: newCalendar(), client: front.NewClient(),
 		discard: log.New(io.Discard, "", 0),
@@ -59,16 +57,16 @@
 	w.fleet = fakes.NewFleet(w.calm)
 	w.operator = newOperator(w)
 	if err := w.operator.publish(); err != nil {
-		return nil, err
+		return w, err
 	}
 	for range config.Workers {
-		if err := w.addMember(); err != nil {
-			return nil, err
+		if err := w.addMember(draw); err != nil {
+			return w, err
 		}
 	}
 	for range config.Instances {
-		if err := w.addInstance(); err != nil {
-			return nil, err
+		if err := w.addInstance(draw); err != nil {
+			return w, err
 		}
 	}
 	return w, nil
@@ -79,16 +77,12 @@
 	return w.config.Timed && w.calendar.calm(span)
 }
 
-// random returns a source of random numbers that depends on the seed and on how many were made before.
-func (w *world) random() *rand.Rand {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.draws++
-	return rand.New(rand.NewPCG(w.config.Seed, w.draws))
+// fork makes a source of random numbers for something that draws on its own.
+func fork(draw *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(draw.Uint64(), draw.Uint64()))
 }
 
-func (w *world) addMember() error {
-	draw := w.random()
+func (w *world) addMember(draw *rand.Rand) error {
 	w.mu.Lock()
 	number := w.numbered
 	w.numbered++
@@ -115,16 +109,19 @@
 	}
 }
 
-func (w *world) addInstance() error {
-	draw := w.random()
+func (w *world) addInstance(draw *rand.Rand) error {
 	w.mu.Lock()
 	number := w.named
 	w.named++
 	w.mu.Unlock()
-	i, err := w.newInstance(number, draw)
+	i, err := w.newInstance(number, fork(draw))
 	if err != nil {
 		return err
 	}
+	// The process is ended with the run, so its instance is known first.
+	w.mu.Lock()
+	w.started = append(w.started, i)
+	w.mu.Unlock()
 	if err := i.start(); err != nil {
 		return err
 	}
@@ -141,11 +138,11 @@
 	return append([]*instance(nil), w.instances...)
 }
 
-// every returns all instances that ever were.
-func (w *world) every() []*instance {
+// everyInstance returns all instances that ever were.
+func (w *world) everyInstance() []*instance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append(append([]*instance(nil), w.instances...), w.retired...)
+	return append([]*instance(nil), w.started...)
 }
 
 // workers returns the members of the pool.
