--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -18,32 +18,32 @@
 	avoided := func(n *node) bool { return g.avoided[n.Life.Worker] || n.pace.slow(r.now) }
 	if slices.ContainsFunc(candidates, avoided) {
 		others := slices.DeleteFunc(slices.Clone(candidates), avoided)
-		if nodes := r.packNear(g, others, within); nodes != nil {
+		if nodes := r.packFast(g, others, within); nodes != nil {
 			return nodes
 		}
 	}
-	return r.packNear(g, candidates, within)
+	return r.packFast(g, candidates, within)
 }
 
-// packNear packs the parts of a gang on workers that are as fast as possible, as it works at the pace of the slowest.
-func (r *round) packNear(g *group, candidates []*node, within room) []*node {
+// packFast packs the parts of a gang on workers that are as fast as possible, as it works at the pace of the slowest.
+func (r *round) packFast(g *group, candidates []*node, within room) []*node {
 	if len(g.parts) > 1 {
 		for _, least := range []speedClass{swift, usual} {
 			fast := slices.DeleteFunc(slices.Clone(candidates), func(n *node) bool { return r.speeds[n.index] < least })
 			if len(fast) == len(candidates) {
 				break
 			}
-			if nodes := r.packData(g, fast, within, false); nodes != nil {
+			if nodes := r.packNear(g, fast, within, false); nodes != nil {
 				return nodes
 			}
 		}
 	}
-	return r.packData(g, candidates, within, true)
+	return r.packNear(g, candidates, within, true)
 }
 
-// packData packs parts near their data and, where they are to stay on one rack, near each other; elsewhere only if that
+// packNear packs parts near their data and, where they are to stay on one rack, near each other; elsewhere only if that
 // is allowed and they could never be near.
-func (r *round) packData(g *group, candidates []*node, within room, elsewhere bool) []*node {
+func (r *round) packNear(g *group, candidates []*node, within room, elsewhere bool) []*node {
 	step := g.spec()
 	if step.DataRack != "" {
 		near := onRack(candidates, step.DataRack)
--- a/sard/pool/speed.go
+++ b/sard/pool/speed.go
@@ -44,8 +44,8 @@
 
 // estimates tells how the estimates of a queue's jobs compare with their run times on usual workers.
 type estimates struct {
-	// error is the logarithm of the estimate over the run time, and variance that of its deviations.
-	error, variance average
+	// bias is the mean logarithm of the estimate over the run time, and variance that of the deviations from it.
+	bias, variance average
 }
 
 // speedClass sorts workers by how fast they usually are.
@@ -84,12 +84,12 @@
 	seen := math.Log(g.spec().Estimate.Seconds() / g.took.Seconds())
 	queue := e.estimatesOf(g.job.Queue)
 	expected := slowest(g.ranOn).speed.value()
-	sample := seen - queue.error.value()
+	sample := seen - queue.bias.value()
 	deviation := sample - expected
 	if math.Abs(deviation) > oddSample {
 		return
 	}
-	queue.error.add(seen-expected, 1)
+	queue.bias.add(seen-expected, 1)
 	queue.variance.add(deviation*deviation, 1)
 	teach(g.ranOn, sample, partSpread/(partSpread+queue.variance.value()))
 }
