--- a/sardsoak/play/troubles.go
+++ b/sardsoak/play/troubles.go
@@ -13,6 +13,13 @@
 	"github.com/sardineline/sardineline/sardsoak/proxy"
 )
 
+const (
+	// slowFactor is by how much slow workers take longer.
+	slowFactor = 5
+	// slowStore is how much longer the store takes to answer while an instance is stopped.
+	slowStore = 500 * time.Millisecond
+)
+
 // trouble is a kind of disturbance.
 type trouble struct {
 	name string
@@ -33,6 +40,7 @@
 	}},
 	{"replace", 2, false, replace},
 	{"stop", 3, true, func(w *world, draw *rand.Rand, _ time.Duration) error { return w.some(draw).stop() }},
+	{"stop while the store is slow", 2, false, stopWhileSlow},
 	{"stop the leader", 2, false, func(w *world, _ *rand.Rand, _ time.Duration) error { return w.leader().stop() }},
 	{"stop in turn", 1, false, stopInTurn},
 	{"pause", 3, false, func(w *world, draw *rand.Rand, span time.Duration) error { w.some(draw).pause(span); return nil }},
@@ -80,7 +88,7 @@
 	{"workers slow", 2, false, workerFaults(func(f *fakes.Worker, on bool) {
 		f.Slow = 0
 		if on {
-			f.Slow = 5
+			f.Slow = slowFactor
 		}
 	})},
 	{"workers silent", 1, false, workersSilent},
@@ -119,6 +127,16 @@
 	return w.addInstance(draw)
 }
 
+// stopWhileSlow stops an instance by plan while its calls take long, so that some are under way at each moment.
+func stopWhileSlow(w *world, draw *rand.Rand, _ time.Duration) error {
+	i := w.some(draw)
+	i.rows.set(storeTrouble{Slow: slowStore})
+	clock.Sleep(w.ctx, slowStore)
+	err := i.stop()
+	i.rows.set(storeTrouble{})
+	return err
+}
+
 func stopInTurn(w *world, _ *rand.Rand, span time.Duration) error {
 	var group errgroup.Group
 	for _, i := range w.all() {
