Take up recorded occurrences whatever the clock says, and keep a repeated job's record within a row

Cause, found in reading record.go: (1) a new holder made only the occurrences that are due by its own clock before it took the record up, and passed over recorded groups of others. With a clock that is behind that of the former holder (the time of day jumps by seconds), what ran of a later occurrence was forgotten and stopped, and what was done would be run again. (2) occurrences that pile up under load were all kept open: 3 of 800 parts make a record of 75,764 bytes, more than a row holds (65,536); the store refuses such a batch for ever, and no further decision is recorded. Ruled out: refusing jobs with many parts and occurrences, which run well one after the other. Tests: TestRecordedOccurrencesOutliveAClockStep and TestOverlappingOccurrencesFitARecord, both failed before.

--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -146,21 +146,6 @@
 	return e.jobs[id] != nil
 }
 
-// wake creates the occurrences that are due.
-func (e *Engine) wake(j *job, now time.Time, nowMs int64) {
-	for len(j.occurrences) < j.Repeat.Occurrences() {
-		number := len(j.occurrences)
-		due := j.acceptedAt
-		if dueMs := j.Repeat.DueMs(number); dueMs > 0 {
-			if dueMs > nowMs {
-				return
-			}
-			due = now.Add(-min(time.Duration(nowMs-dueMs)*time.Millisecond, maxAge))
-		}
-		j.occurrences = append(j.occurrences, newOccurrence(j, number, due))
-	}
-}
-
 // finish ends a job and stops what it runs.
 func (e *Engine) finish(j *job, state ident.JobState, reason Reason) {
 	j.state = state
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -119,6 +119,7 @@
 // confirmed, started or lost by what the workers tell.
 func (e *Engine) restore(j *job, p *work.Progress, now time.Time) {
 	j.begun = len(p.Groups) > 0 || len(p.Complete) > 0
+	j.reopen(p, now)
 	for _, number := range p.Complete {
 		e.restoreComplete(j, number)
 	}
--- a/sard/pool/record_test.go
+++ b/sard/pool/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -23,3 +24,56 @@
 	assert.Equal(t, r.engine.Unrecorded(), 0)
 	assert.Assert(t, !r.engine.Knows("gang"))
 }
+
+// repeated is a job of single parts that is due three times, once a second.
+func (r *rig) repeated(parts int) *work.Job {
+	return &work.Job{
+		ID: "j", Account: "a", Terms: work.Terms{Service: "s", Priority: 1, Failures: 3, Stretch: 3, Target: time.Second},
+		Steps:  []work.Step{{Parts: parts, Need: small, Estimate: time.Second, Checkpoints: true}},
+		Repeat: work.Repeat{Count: 3, StartMs: r.now.UnixMilli(), Interval: time.Second},
+	}
+}
+
+// TestRecordedOccurrencesOutliveAClockStep: an engine whose clock is behind that of the one before it takes up all
+// occurrences that were begun, and starts none of them again.
+func TestRecordedOccurrencesOutliveAClockStep(t *testing.T) {
+	r := newRig(t, 4)
+	spec := r.repeated(1)
+	r.engine.Add(spec, nil, r.now, r.now.UnixMilli())
+	r.decide()
+	r.end("j", Done)
+	r.pass(time.Second)
+	assert.Equal(t, len(r.starts), 2)
+	recorded := r.engine.jobs["j"].progress()
+	after := newRig(t, 4)
+	after.now = after.now.Add(-5 * time.Second)
+	after.engine.Add(spec, &recorded, after.now, after.now.UnixMilli())
+	after.pass(time.Second)
+	assert.DeepEqual(t, after.on("j"), r.on("j"))
+	assert.Equal(t, len(after.starts), 0)
+	after.pass(5 * time.Second)
+	assert.Equal(t, len(after.starts), 0)
+	after.pass(time.Second)
+	assert.Equal(t, len(after.starts), 1)
+	assert.Equal(t, after.starts[0].Attempt.Part.Occurrence, 2)
+}
+
+// TestOverlappingOccurrencesFitARecord: occurrences that pile up wait until the record of the others is small enough
+// for a row, and all run in the end.
+func TestOverlappingOccurrencesFitARecord(t *testing.T) {
+	const rowBytes = 65536
+	r := newRig(t, 400)
+	spec := r.repeated(800)
+	r.engine.Add(spec, nil, r.now, r.now.UnixMilli())
+	for range 3 {
+		r.pass(20 * time.Second)
+		r.engine.Placements(func(a work.Attempt, _ work.Life) { r.engine.Running(a, 10, "0123456789abcdef", r.now) })
+		j := r.engine.jobs["j"]
+		value, err := work.Encode(j.progress())
+		assert.NilError(t, err)
+		assert.Assert(t, len(value) < rowBytes, "%d bytes", len(value))
+		r.end("j", Done)
+	}
+	assert.Equal(t, len(r.starts), 3*800)
+	assert.Assert(t, !r.engine.Knows("j"))
+}
