--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -88,6 +88,12 @@
 			time.Sleep(4 * time.Second)
 			s.start(s.w, first, 1, nil)
 		}, "after its cancellation"},
+		{"before its time", func(s *scene) {
+			s.job.Spec.Repeat = work.Repeat{Count: 2, StartMs: time.Now().UnixMilli(), Interval: time.Second}
+			second := first
+			second.Occurrence = 1
+			s.start(s.w, second, 1, nil)
+		}, "before its time"},
 		{"leaving worker", func(s *scene) {
 			s.w.DrainingSince = time.Now()
 			time.Sleep(3 * time.Second)
--- a/sard/fakes/fleet.go
+++ b/sard/fakes/fleet.go
@@ -20,6 +20,8 @@
 	saveEvery = time.Second
 	// cancelGrace is how long after a cancellation was answered, in calm, nothing of its job may be started.
 	cancelGrace = 3 * time.Second
+	// earlyMs is how many milliseconds before its time an occurrence may be started.
+	earlyMs = 250
 	// drainGrace is how long after its report, in calm, a leaving worker may be given parts.
 	drainGrace = 2 * time.Second
 )
@@ -226,6 +228,8 @@
 		f.breached("%v: started %v after its cancellation", part, time.Since(j.Cancelled))
 	case !w.DrainingSince.IsZero() && time.Since(w.DrainingSince) > drainGrace && f.isCalm(drainGrace):
 		f.breached("%v: started on %s %v after it reported to leave", part, w.Entry.Life.Worker, time.Since(w.DrainingSince))
+	case time.Now().UnixMilli() < j.Spec.Repeat.DueMs(part.Occurrence)-earlyMs:
+		f.breached("%v: started %d ms before its time", part, j.Spec.Repeat.DueMs(part.Occurrence)-time.Now().UnixMilli())
 	case step.Label != "" && !w.labelled(step.Label):
 		f.breached("%v: started on %s, which lacks %q", part, w.Entry.Life.Worker, step.Label)
 	}
--- a/sardsoak/play/clients.go
+++ b/sardsoak/play/clients.go
@@ -268,8 +268,15 @@
 	if draw.IntN(12) == 0 {
 		c.cancelAfter = between(draw, time.Second, 6*time.Second)
 	}
-	if priority != work.Guaranteed && !c.job.Poison && draw.IntN(20) == 0 {
+	switch {
+	case priority == work.Guaranteed || c.job.Poison:
+	case draw.IntN(20) == 0:
 		c.lasts(draw)
+	case draw.IntN(10) == 0:
+		spec.Repeat = work.Repeat{
+			Count: 2 + draw.IntN(3), Interval: between(draw, 500*time.Millisecond, 2*time.Second),
+			StartMs: time.Now().Add(between(draw, 0, 2*time.Second)).UnixMilli(),
+		}
 	}
 	return c
 }
--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -239,7 +239,7 @@
 func (c *client) steady(priority work.Priority, length time.Duration, step work.Step) {
 	c.prefix, c.tries, c.cancelAfter = queuePrefix(priority), submitTries, 0
 	c.job.Poison, c.job.Length = false, length
-	c.job.Spec.Terms = terms(priority)
+	c.job.Spec.Terms, c.job.Spec.Repeat = terms(priority), work.Repeat{}
 	c.job.Spec.Steps = []work.Step{newStep(c.job, step, int(capacity.Accelerators))}
 }
 
