Audit room by the parts on a worker, not by the search's sum

Cause: a broken build whose search counted two accelerators too many passed the audit of its own decisions, as the audit asked the same sum; the soak's workers told of it ('runs 9 of 8 accelerators'). Change: the audit sums the demand of the parts on the worker. Test: the case 'no room, wrong sum', which failed before.

--- a/sard/pool/audit.go
+++ b/sard/pool/audit.go
@@ -45,7 +45,7 @@
 	}
 	for n, need := range needs {
 		switch {
-		case !need.Fits(n.free()):
+		case !need.Plus(n.occupied()).Fits(n.Capacity):
 			return promiseRoom
 		case !n.Accepting:
 			return promiseStaying
@@ -56,6 +56,15 @@
 	return ""
 }
 
+// occupied sums what the parts on the node need, apart from the sum that the search uses.
+func (n *node) occupied() work.Amount {
+	var sum work.Amount
+	for p := range n.parts {
+		sum = sum.Plus(p.group.demand())
+	}
+	return sum
+}
+
 // turn tells whether the group's step may start.
 func (g *group) turn() bool {
 	return g.job.occurrences[g.occurrence].ready(g.job, g.step)
