Keep no headroom in a pool that is mostly idle

Change: accelerators are kept free only while 55% of all are in use. Tests: TestMostlyIdlePoolKeepsNothingFree failed before.

--- a/sard/pool/headroom.go
+++ b/sard/pool/headroom.go
@@ -15,6 +15,8 @@
 	// leastHeadroom and mostHeadroom bound the accelerators that are kept free, in percent of all.
 	leastHeadroom = 22
 	mostHeadroom  = 35
+	// idleShare is the part of the accelerators, in percent, that must be in use for any to be kept free.
+	idleShare = 55
 	// patientShare is the part of a job's objective, in percent, that must be left as slack for it to leave headroom.
 	patientShare = 25
 )
@@ -48,12 +50,14 @@
 }
 
 // hold returns which nodes are kept free, so that guaranteed jobs start without others being stopped: as many
-// accelerators as the recent peak of their demand exceeds the present, on the emptiest nodes.
+// accelerators as the recent peak of their demand exceeds the present, on the emptiest nodes. A pool that is mostly idle
+// keeps nothing: it has room for both.
 func (e *Engine) hold(now time.Time) []bool {
-	var total, used ident.Accelerators
+	var total, inUse, used ident.Accelerators
 	for _, n := range e.nodes {
 		if n.Accepting {
 			total += n.Capacity.Accelerators
+			inUse += n.used.Accelerators
 		}
 		for p := range n.parts {
 			if p.group.job.terms.Priority == work.Guaranteed {
@@ -64,6 +68,9 @@
 	e.demand.note(now, used)
 	keep := min(max(e.demand.recent()-used, total*leastHeadroom/100), total*mostHeadroom/100)
 	held := make([]bool, len(e.nodes))
+	if inUse*100 < total*idleShare {
+		return held
+	}
 	for _, n := range e.emptiest() {
 		if keep*2 < n.free().Accelerators || keep <= 0 {
 			// A worker of which little is needed is more use to others.
