--- a/sardsoak/play/clients.go
+++ b/sardsoak/play/clients.go
@@ -88,20 +88,6 @@
 	return i.observe(func(ctx context.Context) (front.Reply, error) { return send(ctx, t) })
 }
 
-// observe makes a call at the instance.
-func (i *instance) observe(call func(context.Context) (front.Reply, error)) (front.Reply, error) {
-	ctx, cancel := context.WithTimeout(i.world.ctx, callTime)
-	defer cancel()
-	process, sent := i.current(), time.Now()
-	reply, err := call(ctx)
-	i.world.tally.calls.Add(1)
-	if err != nil && ctx.Err() == nil && fault.Is(err, fault.OutcomeUnknown) && time.Since(sent) > i.world.config.stretch(lossSlack) &&
-		process.Stopping() && !i.wasPaused() {
-		i.world.breached("instance %s: a planned stop cut a call off after %v: %v", i.name, time.Since(sent), err)
-	}
-	return reply, err
-}
-
 // submit hands the job in. It returns whether the job was accepted, or surely refused.
 func (c *client) submit() (accepted, refused bool) {
 	refused = true
@@ -109,19 +95,11 @@
 		reply, err := c.call(func(ctx context.Context, t front.Target) (front.Reply, error) {
 			return c.world.client.Submit(ctx, t, c.job.Spec)
 		})
-		switch {
-		case err == nil && reply.Status == http.StatusOK:
+		if err == nil && reply.Status == http.StatusOK {
 			return true, false
-		case err == nil && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests):
-			if !reply.RetryAfter {
-				c.world.breached("job %s: refused with %d without telling when to come again", c.job.Spec.ID, reply.Status)
-			}
-		case err == nil && (reply.Status == http.StatusUnauthorized || reply.Status == http.StatusNotFound):
-		case err != nil && fault.Is(err, fault.Unavailable):
-			// No connection: the instance has not seen the call.
-		default:
-			refused = false
 		}
+		refused = refused && notTaken(reply, err)
+		c.checkAdvice(reply)
 		if !clock.Sleep(c.world.ctx, retryPause) {
 			return false, false
 		}
@@ -129,6 +107,27 @@
 	return false, refused
 }
 
+// notTaken tells whether a submission that was not accepted surely had no effect.
+func notTaken(reply front.Reply, err error) bool {
+	if err != nil {
+		return fault.Is(err, fault.Unavailable)
+	}
+	switch reply.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusNotFound:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkAdvice checks that a refusal for the time being tells when to come again.
+func (c *client) checkAdvice(reply front.Reply) {
+	busy := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests
+	if busy && !reply.RetryAfter {
+		c.world.breached("job %s: refused with %d without telling when to come again", c.job.Spec.ID, reply.Status)
+	}
+}
+
 // follow asks for the job's state until it has ended, cancels it in between, and sends it once more.
 func (c *client) follow() {
 	start := time.Now()
--- a/sardsoak/play/instance.go
+++ b/sardsoak/play/instance.go
@@ -1,6 +1,7 @@
 package play
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/platform/conf"
+	"github.com/sardineline/sardineline/platform/front"
 	platformrows "github.com/sardineline/sardineline/platform/rows"
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
@@ -193,6 +195,25 @@
 	<-p.Ended()
 }
 
+// observe makes a call at the instance and checks that a planned stop does not cut it off.
+func (i *instance) observe(call func(context.Context) (front.Reply, error)) (front.Reply, error) {
+	ctx, cancel := context.WithTimeout(i.world.ctx, callTime)
+	defer cancel()
+	process, sent := i.current(), time.Now()
+	reply, err := call(ctx)
+	i.world.tally.calls.Add(1)
+	if err != nil && ctx.Err() == nil && i.cutOff(process, sent, err) {
+		i.world.breached("instance %s: a planned stop cut a call off after %v: %v", i.name, time.Since(sent), err)
+	}
+	return reply, err
+}
+
+// cutOff tells whether a call failed because its process was stopped by plan, though the process had time to read it.
+func (i *instance) cutOff(p *procs.Process, sent time.Time, err error) bool {
+	read := time.Since(sent) > i.world.config.stretch(lossSlack)
+	return read && fault.Is(err, fault.OutcomeUnknown) && p.Stopping() && !i.wasPaused()
+}
+
 // reload has the settings name the other link, with or without a signal.
 func (i *instance) reload(signal bool) error {
 	i.mu.Lock()
