Count a gang's failed attempt once across a takeover; soak counts failures when they are listed

Trace: three parts of its gang failed in attempt 1 under i3, the record counted the attempt (Failures 1); i52 took over, saw a fourth part of attempt 1 fail and counted it again; attempt 2 was then the third failure. An accepted job could be failed one attempt too soon. Change: the record tells whose Failures count the present attempt (Progress.Failing, a new optional field, so records of either version are read by the other); the new holder counts it when the attempt is gone. Ruled out: a new field of work.Group, whose array form other versions could not read. Test: TestFailedGangCountsOnceAcrossATakeover failed before ('failed before attempt 3'). An interrupted run is no finding.

--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// TestExhaustedBeforeTheEndIsAcknowledged: a job may be told as failed as soon as its last failure was listed.
+func TestExhaustedBeforeTheEndIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene()
+		s.job.Poison = true
+		s.start(s.w, work.Part{Job: "j"}, 1, nil)
+		assert.Equal(t, s.hold(s.w, 0).Ended[0].How, pool.Failed)
+		assert.Assert(t, s.fleet.Exhausted("j"))
+	})
+}
+
 // TestGangWorksTogether starts the parts of a gang one after the other: the work begins with the last.
 func TestGangWorksTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/sard/fakes/fleet.go
+++ b/sard/fakes/fleet.go
@@ -40,8 +40,8 @@
 
 	// done are the parts of which an attempt has ended well.
 	done map[work.Part]bool
-	// failures are the failed attempts whose ends were acknowledged, by part, or by the first part of a gang.
-	failures map[work.Part]map[ident.Attempt]bool
+	// failed are the attempts that have failed, and failures those of them whose ends were acknowledged.
+	failed, failures attempts
 	// begun are the parts of which an attempt was started, with the highest one.
 	begun map[work.Part]ident.Attempt
 }
@@ -107,7 +107,7 @@
 func (f *Fleet) Expect(j *Job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	j.done, j.failures, j.begun = map[work.Part]bool{}, map[work.Part]map[ident.Attempt]bool{}, map[work.Part]ident.Attempt{}
+	j.done, j.failed, j.failures, j.begun = map[work.Part]bool{}, attempts{}, attempts{}, map[work.Part]ident.Attempt{}
 	f.jobs[j.Spec.ID] = j
 }
 
@@ -157,8 +157,8 @@
 func (f *Fleet) Exhausted(id ident.Job) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, failures := range f.jobs[id].failures {
-		if len(failures) >= f.jobs[id].Spec.Terms.Failures {
+	for _, failed := range f.jobs[id].failed {
+		if len(failed) >= f.jobs[id].Spec.Terms.Failures {
 			return true
 		}
 	}
@@ -260,7 +260,7 @@
 	case end.How == pool.Done && !j.Spec.Steps[part.Step].Lasting:
 		f.noted[part] = true
 	case end.How == pool.Failed:
-		j.fail(end.Attempt)
+		j.failures.add(j.first(part), end.Attempt.Number)
 	}
 }
 
@@ -276,11 +276,12 @@
 	return count
 }
 
-// fail counts a failed attempt; those of the parts of a gang count once.
-func (j *Job) fail(a work.Attempt) {
-	first := j.first(a.Part)
-	if j.failures[first] == nil {
-		j.failures[first] = map[ident.Attempt]bool{}
+// attempts are attempts by part, or by the first part of a gang, so that those of its parts count once.
+type attempts map[work.Part]map[ident.Attempt]bool
+
+func (a attempts) add(first work.Part, number ident.Attempt) {
+	if a[first] == nil {
+		a[first] = map[ident.Attempt]bool{}
 	}
-	j.failures[first][a.Number] = true
+	a[first][number] = true
 }
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -313,8 +313,11 @@
 	w.number++
 	w.ends = append(w.ends, sched.EndedPart{Number: w.number, Attempt: r.attempt, How: how, Checkpoint: r.checkpoint()})
 	w.barred[part] = max(w.barred[part], r.attempt.Number)
-	if how == pool.Done {
+	switch how {
+	case pool.Done:
 		r.job().done[part] = true
+	case pool.Failed:
+		r.job().failed.add(r.job().first(part), r.attempt.Number)
 	}
 	w.fleet.running[part]--
 	delete(w.runs, part)
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -71,6 +71,9 @@
 	for s := range o.steps {
 		for _, g := range o.steps[s].groups {
 			if g.attempt > 0 {
+				if g.failed {
+					p.Failing = append(p.Failing, len(p.Groups))
+				}
 				p.Groups = append(p.Groups, g.record(p, lives))
 			}
 		}
@@ -123,11 +126,16 @@
 	for _, number := range p.Complete {
 		e.restoreComplete(j, number)
 	}
-	for _, r := range p.Groups {
+	for i, r := range p.Groups {
 		part := j.find(work.Part{Occurrence: r.Occurrence, Step: r.Step, Index: r.First})
 		if part == nil {
 			continue
 		}
+		if slices.Contains(p.Failing, i) {
+			// The failure is counted when the attempt is gone.
+			r.Failures--
+			part.group.failed = true
+		}
 		e.restoreGroup(part.group, r, p.Lives, now)
 	}
 	j.state = p.State
--- a/sard/pool/record_test.go
+++ b/sard/pool/record_test.go
@@ -77,3 +77,22 @@
 	assert.Equal(t, len(r.starts), 3*800)
 	assert.Assert(t, !r.engine.Knows("j"))
 }
+
+// TestFailedGangCountsOnceAcrossATakeover: the failures of a gang's parts are one failed attempt, also when a new holder
+// sees some of them.
+func TestFailedGangCountsOnceAcrossATakeover(t *testing.T) {
+	r := newRig(t, 4)
+	r.add("gang", work.Guaranteed, work.Step{Parts: 2, Need: large, Gang: true})
+	r.engine.Ended(r.starts[0].Attempt, Failed, "", r.now)
+	j := r.engine.jobs["gang"]
+	recorded := j.progress()
+	after := newRig(t, 4)
+	after.engine.Add(j.Job, &recorded, after.now, after.now.UnixMilli())
+	after.engine.Ended(r.starts[1].Attempt, Failed, "", after.now)
+	for attempt := 2; attempt <= 3; attempt++ {
+		assert.Assert(t, after.engine.Knows("gang"), "failed before attempt %d", attempt)
+		after.pass(time.Second)
+		after.end("gang", Failed)
+	}
+	assert.Assert(t, !after.engine.Knows("gang"))
+}
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -72,6 +72,9 @@
 	Complete []int `cbor:",omitempty"`
 	// Groups are those that were ever placed.
 	Groups []Group `cbor:",omitempty"`
+	// Failing are the indexes in Groups of those whose Failures count the present attempt, which has failed and of which
+	// parts may still run.
+	Failing []int `cbor:",omitempty"`
 	// EndedMs is the Unix time in milliseconds of the end, for the retention period; 0 while the job is open.
 	EndedMs int64 `cbor:",omitempty"`
 }
--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -77,6 +77,10 @@
 		w.checkReclaim(draw)
 		w.awaitClients()
 	}
+	if err := w.ctx.Err(); err != nil {
+		// What an interrupted run left undone breaks no promise.
+		return fault.Wrap(err, fault.Internal, "play run", "")
+	}
 	w.checkIdle()
 	if err := w.stopAll(); err != nil {
 		return err
