--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -50,11 +50,6 @@
 	changed chan struct{}
 }
 
-// Client returns the worker's interface to schedulers.
-func (w *Worker) Client() sched.Client {
-	return w
-}
-
 // Crash ends all that runs, without a word, and starts another process.
 func (w *Worker) Crash() {
 	for part := range w.runs {
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -66,12 +66,7 @@
 
 // candidates returns the nodes that may run parts of a group.
 func (r *round) candidates(g *group) []*node {
-	key := r.nodesKey(g)
-	found, ok := r.usable[key]
-	if !ok {
-		found = r.usableNodes(g, key.patient)
-		r.usable[key] = found
-	}
+	found := r.nodesFor(g, r.nodesKey(g))
 	step := g.spec()
 	if !step.Fills && step.Latency == 0 {
 		return found
@@ -79,6 +74,16 @@
 	return slices.DeleteFunc(slices.Clone(found), func(n *node) bool { return n.clashes(step) })
 }
 
+// nodesFor returns the nodes of a key of the group, found once in a round.
+func (r *round) nodesFor(g *group, key nodesKey) []*node {
+	found, ok := r.usable[key]
+	if !ok {
+		found = r.usableNodes(g, key.patient)
+		r.usable[key] = found
+	}
+	return found
+}
+
 func (r *round) usableNodes(g *group, patient bool) []*node {
 	found := make([]*node, 0, len(r.engine.nodes))
 	for _, n := range r.engine.nodes {
@@ -135,7 +140,9 @@
 // mayGoFar tells whether a group may be placed away from its data, or on several racks, because no rack that would do
 // could take it even if it were empty. Nodes that are only kept free, or avoided, count as near.
 func (r *round) mayGoFar(g *group) bool {
-	for _, rack := range byRack(r.usableNodes(g, false)) {
+	key := r.nodesKey(g)
+	key.patient = false
+	for _, rack := range byRack(r.nodesFor(g, key)) {
 		if data := g.spec().DataRack; data != "" && rack[0].Rack != data {
 			continue
 		}
--- a/sard/pool/speed.go
+++ b/sard/pool/speed.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -142,13 +143,7 @@
 
 func slowest(nodes []*node) *node {
 	return slices.MinFunc(nodes, func(a, b *node) int {
-		switch {
-		case a.speed.value() < b.speed.value():
-			return -1
-		case a.speed.value() > b.speed.value():
-			return 1
-		}
-		return a.index - b.index
+		return cmp.Or(cmp.Compare(a.speed.value(), b.speed.value()), cmp.Compare(a.index, b.index))
 	})
 }
 
--- a/sardctl/causes.go
+++ b/sardctl/causes.go
@@ -4,12 +4,9 @@
 	"cmp"
 	"encoding/json"
 	"io"
-	"os"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/sardineline/sardineline/sard/fault"
 )
 
 // The messages of the scheduler's log from which causes are told.
@@ -249,22 +246,3 @@
 	})
 	return report
 }
-
-// eachLog calls visit for each file, or for the given input when there are none.
-func eachLog(files []string, in io.Reader, visit func(io.Reader) error) error {
-	if len(files) == 0 {
-		return visit(in)
-	}
-	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
-			return fault.Wrap(err, fault.Invalid, "read log", name)
-		}
-		err = visit(file)
-		_ = file.Close()
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/sardctl/trace.go
+++ b/sardctl/trace.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,9 +10,6 @@
 	"github.com/sardineline/sardineline/sard/fault"
 )
 
-// maxLogLine bounds a log line, in bytes.
-const maxLogLine = 1 << 20
-
 // fieldMark starts the names of the fields that every log line has.
 const fieldMark = "@"
 
@@ -66,23 +62,6 @@
 	Fields string
 }
 
-// scanLog calls visit with the JSON of each line that holds a text. What precedes the JSON of a line, and lines without
-// any, are passed over.
-func scanLog(in io.Reader, holds string, visit func(text string)) error {
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		if start := strings.IndexByte(text, '{'); start >= 0 && strings.Contains(text, holds) {
-			visit(text[start:])
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return fault.Wrap(err, fault.Invalid, "read log", "")
-	}
-	return nil
-}
-
 func newLogLine(fields map[string]any) logLine {
 	text := func(name string) string {
 		value, _ := fields[name].(string)
--- a/sardsoak/play/troubles.go
+++ b/sardsoak/play/troubles.go
@@ -170,30 +170,30 @@
 // storeTroubles disturbs the store for all instances.
 func storeTroubles(t storeTrouble) func(*world, *rand.Rand, time.Duration) error {
 	return func(w *world, _ *rand.Rand, span time.Duration) error {
-		all := w.all()
-		for _, i := range all {
-			i.rows.set(t)
-		}
-		clock.Sleep(w.ctx, span)
-		for _, i := range all {
-			i.rows.set(storeTrouble{})
-		}
+		w.disturbStore(w.all(), t, span)
 		return nil
 	}
 }
 
+// disturbStore disturbs the store for some instances.
+func (w *world) disturbStore(some []*instance, t storeTrouble, span time.Duration) {
+	for _, i := range some {
+		i.rows.set(t)
+	}
+	clock.Sleep(w.ctx, span)
+	for _, i := range some {
+		i.rows.set(storeTrouble{})
+	}
+}
+
 func someTurnedAway(w *world, draw *rand.Rand, span time.Duration) error {
 	var away []*instance
 	for _, i := range w.all() {
 		if draw.IntN(2) == 0 {
 			away = append(away, i)
-			i.rows.set(storeTrouble{Busy: true})
 		}
 	}
-	clock.Sleep(w.ctx, span)
-	for _, i := range away {
-		i.rows.set(storeTrouble{})
-	}
+	w.disturbStore(away, storeTrouble{Busy: true}, span)
 	return nil
 }
 
