Queue commands to workers and leave own stalls out of timeouts

Cause: on an instance with little processor time a wide job's starts were all sent at once, each on a connection of its own. Their responses lay unread until the timeouts of 0.6 s passed; starts were sent again or stopped, renewals failed the same way, leases lapsed, and workers that had listed an end were judged lost: their parts ran twice.

Change: commands wait in a queue with one active command a worker and 64 of all, stops first, then starts of guaranteed jobs. A command that takes longer than 200 ms no longer counts as active. A start that was never sent ends with its stop, without a request. Timeouts of requests to workers leave out the time in which the process could not run (package stall). A lease is judged expired only when no renewal is in flight, as its response may be waiting to be read. The long wait of renewals depends on the number of workers for each core. Renewals are sent before decisions are made.

TestWideJobsOnInstanceWithLittleProcessorTime and TestEndInUnreadResponseIsNotLost fail on the code before.

--- a/sard/pool/decision.go
+++ b/sard/pool/decision.go
@@ -13,6 +13,7 @@
 type Start struct {
 	Attempt    work.Attempt
 	Worker     work.WorkerProcess
+	Priority   work.Priority
 	Payload    string
 	Checkpoint work.Checkpoint
 }
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -214,7 +214,10 @@
 	if p == nil || p.stopping {
 		return Start{}, false
 	}
-	return Start{Attempt: a, Worker: p.node.WorkerProcess, Payload: p.group.job.Payload, Checkpoint: p.group.checkpoint}, true
+	j := p.group.job
+	return Start{
+		Attempt: a, Worker: p.node.WorkerProcess, Priority: j.settings.Priority, Payload: j.Payload, Checkpoint: p.group.checkpoint,
+	}, true
 }
 
 // BusyProcesses returns the worker processes on which a part may be running.
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -161,7 +161,7 @@
 		p := &g.parts[i]
 		n.attach(p)
 		r.engine.decisions = append(r.engine.decisions, Start{
-			Attempt: p.attemptID(), Worker: n.WorkerProcess, Payload: j.Payload, Checkpoint: g.checkpoint,
+			Attempt: p.attemptID(), Worker: n.WorkerProcess, Priority: j.settings.Priority, Payload: j.Payload, Checkpoint: g.checkpoint,
 		})
 	}
 }
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -28,9 +28,11 @@
 	startsSent int
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
-	// startInFlight and stopInFlight indicate that a request is in flight.
-	stopInFlight  bool
+	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
+	startQueued   bool
 	startInFlight bool
+	// stopPending indicates that a stop request is queued or in flight.
+	stopPending bool
 }
 
 // newAttemptState returns the state of an attempt for which no request was sent.
@@ -57,7 +59,7 @@
 }
 
 // startAttempt sends the start request for a start decision that has been recorded in the store.
-func (s *Scheduler) startAttempt(ctx context.Context, start pool.Start) {
+func (s *Scheduler) startAttempt(start pool.Start) {
 	if !s.engine.ShouldRun(start.Attempt, start.Worker.Worker) {
 		return
 	}
@@ -68,30 +70,33 @@
 	}
 	state := newAttemptState()
 	w.attempts[start.Attempt] = state
-	s.sendStart(ctx, w, state, start)
+	s.queueStart(w, state, start)
 }
 
-// sendStart sends a start request in the background. It also extends the worker's lease.
-func (s *Scheduler) sendStart(ctx context.Context, w *session, state *attemptState, start pool.Start) {
-	if s.lease.Check() != nil {
-		s.engine.StopUnconfirmed(start.Attempt)
+// sendStart sends a queued start request in the background, unless the attempt is no longer meant to run. It also
+// extends the worker's lease.
+func (s *Scheduler) sendStart(ctx context.Context, w *session, start pool.Start) {
+	state := w.attempts[start.Attempt]
+	if state == nil || !state.startQueued || !s.engine.ShouldRun(start.Attempt, w.id()) {
 		return
 	}
+	state.startQueued = false
 	state.startsSent++
 	state.startInFlight = true
+	flight := s.commands.depart(w)
 	req := StartRequest{
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
 		Epoch: s.lease.Epoch(), Deadline: w.extendLease(s.config.WorkerLease),
 	}
 	client, sentAt := w.client, clock.Now()
 	s.runAsync(ctx, func() event {
-		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
 		defer cancel()
-		if err := s.lease.Check(); err != nil {
-			return startResult{attempt: start.Attempt, process: start.Worker, sentAt: sentAt, err: err}
+		result := startResult{attempt: start.Attempt, process: start.Worker, flight: flight, sentAt: sentAt}
+		if result.err = s.lease.Check(); result.err == nil {
+			result.reply, result.err = client.Start(ctx, req)
 		}
-		reply, err := client.Start(ctx, req)
-		return startResult{attempt: start.Attempt, process: start.Worker, sentAt: sentAt, reply: reply, err: err}
+		return result
 	})
 }
 
@@ -106,7 +111,8 @@
 }
 
 // handleStart processes the result of a start request: a response, a refusal or neither.
-func (s *Scheduler) handleStart(ctx context.Context, ev startResult) {
+func (s *Scheduler) handleStart(ev startResult) {
+	s.commands.release(ev.flight)
 	w, state := s.findAttempt(ev.process, ev.attempt)
 	if state == nil {
 		return
@@ -125,7 +131,7 @@
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
 	default:
-		s.startUnanswered(ctx, w, state, ev)
+		s.startUnanswered(w, state, ev)
 	}
 }
 
@@ -163,19 +169,19 @@
 
 // startUnanswered handles a start request that got no response. It repeats the request, which has no effect if the
 // attempt runs, until maxStartSends is reached; then it stops the attempt, which may run.
-func (s *Scheduler) startUnanswered(ctx context.Context, w *session, state *attemptState, ev startResult) {
+func (s *Scheduler) startUnanswered(w *session, state *attemptState, ev startResult) {
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
 	start, pending := s.engine.PendingStart(ev.attempt)
 	if pending && state.startsSent < maxStartSends {
-		s.sendStart(ctx, w, state, start)
+		s.queueStart(w, state, start)
 		return
 	}
 	s.engine.StopUnconfirmed(ev.attempt)
 }
 
-// stopAttempt sends the stop request for a stop decision.
-func (s *Scheduler) stopAttempt(ctx context.Context, stop pool.Stop) {
+// stopAttempt queues the stop request for a stop decision. An attempt whose start request was never sent ends at once.
+func (s *Scheduler) stopAttempt(stop pool.Stop) {
 	w := s.session(stop.Worker)
 	if w == nil {
 		return
@@ -183,18 +189,23 @@
 	state := w.ensureAttempt(stop.Attempt)
 	s.config.Metrics.attemptsStopped.WithLabelValues(string(stop.Reason)).Inc()
 	s.config.Logger.Info("part is stopped", "part", stop.Attempt.Part, "attempt", stop.Attempt.Number, "worker", stop.Worker.Worker,
-		"reason", stop.Reason)
-	s.sendStop(ctx, w, stop.Attempt, state)
+		"reason", stop.Reason, "sent", state.startsSent)
+	if state.startQueued && state.startsSent == 0 {
+		delete(w.attempts, stop.Attempt)
+		s.engine.AttemptEnded(stop.Attempt, pool.Stopped, "", time.Now())
+		return
+	}
+	s.queueStop(w, stop.Attempt, state)
 }
 
 // stopUnexpected stops an attempt that a worker runs but should not.
-func (s *Scheduler) stopUnexpected(ctx context.Context, w *session, a work.Attempt) {
+func (s *Scheduler) stopUnexpected(w *session, a work.Attempt) {
 	if w.attempts[a] == nil {
 		s.config.Logger.Info("part is stopped", "part", a.Part, "attempt", a.Number, "worker", w.id(), "reason", pool.ReasonNotCurrent)
 	}
 	state := w.ensureAttempt(a)
-	if !state.stopInFlight && clock.Since(state.stopConfirmed) > s.config.MaxStopTime+stopRetryPause {
-		s.sendStop(ctx, w, a, state)
+	if clock.Since(state.stopConfirmed) > s.config.MaxStopTime+stopRetryPause {
+		s.queueStop(w, a, state)
 	}
 }
 
@@ -209,32 +220,33 @@
 	return state
 }
 
-// sendStop sends a stop request in the background unless one is in flight.
-func (s *Scheduler) sendStop(ctx context.Context, w *session, a work.Attempt, state *attemptState) {
-	if state.stopInFlight || w.client == nil {
+// sendStop sends a queued stop request in the background.
+func (s *Scheduler) sendStop(ctx context.Context, w *session, a work.Attempt) {
+	if w.attempts[a] == nil {
 		return
 	}
-	state.stopInFlight = true
+	flight := s.commands.depart(w)
 	req := StopRequest{Worker: w.entry.WorkerProcess, Attempt: a, Epoch: s.lease.Epoch()}
 	client := w.client
 	s.runAsync(ctx, func() event {
-		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
 		defer cancel()
 		reply, err := client.Stop(ctx, req)
 		if err != nil {
 			clock.Sleep(ctx, stopRetryPause)
 		}
-		return stopResult{attempt: a, process: req.Worker, reply: reply, err: err}
+		return stopResult{attempt: a, process: req.Worker, flight: flight, reply: reply, err: err}
 	})
 }
 
 // handleStop processes the result of a stop request. A request without a response is repeated.
-func (s *Scheduler) handleStop(ctx context.Context, ev stopResult) {
+func (s *Scheduler) handleStop(ev stopResult) {
+	s.commands.release(ev.flight)
 	w, state := s.findAttempt(ev.process, ev.attempt)
 	if state == nil {
 		return
 	}
-	state.stopInFlight = false
+	state.stopPending = false
 	var refusal *RefusalError
 	if errors.As(ev.err, &refusal) && refusal.Cause == Superseded {
 		s.lease.MarkLost()
@@ -242,7 +254,7 @@
 	}
 	if ev.err != nil {
 		if s.engine.MayRun(ev.attempt, w.id()) {
-			s.sendStop(ctx, w, ev.attempt, state)
+			s.queueStop(w, ev.attempt, state)
 		}
 		return
 	}
@@ -253,14 +265,14 @@
 
 // handleMissing handles the attempts that should run on a worker but are missing from its report. First indicates that
 // it is the worker's first report under this epoch.
-func (s *Scheduler) handleMissing(ctx context.Context, w *session, ev renewalResult, first bool) {
+func (s *Scheduler) handleMissing(w *session, ev renewalResult, first bool) {
 	reported := map[work.Attempt]bool{}
 	for _, r := range ev.report.Running {
 		reported[r.Attempt] = true
 	}
 	for a, state := range w.attempts {
 		if !reported[a] {
-			s.resolveMissing(ctx, w, a, state, ev.sentAt, first)
+			s.resolveMissing(w, a, state, ev.sentAt, first)
 		}
 	}
 }
@@ -268,7 +280,7 @@
 // resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal sent at
 // sentAt. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
 // report, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
-func (s *Scheduler) resolveMissing(ctx context.Context, w *session, a work.Attempt, state *attemptState, sentAt clock.Instant, first bool) {
+func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, sentAt clock.Instant, first bool) {
 	switch {
 	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(sentAt):
 		delete(w.attempts, a)
@@ -279,7 +291,7 @@
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
 	case first && state.startsSent == 0:
 		if start, pending := s.engine.PendingStart(a); pending {
-			s.sendStart(ctx, w, state, start)
+			s.queueStart(w, state, start)
 		}
 	}
 }
--- /dev/null
+++ b/sard/sched/commands.go
@@ -0,0 +1,192 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// maxFlights is the maximum number of start and stop requests that are in flight and count as active. More would
+	// delay each other's responses on an instance with little processor time.
+	maxFlights = 64
+	// flightTime is how long a request counts as active. A worker that takes longer does not hold up the others.
+	flightTime = 200 * time.Millisecond
+)
+
+//go:generate go tool stringer -type=commandClass -output=commandclass_string.go
+
+// commandClass determines the order in which queued commands are sent.
+type commandClass int
+
+// Classes of commands, in the order in which they are sent.
+const (
+	// stopClass holds stops, which free capacity.
+	stopClass commandClass = iota
+	// guaranteedStartClass holds starts of guaranteed jobs.
+	guaranteedStartClass
+	// startClass holds all other starts.
+	startClass
+	// classCount is the number of classes.
+	classCount
+)
+
+// command is a request to a worker that is queued until it is sent. Only types of this package implement it.
+type command interface{ command() }
+
+// startCommand starts an attempt.
+type startCommand struct{ start pool.Start }
+
+// stopCommand stops an attempt.
+type stopCommand struct{ attempt work.Attempt }
+
+func (startCommand) command() {}
+func (stopCommand) command()  {}
+
+// flight is a command that was sent and counts as active until it is released.
+type flight struct {
+	session  *session
+	sentAt   clock.Instant
+	released bool
+}
+
+// commandQueue holds the commands that are waiting to be sent. At most one command per worker, and maxFlights of all, are
+// active at a time, so that a burst of commands needs few connections and delays no other responses.
+type commandQueue struct {
+	// ready holds, for each class, the sessions that may have a queued command of that class and no active one.
+	ready [classCount][]*session
+	// flights holds the active commands and some released ones, in the order in which they were sent.
+	flights []*flight
+	active  int
+	queued  int
+}
+
+// add queues a command for a worker.
+func (q *commandQueue) add(w *session, class commandClass, c command) {
+	w.commands[class] = append(w.commands[class], c)
+	q.queued++
+	if w.flight == nil {
+		q.ready[class] = append(q.ready[class], w)
+	}
+}
+
+// next removes and returns the next command to send, or nil if there is none in the classes up to last.
+func (q *commandQueue) next(last commandClass) (*session, command) {
+	for class := range last + 1 {
+		for len(q.ready[class]) > 0 {
+			w := q.ready[class][0]
+			q.ready[class] = q.ready[class][1:]
+			if w.flight != nil || len(w.commands[class]) == 0 {
+				continue
+			}
+			c := w.commands[class][0]
+			w.commands[class] = w.commands[class][1:]
+			q.queued--
+			return w, c
+		}
+	}
+	return nil, nil
+}
+
+// depart records that a command was sent to a worker.
+func (q *commandQueue) depart(w *session) *flight {
+	f := &flight{session: w, sentAt: clock.Now()}
+	w.flight = f
+	q.flights = append(q.flights, f)
+	q.active++
+	return f
+}
+
+// release ends the active time of a command, after which the worker may get the next one.
+func (q *commandQueue) release(f *flight) {
+	if f.released {
+		return
+	}
+	f.released = true
+	q.active--
+	if f.session.flight == f {
+		f.session.flight = nil
+		q.makeReady(f.session)
+	}
+}
+
+// makeReady adds a session to the ready list of each class of which it has queued commands.
+func (q *commandQueue) makeReady(w *session) {
+	for class := range classCount {
+		if len(w.commands[class]) > 0 {
+			q.ready[class] = append(q.ready[class], w)
+		}
+	}
+}
+
+// releaseSlow releases the commands that were sent more than flightTime ago.
+func (q *commandQueue) releaseSlow() {
+	for len(q.flights) > 0 {
+		f := q.flights[0]
+		if !f.released && clock.Since(f.sentAt) < flightTime {
+			return
+		}
+		q.release(f)
+		q.flights = q.flights[1:]
+	}
+}
+
+// discard removes all queued commands of a worker, whose process was replaced.
+func (q *commandQueue) discard(w *session) {
+	for class := range classCount {
+		q.queued -= len(w.commands[class])
+		w.commands[class] = nil
+	}
+	if w.flight != nil {
+		q.release(w.flight)
+	}
+}
+
+// sendCommands sends queued commands. Starts are sent only while the scheduler lease is held.
+func (s *Scheduler) sendCommands(ctx context.Context) {
+	s.commands.releaseSlow()
+	last := startClass
+	if s.lease.Check() != nil {
+		last = stopClass
+	}
+	for s.commands.active < maxFlights {
+		w, c := s.commands.next(last)
+		switch c := c.(type) {
+		case startCommand:
+			s.sendStart(ctx, w, c.start)
+		case stopCommand:
+			s.sendStop(ctx, w, c.attempt)
+		case nil:
+			return
+		}
+		if w.flight == nil {
+			// The command was not needed any more and the worker can get its next one.
+			s.commands.makeReady(w)
+		}
+	}
+}
+
+// queueStart queues the start of an attempt.
+func (s *Scheduler) queueStart(w *session, state *attemptState, start pool.Start) {
+	if state.startQueued {
+		return
+	}
+	state.startQueued = true
+	class := startClass
+	if start.Priority == work.Guaranteed {
+		class = guaranteedStartClass
+	}
+	s.commands.add(w, class, startCommand{start: start})
+}
+
+// queueStop queues the stop of an attempt, unless one is queued or in flight.
+func (s *Scheduler) queueStop(w *session, a work.Attempt, state *attemptState) {
+	if state.stopPending || w.client == nil {
+		return
+	}
+	state.stopPending = true
+	s.commands.add(w, stopClass, stopCommand{attempt: a})
+}
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -32,6 +32,7 @@
 type startResult struct {
 	attempt work.Attempt
 	process work.WorkerProcess
+	flight  *flight
 	sentAt  clock.Instant
 	reply   Reply
 	err     error
@@ -41,6 +42,7 @@
 type stopResult struct {
 	attempt work.Attempt
 	process work.WorkerProcess
+	flight  *flight
 	reply   Reply
 	err     error
 }
@@ -69,11 +71,11 @@
 	case commitResult:
 		s.handleCommit(ctx, ev)
 	case startResult:
-		s.handleStart(ctx, ev)
+		s.handleStart(ev)
 	case stopResult:
-		s.handleStop(ctx, ev)
+		s.handleStop(ev)
 	case renewalResult:
-		s.handleRenewal(ctx, ev)
+		s.handleRenewal(ev)
 	case cleanupResult:
 		s.handleCleanup(ev)
 	}
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -7,14 +7,15 @@
 )
 
 // expireLeases treats the attempts on workers whose leases have certainly expired as lost, so that their parts can be
-// started elsewhere. It places no new parts on workers that do not respond.
+// started elsewhere. While a renewal is in flight it waits for its result, since the response may already have arrived
+// and list the ends of attempts. It places no new parts on workers that do not respond.
 func (s *Scheduler) expireLeases() {
 	now := clock.Now()
 	for _, w := range s.sessions {
 		if w.silent() {
 			s.engine.DropWorker(w.id())
 		}
-		if w.lost || now.Before(w.leaseExpiry) || (!w.unanswered && w.fenced) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
+		if w.lost || w.renewing || now.Before(w.leaseExpiry) || (!w.unanswered && w.fenced) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
 			continue
 		}
 		w.lost = true
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -44,6 +44,8 @@
 	storeDown, dropStoreReplies atomic.Bool
 	// disturbed disables the check of invariants that only hold without disturbances.
 	disturbed atomic.Bool
+	// wrapClient, if not nil, returns the client to use in place of c.
+	wrapClient func(c sched.WorkerClient) sched.WorkerClient
 	// failingJobs holds the jobs whose attempts all fail.
 	failingJobs map[ident.Job]bool
 }
@@ -175,10 +177,14 @@
 			return e, json.Unmarshal(row.Value, &e)
 		},
 		NewClient: func(e sched.ListedWorker) sched.WorkerClient {
-			return &killableClient{WorkerClient: r.fleet.Worker(e.WorkerProcess.Worker), killed: killed}
+			var client sched.WorkerClient = &killableClient{WorkerClient: r.fleet.Worker(e.WorkerProcess.Worker), killed: killed}
+			if r.wrapClient != nil {
+				client = r.wrapClient(client)
+			}
+			return client
 		},
 		Policy:      func() *policy.Policy { return r.policy },
-		WorkerLease: 5 * time.Second, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute,
+		WorkerLease: 5 * time.Second, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
 		Logger: r.logger.Named(name),
 	}
 }
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -190,7 +190,7 @@
 	s.engine.ChangesWritten(b.changes)
 	s.confirmEnds(b.seenEnds)
 	for _, start := range b.starts {
-		s.startAttempt(ctx, start)
+		s.startAttempt(start)
 	}
 }
 
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -13,10 +13,10 @@
 	// renewalWait is how long a worker may delay its response to a lease renewal until an attempt ends, so that the
 	// scheduler learns of the end at once.
 	renewalWait = time.Second
-	// longRenewalWait replaces renewalWait if there are more than manyWorkers workers.
+	// longRenewalWait replaces renewalWait if there are more than workersPerCore workers for each core of the instance.
 	longRenewalWait = 2 * time.Second
-	// manyWorkers is the number of workers above which longRenewalWait applies.
-	manyWorkers = 500
+	// workersPerCore is the number of workers per core above which longRenewalWait applies.
+	workersPerCore = 500
 	// renewalMargin is how much longer the timeout of a lease renewal is than the time by which the worker may
 	// delay its response.
 	renewalMargin = 700 * time.Millisecond
@@ -50,9 +50,9 @@
 }
 
 // maxRenewalWait returns how long a worker may delay its response to a lease renewal until an attempt ends. It is
-// longer if there are many workers.
+// longer if there are many workers for the instance's processor time.
 func (s *Scheduler) maxRenewalWait() time.Duration {
-	if len(s.sessions) > manyWorkers {
+	if float64(len(s.sessions)) > workersPerCore*s.config.Cores {
 		return longRenewalWait
 	}
 	return renewalWait
@@ -77,7 +77,7 @@
 	client, process := w.client, w.entry.WorkerProcess
 	sentAt := clock.Now()
 	s.runAsync(ctx, func() event {
-		ctx, cancel := context.WithTimeout(ctx, req.MaxWait+renewalMargin)
+		ctx, cancel := s.stalls.WithTimeout(ctx, req.MaxWait+renewalMargin)
 		defer cancel()
 		report, err := client.RenewLease(ctx, req)
 		return renewalResult{process: process, sentAt: sentAt, ackedEnd: req.AckedEnd, report: report, err: err}
@@ -85,7 +85,7 @@
 }
 
 // handleRenewal processes the result of a lease renewal, which normally is a report of the worker's attempts.
-func (s *Scheduler) handleRenewal(ctx context.Context, ev renewalResult) {
+func (s *Scheduler) handleRenewal(ev renewalResult) {
 	w := s.sessions[ev.process.Worker]
 	if w == nil || w.entry.WorkerProcess != ev.process {
 		return
@@ -103,8 +103,8 @@
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
 	s.handleEnded(w, ev.report)
-	s.handleRunning(ctx, w, ev.report)
-	s.handleMissing(ctx, w, ev, first)
+	s.handleRunning(w, ev.report)
+	s.handleMissing(w, ev, first)
 	w.nextRenewal = clock.Now()
 	switch {
 	case w.seenEnd > w.confirmedEnd:
@@ -162,7 +162,7 @@
 }
 
 // handleRunning passes the running attempts of a worker's report to the engine, and stops those that should not run.
-func (s *Scheduler) handleRunning(ctx context.Context, w *session, report WorkerReport) {
+func (s *Scheduler) handleRunning(w *session, report WorkerReport) {
 	now := time.Now()
 	w.unexpected = 0
 	for _, r := range report.Running {
@@ -173,6 +173,6 @@
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
 			continue
 		}
-		s.stopUnexpected(ctx, w, r.Attempt)
+		s.stopUnexpected(w, r.Attempt)
 	}
 }
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -32,6 +32,7 @@
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/policy"
 	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/stall"
 	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -67,8 +68,10 @@
 	MaxStopTime time.Duration
 	// JobRetention is how long the records of an ended job are kept.
 	JobRetention time.Duration
-	Metrics      *Metrics
-	Logger       hclog.Logger
+	// Cores is the processor time that the instance has, in cores.
+	Cores   float64
+	Metrics *Metrics
+	Logger  hclog.Logger
 }
 
 const (
@@ -95,6 +98,9 @@
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
 	journal  journal
+	commands commandQueue
+	// stalls measures for how long this process could not run.
+	stalls stall.Meter
 	// loadedProgress holds the progress records read at the start, until their jobs are added to the engine.
 	loadedProgress map[ident.Job]*work.Progress
 	// latestStartedMs holds the start time of the latest process of each worker in the progress records.
@@ -138,6 +144,7 @@
 	s.config.Metrics.setHolding(true)
 	defer s.config.Metrics.setHolding(false)
 	s.engine = pool.New(pool.Config{QueueSettings: s.queueSettings, Guarantee: s.guarantee})
+	group.Go(func() error { return s.stalls.Run(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return s.run(ctx)
@@ -186,19 +193,20 @@
 		return err
 	}
 	s.expireLeases()
+	s.renewLeases(ctx)
 	if err == nil {
-		s.decide(ctx)
+		s.decide()
 		s.commit(ctx)
 		s.cleanUp(ctx)
 	}
-	s.renewLeases(ctx)
+	s.sendCommands(ctx)
 	s.reportSummary()
 	return nil
 }
 
-// decide makes decisions and sends stop requests; start requests wait until the decision is recorded. The pause after
+// decide makes decisions and queues stop requests; start requests wait until the decision is recorded. The pause after
 // each decision limits the share of the processor that decisions use.
-func (s *Scheduler) decide(ctx context.Context) {
+func (s *Scheduler) decide() {
 	started := clock.Now()
 	if started.Before(s.nextDecision) {
 		return
@@ -215,7 +223,7 @@
 		case pool.Start:
 			s.journal.pendingStarts = append(s.journal.pendingStarts, d)
 		case pool.Stop:
-			s.stopAttempt(ctx, d)
+			s.stopAttempt(d)
 		}
 	}
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -42,6 +42,9 @@
 	lost     bool
 	// attempts holds the attempts that were requested to start or stop on the worker.
 	attempts map[work.Attempt]*attemptState
+	// commands holds the queued commands by class, and flight the active one.
+	commands [classCount][]command
+	flight   *flight
 	// unexpected is the number of running attempts that the engine does not account for on this worker.
 	unexpected int
 }
@@ -152,6 +155,7 @@
 			kept[a] = state
 		}
 	}
+	s.commands.discard(w)
 	entry := w.entry
 	entry.WorkerProcess = process
 	client, listed := w.client, w.listed
--- /dev/null
+++ b/sard/sched/starved_test.go
@@ -0,0 +1,136 @@
+package sched_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/sched"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// processor simulates the processor of an instance, which does one thing at a time.
+type processor chan struct{}
+
+// use occupies the processor for d, or fails if ctx ends before it is free.
+func (p processor) use(ctx context.Context, d time.Duration) error {
+	select {
+	case p <- struct{}{}:
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "wait", "processor")
+	}
+	clock.Sleep(context.Background(), d)
+	<-p
+	return nil
+}
+
+// starvedClient sends requests from an instance on which each request and each response takes a fixed processor time.
+type starvedClient struct {
+	sched.WorkerClient
+	processor processor
+	cost      time.Duration
+}
+
+// Start sends a start request.
+func (c *starvedClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
+	return runStarved(ctx, c, func() (sched.Reply, error) { return c.WorkerClient.Start(ctx, o) })
+}
+
+// Stop sends a stop request.
+func (c *starvedClient) Stop(ctx context.Context, o sched.StopRequest) (sched.Reply, error) {
+	return runStarved(ctx, c, func() (sched.Reply, error) { return c.WorkerClient.Stop(ctx, o) })
+}
+
+// RenewLease sends a lease renewal.
+func (c *starvedClient) RenewLease(ctx context.Context, o sched.RenewLeaseRequest) (sched.WorkerReport, error) {
+	return runStarved(ctx, c, func() (sched.WorkerReport, error) { return c.WorkerClient.RenewLease(ctx, o) })
+}
+
+// runStarved runs a call that needs processor time before it is sent and after the response has arrived.
+func runStarved[T any](ctx context.Context, c *starvedClient, call func() (T, error)) (T, error) {
+	var none T
+	if err := c.processor.use(ctx, c.cost); err != nil {
+		return none, err
+	}
+	result, err := call()
+	if err != nil {
+		return none, err
+	}
+	if err := c.processor.use(ctx, c.cost); err != nil {
+		return none, err
+	}
+	return result, nil
+}
+
+// TestWideJobsOnInstanceWithLittleProcessorTime submits wide jobs to an instance that needs longer for all of their
+// starts than the timeout of a start. Each part must be started exactly once.
+func TestWideJobsOnInstanceWithLittleProcessorTime(t *testing.T) {
+	runTest(t, 24, func(r *harness) {
+		p := make(processor, 1)
+		r.wrapClient = func(c sched.WorkerClient) sched.WorkerClient {
+			return &starvedClient{WorkerClient: c, processor: p, cost: 4 * time.Millisecond}
+		}
+		r.startInstance("i1")
+		r.sleep(time.Second)
+		for _, id := range []ident.Job{"ja", "jb", "jc"} {
+			r.submit(id, 6*time.Second, work.Step{Parts: 64})
+		}
+		for _, id := range []ident.Job{"ja", "jb", "jc"} {
+			r.waitForState(id, ident.Succeeded, 20*time.Second)
+		}
+		assert.Equal(t, r.fleet.StartCount(), 3*64)
+	})
+}
+
+// lateReader is a client whose next renewal fails, and whose later responses to renewals are read only after release is
+// closed.
+type lateReader struct {
+	sched.WorkerClient
+	armed, failed atomic.Bool
+	release       chan struct{}
+}
+
+// RenewLease sends a lease renewal.
+func (c *lateReader) RenewLease(ctx context.Context, o sched.RenewLeaseRequest) (sched.WorkerReport, error) {
+	if !c.armed.Load() {
+		return c.WorkerClient.RenewLease(ctx, o)
+	}
+	if c.failed.CompareAndSwap(false, true) {
+		return sched.WorkerReport{}, fault.New(fault.OutcomeUnknown, "renew", "worker", "no response")
+	}
+	clock.Sleep(context.Background(), 2*time.Second)
+	report, err := c.WorkerClient.RenewLease(context.WithoutCancel(ctx), o)
+	<-c.release
+	return report, err
+}
+
+// TestEndInUnreadResponseIsNotLost lets a worker's lease expire while the response that lists the end of its attempt was
+// not read yet. The part must not be started again.
+func TestEndInUnreadResponseIsNotLost(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		release := make(chan struct{})
+		var readers []*lateReader
+		r.wrapClient = func(c sched.WorkerClient) sched.WorkerClient {
+			reader := &lateReader{WorkerClient: c, release: release}
+			readers = append(readers, reader)
+			return reader
+		}
+		r.startInstance("i1")
+		r.sleep(time.Second)
+		r.submit("j1", 3*time.Second, work.Step{Parts: 1})
+		r.sleep(500 * time.Millisecond)
+		for _, reader := range readers {
+			reader.armed.Store(true)
+		}
+		r.sleep(8 * time.Second)
+		close(release)
+		r.waitForState("j1", ident.Succeeded, 2*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 1)
+	})
+}
