Give the workers of an evacuated data centre no new parts

Change: each instance follows the rows of evacuations beside the configuration, by feed and poll, with the version of each change, so that a late listing reverts nothing. The scheduler places nothing there, and sends no start that was queued before. Until an instance has read the rows, every data centre counts as evacuated. What runs there goes on: it loses nothing by that, and moving would.

--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/store"
 )
 
@@ -21,6 +23,9 @@
 	Key store.Key
 	// Decode decodes the value of the row.
 	Decode func(value []byte) (*Policy, error)
+	// EvacuationPrefix is the prefix of the names of the rows that request the evacuation of a data centre, which are in
+	// the table and partition of Key; the rest of such a name is the data centre. It must sort after the name of Key.
+	EvacuationPrefix string
 	// Logger logs changes of the configuration in force and outages of the store.
 	Logger hclog.Logger
 }
@@ -46,6 +51,9 @@
 	mu         sync.Mutex
 	current    *Policy
 	rowVersion store.Version
+	// evacuationRows tracks the rows that request evacuations; evacuations is nil until they were listed.
+	evacuationRows evacuationRows
+	evacuations    *Evacuations
 	// confirmed is when the last successful read of the row was sent.
 	confirmed clock.Instant
 	// reachable is set if the last read succeeded.
@@ -54,7 +62,7 @@
 
 // NewSource returns a Source that has no configuration until Run reads it.
 func NewSource(config Config) *Source {
-	return &Source{config: config, confirmed: clock.Never}
+	return &Source{config: config, evacuationRows: evacuationRows{}, confirmed: clock.Never}
 }
 
 // Current returns the configuration in force, or nil if none has been read yet.
@@ -64,6 +72,14 @@
 	return s.current
 }
 
+// Evacuations returns the data centres that are being evacuated, or nil if they have not been read yet. The result
+// changes only when the set does.
+func (s *Source) Evacuations() *Evacuations {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations
+}
+
 // Staleness returns the time since the configuration in force was last confirmed to be the newest.
 func (s *Source) Staleness() time.Duration {
 	s.mu.Lock()
@@ -83,7 +99,7 @@
 func (s *Source) poll(ctx context.Context) error {
 	for {
 		pause := pollInterval
-		if _, err := s.readRow(ctx); err != nil {
+		if _, err := s.readRows(ctx); err != nil {
 			pause = retryDelay
 		}
 		if !clock.Sleep(ctx, pause) {
@@ -92,19 +108,23 @@
 	}
 }
 
-// readRow reads and applies the row. It returns the store version from which the feed can continue.
-func (s *Source) readRow(ctx context.Context) (store.Version, error) {
+// readRows reads and applies the row of the configuration and those of evacuations. It returns the store version from
+// which the feed can continue.
+func (s *Source) readRows(ctx context.Context) (store.Version, error) {
 	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	listing, err := s.config.Store.List(ctx, store.KeyRange(s.config.Key))
+	listing, err := s.config.Store.List(ctx, s.rowRange())
 	if err != nil {
 		s.markUnreachable(err)
 		return 0, err
 	}
 	for _, row := range listing.Rows {
-		s.apply(row)
+		if row.Key == s.config.Key {
+			s.apply(row)
+		}
 	}
+	s.applyEvacuations(listing)
 	s.markConfirmed(sent)
 	return listing.Version, nil
 }
@@ -120,7 +140,7 @@
 		}
 		if fault.Is(err, fault.NotFound) {
 			// If this read fails too, the next feed call reports again that its history was removed.
-			after, _ = s.readRow(ctx)
+			after, _ = s.readRows(ctx)
 		}
 		if !clock.Sleep(ctx, retryDelay) {
 			break
@@ -141,10 +161,66 @@
 		if row.Key == s.config.Key && !row.Deleted {
 			s.apply(row)
 		}
+		if dc, ok := s.evacuatedBy(row); ok {
+			s.applyEvacuation(dc, row)
+		}
 	}
 	return changes.Version, nil
 }
 
+// rowRange returns the range that holds the row of the configuration and those of evacuations.
+func (s *Source) rowRange() store.Range {
+	if s.config.EvacuationPrefix == "" {
+		return store.KeyRange(s.config.Key)
+	}
+	r := store.PrefixRange(s.config.Key.Table, s.config.Key.Partition, s.config.EvacuationPrefix)
+	r.From = s.config.Key.Name
+	return r
+}
+
+// evacuatedBy returns the data centre whose evacuation a row requests.
+func (s *Source) evacuatedBy(row store.Row) (ident.DataCentre, bool) {
+	if s.config.EvacuationPrefix == "" || row.Key.Table != s.config.Key.Table || row.Key.Partition != s.config.Key.Partition {
+		return "", false
+	}
+	name, ok := strings.CutPrefix(row.Key.Name, s.config.EvacuationPrefix)
+	return ident.DataCentre(name), ok && name != ""
+}
+
+// applyEvacuation applies a change of a row that requests an evacuation.
+func (s *Source) applyEvacuation(dc ident.DataCentre, row store.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.evacuationRows.change(dc, evacuationRow{version: row.Version, removed: row.Deleted})
+	if changed && s.evacuations != nil {
+		s.updateEvacuations(row.Version)
+	}
+}
+
+// applyEvacuations applies a listing of all rows that request evacuations.
+func (s *Source) applyEvacuations(listing store.Listing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[ident.DataCentre]bool{}
+	changed := s.evacuations == nil
+	for _, row := range listing.Rows {
+		if dc, ok := s.evacuatedBy(row); ok {
+			listed[dc] = true
+			changed = s.evacuationRows.change(dc, evacuationRow{version: row.Version}) || changed
+		}
+	}
+	changed = s.evacuationRows.removeMissing(listed, listing.Version) || changed
+	if changed {
+		s.updateEvacuations(listing.Version)
+	}
+}
+
+// updateEvacuations puts the current set of evacuated data centres in force. The caller must hold mu.
+func (s *Source) updateEvacuations(version store.Version) {
+	s.evacuations = s.evacuationRows.set()
+	s.config.Logger.Info("evacuations in force", "data_centres", s.evacuations.List(), "row_version", version)
+}
+
 // apply makes the configuration in a row the current one, unless it is older than the current one or can't be decoded.
 func (s *Source) apply(row store.Row) {
 	s.mu.Lock()
--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -41,7 +41,7 @@
 			}
 			return nil
 		}
-		h.source = NewSource(Config{Store: h.store, Key: rowKey, Decode: decodeVersion, Logger: hclog.NewNullLogger()})
+		h.source = NewSource(Config{Store: h.store, Key: rowKey, Decode: decodeVersion, EvacuationPrefix: "evacuate/", Logger: hclog.NewNullLogger()})
 		ctx, stop := context.WithCancel(t.Context())
 		var group errgroup.Group
 		group.Go(func() error { return h.source.Run(ctx) })
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -81,6 +81,10 @@
 		return
 	}
 	state.startQueued = false
+	if s.evacuated(w) {
+		s.cancelStart(w, state, start.Attempt)
+		return
+	}
 	state.startsSent++
 	state.startInFlight = true
 	flight := s.commands.depart(w)
@@ -100,6 +104,17 @@
 	})
 }
 
+// cancelStart ends an attempt whose queued start request must not be sent any more. If an earlier request may have started
+// it, it is stopped.
+func (s *Scheduler) cancelStart(w *session, state *attemptState, a work.Attempt) {
+	if state.startsSent > 0 {
+		s.engine.StopUnconfirmed(a)
+		return
+	}
+	delete(w.attempts, a)
+	s.engine.AttemptEnded(a, pool.Refused, "", time.Now())
+}
+
 // findAttempt returns the session with a worker and the state of an attempt on it, or nil. The worker process may
 // have been replaced since the request was sent.
 func (s *Scheduler) findAttempt(process work.WorkerProcess, a work.Attempt) (*session, *attemptState) {
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -37,6 +37,7 @@
 	fleet         *fakes.Fleet
 	api           *entry.Jobs
 	policy        *policy.Policy
+	evacuations   atomic.Pointer[policy.Evacuations]
 	group         errgroup.Group
 	logger        hclog.Logger
 	stopInstances []context.CancelFunc
@@ -86,6 +87,7 @@
 		Accounts: []policy.Account{{Name: "a", Guarantee: 16}},
 	}
 	r.policy.BuildIndex()
+	r.evacuations.Store(policy.NewEvacuations())
 	for i := range workers {
 		r.listWorker(r.fleet.AddWorker(newListedWorker(workerName(i), ident.Rack(fmt.Sprintf("r%d", i/8)))))
 	}
@@ -184,6 +186,7 @@
 			return client
 		},
 		Policy:      func() *policy.Policy { return r.policy },
+		Evacuations: r.evacuations.Load,
 		WorkerLease: 5 * time.Second, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
 		Logger: r.logger.Named(name),
 	}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -62,6 +62,9 @@
 	NewClient func(ListedWorker) WorkerClient
 	// Policy returns the operator's current configuration of queues and accounts, or nil if there is none.
 	Policy func() *policy.Policy
+	// Evacuations returns the data centres whose workers must get no new parts; nil if they are not known yet, in
+	// which case no worker gets any. It returns the same pointer until the set changes.
+	Evacuations func() *policy.Evacuations
 	// WorkerLease is how long a worker keeps running its parts without contact with the scheduler.
 	WorkerLease time.Duration
 	// MaxStopTime is the maximum time that a worker takes to stop a part.
@@ -99,6 +102,8 @@
 	sessions map[ident.Worker]*session
 	journal  journal
 	commands commandQueue
+	// evacuations is the set of evacuated data centres of which the engine knows.
+	evacuations *policy.Evacuations
 	// stalls measures for how long this process could not run.
 	stalls stall.Meter
 	// loadedProgress holds the progress records read at the start, until their jobs are added to the engine.
@@ -193,6 +198,7 @@
 		return err
 	}
 	s.expireLeases()
+	s.applyEvacuations()
 	s.renewLeases(ctx)
 	if err == nil {
 		s.decide()
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -177,10 +177,10 @@
 }
 
 // engineView returns the worker as it is passed to the engine. It accepts new parts only while it is listed and
-// responds, and runs no unexpected attempts.
+// responds, runs no unexpected attempts, and its data centre is not being evacuated.
 func (s *Scheduler) engineView(w *session) pool.Worker {
 	view := w.entry.Worker
-	view.Accepting = view.Accepting && w.listed && w.fenced && w.unexpected == 0 && !w.silent()
+	view.Accepting = view.Accepting && w.listed && w.fenced && w.unexpected == 0 && !w.silent() && !s.evacuated(w)
 	return view
 }
 
