--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -54,6 +54,8 @@
 type Config struct {
 	// Store holds the rows of the lease.
 	Store store.Store
+	// Watched is the Store by which a candidate observes the lease; nil means Store.
+	Watched store.Store
 	// Instance is the candidate's name, which is the same after a restart.
 	Instance ident.Instance
 	// ProcessID distinguishes the processes of one instance.
@@ -63,6 +65,9 @@
 	// TakeoverRank orders the candidates: those with a higher rank, which have less capacity, wait longer before they
 	// take over.
 	TakeoverRank int
+	// WatchPause is the pause between two reads of the lease's changes while it is being renewed. A takeover may come
+	// later by this time.
+	WatchPause time.Duration
 	// Logger logs acquisitions, losses and releases of the lease.
 	Logger hclog.Logger
 }
@@ -82,6 +87,9 @@
 	if config.Term == 0 {
 		config.Term = DefaultTerm
 	}
+	if config.Watched == nil {
+		config.Watched = config.Store
+	}
 	return &Candidate{config: config, holder: string(config.Instance) + processSeparator + config.ProcessID}
 }
 
@@ -172,7 +180,7 @@
 func (c *Candidate) read(ctx context.Context) (leaseView, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	listing, err := c.config.Store.List(ctx, store.Range{Table: TableName, Partition: work.MainPartition})
+	listing, err := c.config.Watched.List(ctx, store.Range{Table: TableName, Partition: work.MainPartition})
 	if err != nil {
 		return leaseView{}, err
 	}
@@ -200,7 +208,7 @@
 	wait := max(c.takeoverDelay()-clock.Since(view.changedAt), retryInterval)
 	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	changes, err := c.config.Store.Feed(callCtx, TableName, view.feedVersion, wait)
+	changes, err := c.config.Watched.Feed(callCtx, TableName, view.feedVersion, wait)
 	if err != nil {
 		return c.reread(ctx, view)
 	}
@@ -208,6 +216,9 @@
 		view.apply(row)
 	}
 	view.feedVersion = changes.Version
+	if len(changes.Rows) > 0 && !c.isFree(view) {
+		clock.Sleep(ctx, c.config.WatchPause)
+	}
 	if clock.Since(view.changedAt) >= c.takeoverDelay() {
 		// The feed may lag behind, so confirm with a read that the lease hasn't changed.
 		return c.reread(ctx, view)
--- a/sard/elect/candidate_test.go
+++ b/sard/elect/candidate_test.go
@@ -25,6 +25,8 @@
 	stops []context.CancelFunc
 	// acting counts the candidates that may act at this moment.
 	acting atomic.Int32
+	// watchPause is the WatchPause of candidates that are started.
+	watchPause time.Duration
 }
 
 // process is one process of an instance, with its own connection to the store.
@@ -38,6 +40,8 @@
 type faultyStore struct {
 	store.Store
 	unavailable, loseResponses atomic.Bool
+	// feeds counts the calls of Feed.
+	feeds atomic.Int64
 }
 
 // Apply applies a transaction unless the store is unavailable; its response may be lost.
@@ -62,6 +66,7 @@
 
 // Feed follows a table unless the store is unavailable.
 func (s *faultyStore) Feed(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
+	s.feeds.Add(1)
 	if s.unavailable.Load() {
 		return store.Changes{}, fault.New(fault.Unavailable, "feed", "store", "unavailable")
 	}
@@ -86,7 +91,7 @@
 	ctx, stop := context.WithCancel(f.t.Context())
 	f.stops = append(f.stops, stop)
 	p := &process{store: &faultyStore{Store: f.store}, stop: stop}
-	runner := New(Config{Store: p.store, Instance: instance, ProcessID: processID, Logger: hclog.NewNullLogger()})
+	runner := New(Config{Store: p.store, Instance: instance, ProcessID: processID, WatchPause: f.watchPause, Logger: hclog.NewNullLogger()})
 	f.group.Go(func() error {
 		return runner.Run(ctx, func(ctx context.Context, l *Lease) error { return f.checkExclusive(ctx, p, l) })
 	})
@@ -230,3 +235,32 @@
 		}
 	})
 }
+
+// TestWatchPause checks that a candidate which pauses between its reads of the lease makes fewer of them, notices a release
+// within a pause, and takes over from a killed holder at most a pause later.
+func TestWatchPause(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	tests := []struct {
+		name  string
+		lose  func(*process)
+		limit time.Duration
+	}{
+		{"released", func(p *process) { p.stop() }, pause + 200*time.Millisecond},
+		{"killed", func(p *process) { p.store.unavailable.Store(true); p.stop() }, DefaultTerm + pause + time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runWithFixture(t, func(f *fixture) {
+				f.watchPause = pause
+				first := f.start("a", "1")
+				time.Sleep(time.Second)
+				second := f.start("b", "1")
+				time.Sleep(10 * time.Second)
+				assert.Assert(t, second.store.feeds.Load() <= int64(10*time.Second/pause)+1, "%d reads", second.store.feeds.Load())
+				test.lose(first)
+				time.Sleep(test.limit)
+				assert.Assert(t, second.mayAct())
+			})
+		})
+	}
+}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -54,6 +54,8 @@
 // Config configures a scheduler.
 type Config struct {
 	Store store.Store
+	// Watched is the Store by which jobs and workers are observed; nil means Store.
+	Watched store.Store
 	// WorkerTable is the table that holds the platform's list of workers.
 	WorkerTable string
 	// DecodeWorker decodes a row of WorkerTable.
@@ -143,6 +145,9 @@
 		group:           group,
 		started:         clock.Now(),
 	}
+	if config.Watched == nil {
+		s.config.Watched = config.Store
+	}
 	if config.Metrics == nil {
 		s.config.Metrics = NewMetrics(nil)
 	}
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -116,7 +116,7 @@
 	defer cancel()
 	var all store.Listing
 	for i, part := range ranges {
-		listing, err := s.config.Store.List(ctx, part)
+		listing, err := s.config.Watched.List(ctx, part)
 		if err != nil {
 			return listing, err
 		}
@@ -161,5 +161,5 @@
 func (s *Scheduler) readFeed(ctx context.Context, table string, after store.Version) (store.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
 	defer cancel()
-	return s.config.Store.Feed(ctx, table, after, feedWait)
+	return s.config.Watched.Feed(ctx, table, after, feedWait)
 }
