--- a/sard/pool/bench_test.go
+++ b/sard/pool/bench_test.go
@@ -33,3 +33,28 @@
 		e.Decide(now, now.UnixMilli())
 	}
 }
+
+// BenchmarkDecideWideJobs measures Decide with 1,100 full workers and 2,400 waiting parts of wide jobs.
+func BenchmarkDecideWideJobs(b *testing.B) {
+	now := time.Unix(1000, 0)
+	e := New(Config{QueueSettings: func(j *work.Job) work.QueueSettings { return j.Terms }, Guarantee: func(ident.Account) ident.Accelerators { return 72 }})
+	for i := range 1100 {
+		e.SetWorker(Worker{
+			WorkerProcess: work.WorkerProcess{Worker: ident.Worker(fmt.Sprintf("w%04d", i)), StartedMs: 1}, Service: "s",
+			Rack: ident.Rack(fmt.Sprintf("r%d", i/20)), Capacity: work.Resources{CPU: 128000, Memory: 262144, Accelerators: 8}, Accepting: true,
+		})
+	}
+	for i := range 140 {
+		e.AddJob(&work.Job{
+			ID: ident.Job(fmt.Sprintf("j%04d", i)), Account: "a", AcceptedMs: now.UnixMilli(),
+			Terms: work.QueueSettings{Service: "s", Priority: 2, Failures: 3, Stretch: 3, Target: time.Second},
+			Steps: []work.Step{{Parts: 78, Need: work.Resources{CPU: 11000, Memory: 16000, Accelerators: 1}, Estimate: 10 * time.Second}},
+		}, nil, now, now.UnixMilli())
+	}
+	e.Decide(now, now.UnixMilli())
+	e.TakeChanges(1000, now)
+	b.ResetTimer()
+	for range b.N {
+		e.Decide(now, now.UnixMilli())
+	}
+}
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -126,14 +126,17 @@
 	return j.occurrences[p.Occurrence].steps[p.Step].findPart(p.Index)
 }
 
-// findPart returns the step's part with the given index, or nil if there is none.
+// findPart returns the step's part with the given index, or nil if there is none. All groups of a step have the same
+// number of parts.
 func (s *stepState) findPart(index int) *part {
-	for _, g := range s.groups {
-		if i := index - g.first; i >= 0 && i < len(g.parts) {
-			return &g.parts[i]
-		}
+	if index < 0 || len(s.groups) == 0 {
+		return nil
+	}
+	size := len(s.groups[0].parts)
+	if index/size >= len(s.groups) {
+		return nil
 	}
-	return nil
+	return &s.groups[index/size].parts[index%size]
 }
 
 // acceleratorDemand returns an upper bound of the accelerators that an occurrence uses at once: the sum over all steps,
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -19,8 +19,16 @@
 	e.moveStalledAndSlow(now)
 	e.moveOffLeavingWorkers()
 	r := newRound(e, now)
+	var unplaceable *stepState
 	for _, g := range e.placementQueue(now) {
-		r.schedule(g)
+		step := g.stepState()
+		if step == unplaceable {
+			// All groups of a step have the same demand.
+			continue
+		}
+		if !r.schedule(g) {
+			unplaceable = step
+		}
 	}
 	decisions := e.decisions
 	e.decisions = nil
@@ -102,27 +110,27 @@
 }
 
 // schedule places a group if it fits. A guaranteed group that does not fit reserves capacity that is being freed, or
-// else has other groups stopped.
-func (r *round) schedule(g *group) {
+// else has other groups stopped. It reports false if neither is possible.
+func (r *round) schedule(g *group) bool {
 	key := r.demandKey(g)
 	if r.unplaceable[key] {
-		return
+		return false
 	}
 	if nodes := r.pack(g, r.free); nodes != nil {
 		r.place(g, nodes)
-		return
-	}
-	if g.job.settings.Priority != work.Guaranteed {
-		r.unplaceable[key] = true
-		return
-	}
-	if nodes := r.pack(g, r.freeSoon); nodes != nil {
-		r.reserve(g, nodes)
-		return
+		return true
 	}
-	if !r.reclaim(g) {
-		r.unplaceable[key] = true
+	if g.job.settings.Priority == work.Guaranteed {
+		if nodes := r.pack(g, r.freeSoon); nodes != nil {
+			r.reserve(g, nodes)
+			return true
+		}
+		if r.reclaim(g) {
+			return true
+		}
 	}
+	r.unplaceable[key] = true
+	return false
 }
 
 // free returns the capacity of a node that is available now.
@@ -169,28 +177,28 @@
 // placementQueue returns the groups that can be placed, in order of urgency.
 func (e *Engine) placementQueue(now time.Time) []*group {
 	e.applyGuarantees()
-	var placeable []*group
+	urgencies := make([]jobUrgency, 0, len(e.jobs))
 	for _, j := range e.jobs {
 		if !j.state.Terminal() {
-			placeable = append(placeable, j.placeableGroups(now)...)
+			urgencies = append(urgencies, jobUrgency{job: j, urgency: j.urgency(now)})
 		}
 	}
-	urgencies := make(map[*job]urgency, len(e.jobs))
-	for _, g := range placeable {
-		if _, ok := urgencies[g.job]; !ok {
-			urgencies[g.job] = g.job.urgency(now)
-		}
+	slices.SortFunc(urgencies, func(a, b jobUrgency) int { return a.urgency.compare(b.urgency) })
+	var placeable []*group
+	for _, u := range urgencies {
+		placeable = append(placeable, u.job.placeableGroups(now)...)
 	}
-	slices.SortFunc(placeable, func(a, b *group) int {
-		if c := urgencies[a.job].compare(urgencies[b.job]); c != 0 {
-			return c
-		}
-		return compareGroup(a, b)
-	})
 	return placeable
 }
 
-// placeableGroups returns the job's waiting groups whose step is ready and whose retry delay has passed.
+// jobUrgency is a job with its urgency.
+type jobUrgency struct {
+	job     *job
+	urgency urgency
+}
+
+// placeableGroups returns the job's waiting groups whose step is ready and whose retry delay has passed, ordered by
+// occurrence, step and first part.
 func (j *job) placeableGroups(now time.Time) []*group {
 	var found []*group
 	for _, o := range j.occurrences {
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -275,7 +275,7 @@
 	}
 	w.recordReply(ev.reply)
 	state.stopConfirmed = clock.Now()
-	w.nextRenewal = 0
+	s.renewSoon(w)
 }
 
 // handleMissing handles the attempts that should run on a worker but are missing from its report. First indicates that
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -6,11 +6,18 @@
 	"github.com/sardineline/sardineline/sard/clock"
 )
 
+// expiryPeriod is the time between checks of the worker leases for expiry.
+const expiryPeriod = 50 * time.Millisecond
+
 // expireLeases treats the attempts on workers whose leases have certainly expired as lost, so that their parts can be
 // started elsewhere. While a renewal is in flight it waits for its result, since the response may already have arrived
 // and list the ends of attempts. It places no new parts on workers that do not respond.
 func (s *Scheduler) expireLeases() {
 	now := clock.Now()
+	if now.Before(s.nextExpiry) {
+		return
+	}
+	s.nextExpiry = now.Add(expiryPeriod)
 	for _, w := range s.sessions {
 		if w.silent() {
 			s.engine.DropWorker(w.id())
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -225,11 +225,16 @@
 // unconfirmedEnds returns, for each worker with ends of attempts whose consequences are not recorded yet, the last
 // processed end.
 func (s *Scheduler) unconfirmedEnds() map[ident.Worker]EndSequence {
+	if len(s.unconfirmed) == 0 {
+		return nil
+	}
 	ends := map[ident.Worker]EndSequence{}
-	for id, w := range s.sessions {
+	for id, w := range s.unconfirmed {
 		if w.seenEnd > w.confirmedEnd {
 			ends[id] = w.seenEnd
+			continue
 		}
+		delete(s.unconfirmed, id)
 	}
 	return ends
 }
@@ -240,7 +245,7 @@
 	for id, sequence := range ends {
 		if w := s.sessions[id]; w != nil && w.seenEnd >= sequence {
 			w.confirmedEnd = max(w.confirmedEnd, sequence)
-			w.nextRenewal = 0
+			s.renewSoon(w)
 		}
 	}
 }
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -25,28 +25,49 @@
 	// unconfirmedPause is the pause between lease renewals of a worker while the consequences of reported ends of
 	// attempts are not recorded in the store yet.
 	unconfirmedPause = 500 * time.Millisecond
+	// renewalScanPeriod is the time between checks whether the renewal of any worker's lease is due.
+	renewalScanPeriod = 20 * time.Millisecond
 	// unexpectedPause is the pause between lease renewals of a worker while it runs attempts that the engine does
 	// not expect on it.
 	unexpectedPause = 200 * time.Millisecond
 )
 
-// renewLeases sends the renewals of worker leases that are due.
+// renewLeases sends the renewals of worker leases that are due. It looks at all sessions once per renewalScanPeriod, and
+// in between at those whose renewal has become due by an event.
 func (s *Scheduler) renewLeases(ctx context.Context) {
-	lapsed := s.lease.LapsedFor()
-	if lapsed > leaseGrace {
+	if s.lease.LapsedFor() > leaseGrace {
 		return
 	}
 	now := clock.Now()
-	for _, w := range s.sessions {
-		if w.renewing || now.Before(w.nextRenewal) || w.client == nil {
-			continue
+	if now.Before(s.nextRenewalScan) {
+		for _, w := range s.renewalDue {
+			s.renewLease(ctx, w, now)
 		}
-		busy := s.engine.ProcessBusy(w.entry.WorkerProcess)
-		if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered {
-			continue
+	} else {
+		s.nextRenewalScan = now.Add(renewalScanPeriod)
+		for _, w := range s.sessions {
+			s.renewLease(ctx, w, now)
 		}
-		s.sendRenewal(ctx, w, busy)
 	}
+	s.renewalDue = s.renewalDue[:0]
+}
+
+// renewLease sends the renewal of a worker's lease if it is due.
+func (s *Scheduler) renewLease(ctx context.Context, w *session, now clock.Instant) {
+	if w.renewing || now.Before(w.nextRenewal) || w.client == nil {
+		return
+	}
+	busy := s.engine.ProcessBusy(w.entry.WorkerProcess)
+	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered {
+		return
+	}
+	s.sendRenewal(ctx, w, busy)
+}
+
+// renewSoon makes the next renewal of a worker's lease due now.
+func (s *Scheduler) renewSoon(w *session) {
+	w.nextRenewal = 0
+	s.renewalDue = append(s.renewalDue, w)
 }
 
 // maxRenewalWait returns how long a worker may delay its response to a lease renewal until an attempt ends. It is
@@ -105,12 +126,13 @@
 	s.handleEnded(w, ev.report)
 	s.handleRunning(w, ev.report)
 	s.handleMissing(w, ev, first)
-	w.nextRenewal = clock.Now()
 	switch {
 	case w.seenEnd > w.confirmedEnd:
-		w.nextRenewal = w.nextRenewal.Add(unconfirmedPause)
+		w.nextRenewal = clock.Now().Add(unconfirmedPause)
 	case w.unexpected > 0:
-		w.nextRenewal = w.nextRenewal.Add(unexpectedPause)
+		w.nextRenewal = clock.Now().Add(unexpectedPause)
+	default:
+		s.renewSoon(w)
 	}
 	s.engine.SetWorker(s.engineView(w))
 }
@@ -151,6 +173,7 @@
 			continue
 		}
 		w.seenEnd = end.Sequence
+		s.unconfirmed[w.id()] = w
 		s.config.Metrics.attemptsEnded.WithLabelValues(end.Outcome.String()).Inc()
 		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
 			"how", end.Outcome.String(), "end", end.Sequence)
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -102,8 +102,16 @@
 	lease    Lease
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
-	journal  journal
-	commands commandQueue
+	// renewalDue holds sessions whose renewal has become due since the last check, and nextRenewalScan is when the
+	// renewals of all sessions are checked next.
+	renewalDue      []*session
+	nextRenewalScan clock.Instant
+	// unconfirmed holds the sessions that may have processed ends of attempts whose consequences are not recorded yet.
+	unconfirmed map[ident.Worker]*session
+	// nextExpiry is when the worker leases are checked for expiry next.
+	nextExpiry clock.Instant
+	journal    journal
+	commands   commandQueue
 	// evacuations is the set of evacuated data centres of which the engine knows.
 	evacuations *policy.Evacuations
 	// stalls measures for how long this process could not run.
@@ -136,6 +144,7 @@
 		config:          config,
 		lease:           lease,
 		sessions:        map[ident.Worker]*session{},
+		unconfirmed:     map[ident.Worker]*session{},
 		loadedProgress:  map[ident.Job]*work.Progress{},
 		latestStartedMs: map[ident.Worker]int64{},
 		ended:           map[ident.Job]time.Time{},
