Skip searches that must fail and cache what a round of decisions asks again

A profile of an overloaded fleet shows full searches for gangs that can't fit, the workers' current rates judged anew for each group, workers grouped by rack again and again, and the victims on each worker found anew for each claim.

Change: before a search, the parts that fit are counted; what did not fit in a round isn't tried with more parts, unless it is bound to racks; rates, racks and victims are kept for the round; a single part is placed without sorting the workers.

--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -15,7 +15,10 @@
 // avoids are used only if the others do not suffice.
 func (r *round) pack(g *group, available capacityFunc) []*node {
 	candidates := r.candidates(g)
-	avoided := func(n *node) bool { return g.avoided[n.WorkerProcess.Worker] || n.recentRates.isSlow(r.now) }
+	if !r.mayFit(g, candidates, available) {
+		return nil
+	}
+	avoided := func(n *node) bool { return r.slow[n.index] || g.avoided[n.WorkerProcess.Worker] }
 	if slices.ContainsFunc(candidates, avoided) {
 		others := slices.DeleteFunc(slices.Clone(candidates), avoided)
 		if nodes := r.packFastest(g, others, available); nodes != nil {
@@ -25,6 +28,23 @@
 	return r.packFastest(g, candidates, available)
 }
 
+// mayFit reports whether a group fits on the candidates if no preference among them counts. It is cheaper than a search.
+func (r *round) mayFit(g *group, candidates []*node, available capacityFunc) bool {
+	if !r.canHoldAll(g, candidates, available) {
+		return false
+	}
+	step := g.spec()
+	if step.DataRack == "" && !step.SameRack {
+		return true
+	}
+	for _, rack := range r.racksOf(g, candidates) {
+		if (step.DataRack == "" || rack[0].Rack == step.DataRack) && r.canHoldAll(g, rack, available) {
+			return true
+		}
+	}
+	return r.mayPlaceRemotely(g)
+}
+
 // packFastest places a gang on the fastest speed class of nodes that can hold it, since a gang runs at the speed of its
 // slowest node.
 func (r *round) packFastest(g *group, candidates []*node, available capacityFunc) []*node {
@@ -119,6 +139,24 @@
 	return best
 }
 
+// racksOf returns the candidates of a group, which must be all of them, by rack.
+func (r *round) racksOf(g *group, candidates []*node) [][]*node {
+	if step := g.spec(); step.Fills || step.Latency > 0 {
+		return groupByRack(candidates)
+	}
+	return r.cachedRacks(g, r.eligibilityKey(g))
+}
+
+// cachedRacks returns the eligible nodes for the group's key by rack, computing them once per round.
+func (r *round) cachedRacks(g *group, key eligibilityKey) [][]*node {
+	racks, ok := r.racks[key]
+	if !ok {
+		racks = groupByRack(r.cachedEligibleNodes(g, key))
+		r.racks[key] = racks
+	}
+	return racks
+}
+
 // nodesOnRack returns the nodes of one rack.
 func nodesOnRack(nodes []*node, rack ident.Rack) []*node {
 	return slices.DeleteFunc(slices.Clone(nodes), func(n *node) bool { return n.Rack != rack })
@@ -146,7 +184,7 @@
 func (r *round) mayPlaceRemotely(g *group) bool {
 	key := r.eligibilityKey(g)
 	key.leavesHeadroom = false
-	for _, rack := range groupByRack(r.cachedEligibleNodes(g, key)) {
+	for _, rack := range r.cachedRacks(g, key) {
 		if data := g.spec().DataRack; data != "" && rack[0].Rack != data {
 			continue
 		}
@@ -167,6 +205,9 @@
 // packTight places the parts of a group on the nodes that are left with the least free capacity.
 func (r *round) packTight(g *group, candidates []*node, available capacityFunc) []*node {
 	want := len(g.parts)
+	if want == 1 {
+		return r.packPart(g, candidates, available)
+	}
 	if !r.canHoldAll(g, candidates, available) {
 		return nil
 	}
@@ -196,6 +237,26 @@
 	return nodes
 }
 
+// packPart places the only part of a group like packTight, without sorting the nodes.
+func (r *round) packPart(g *group, candidates []*node, available capacityFunc) []*node {
+	var best *node
+	bestShare := 0.0
+	for _, n := range candidates {
+		free := available(n)
+		if r.maxParts(g, n, free) == 0 {
+			continue
+		}
+		share := capacityShare(free.Minus(g.demand()), n.Capacity)
+		if best == nil || share < bestShare || share == bestShare && n.index < best.index {
+			best, bestShare = n, share
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*node{best}
+}
+
 // canHoldAll reports whether the nodes can hold all parts of a group. It is cheaper than packTight, as it does not sort
 // them.
 func (r *round) canHoldAll(g *group, candidates []*node, available capacityFunc) bool {
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -54,12 +54,17 @@
 // cheapestRackOffers returns the offers of the cheapest rack if the group must stay on one rack, and otherwise the
 // cheapest offers of all candidates.
 func (r *round) cheapestRackOffers(g *group, candidates []*node) []offer {
-	if !g.spec().SameRack {
+	step := g.spec()
+	if !step.SameRack {
 		return r.cheapestOffers(g, candidates)
 	}
+	racks := [][]*node{candidates}
+	if step.DataRack == "" {
+		racks = r.racksOf(g, candidates)
+	}
 	var best []offer
 	bestCost := time.Duration(0)
-	for _, rack := range groupByRack(candidates) {
+	for _, rack := range racks {
 		offers := r.cheapestOffers(g, rack)
 		if offers == nil {
 			continue
@@ -136,8 +141,34 @@
 	return offers
 }
 
-// victims returns the groups on a node that g may preempt, in ascending order of cost.
+// preemptorClass holds the properties of a group that determine which groups it may preempt.
+type preemptorClass struct {
+	priority        work.Priority
+	withinGuarantee bool
+}
+
+// victimList holds the victims on a node.
+type victimList struct {
+	victims []victim
+}
+
+// victims returns the groups on a node that g may preempt, in ascending order of cost. It computes them once per round
+// and again after one of them was preempted.
 func (r *round) victims(g *group, n *node) []victim {
+	class := preemptorClass{priority: g.job.settings.Priority, withinGuarantee: g.job.withinGuarantee}
+	lists := r.victimLists[class]
+	if lists == nil {
+		lists = make([]*victimList, len(r.available))
+		r.victimLists[class] = lists
+	}
+	if lists[n.index] == nil {
+		lists[n.index] = &victimList{victims: r.findVictims(g, n)}
+	}
+	return lists[n.index].victims
+}
+
+// findVictims returns the groups on a node that g may preempt, in ascending order of cost.
+func (r *round) findVictims(g *group, n *node) []victim {
 	found := map[*group]work.Resources{}
 	for p := range n.parts {
 		if !p.stopping && g.mayPreempt(p.group) {
@@ -174,6 +205,9 @@
 		if p := &g.parts[i]; p.node != nil && !p.stopping {
 			c := &r.available[p.node.index]
 			c.freeSoon = c.freeSoon.Plus(g.demand())
+			for _, lists := range r.victimLists {
+				lists[p.node.index] = nil
+			}
 		}
 	}
 	g.phase = ending
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -48,14 +48,19 @@
 	engine    *Engine
 	now       time.Time
 	available []availability
-	// speeds holds the speed class of each node.
+	// speeds holds the speed class of each node, and slow whether its current rate is slow.
 	speeds []speedClass
+	slow   []bool
 	// headroom marks the nodes that are kept free for guaranteed jobs.
 	headroom []bool
-	// unplaceable holds the keys of groups that did not fit, so that later groups with an equal key are skipped.
-	unplaceable map[demandKey]bool
-	// eligible caches, for each key, the nodes that can run the groups with that key.
+	// unplaceable holds, for each key, the smallest number of parts of a group that did not fit, so that later groups
+	// with an equal key and as many parts or more are skipped.
+	unplaceable map[demandKey]int
+	// eligible caches, for each key, the nodes that can run the groups with that key, and racks groups them by rack.
 	eligible map[eligibilityKey][]*node
+	racks    map[eligibilityKey][][]*node
+	// victims caches, for each class of groups that may preempt others, the victims on each node; nil if not known.
+	victimLists map[preemptorClass][]*victimList
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
@@ -67,9 +72,12 @@
 	leavesHeadroom bool
 }
 
-// demandKey holds all properties of a group that determine whether it can be placed.
+// demandKey holds the properties of a group that determine whether it can be placed, apart from the number of its parts.
 type demandKey struct {
 	eligibilityKey
+	// parts is the number of parts if the group is bound to racks or limited in its parts on each worker, and otherwise
+	// 0. A group that is bound to racks may be spread over several of them only if it exceeds each, so a larger group may
+	// fit where a smaller one does not.
 	parts           int
 	sameRack        bool
 	rack            ident.Rack
@@ -80,10 +88,21 @@
 // demandKey returns the properties of g that determine whether it can be placed.
 func (r *round) demandKey(g *group) demandKey {
 	step := g.spec()
-	return demandKey{
-		eligibilityKey: r.eligibilityKey(g), parts: len(g.parts), sameRack: step.SameRack, rack: step.DataRack,
+	key := demandKey{
+		eligibilityKey: r.eligibilityKey(g), sameRack: step.SameRack, rack: step.DataRack,
 		maxPerWorker: step.MaxPerWorker, withinGuarantee: g.job.withinGuarantee,
 	}
+	if step.SameRack || step.DataRack != "" || step.MaxPerWorker > 0 {
+		key.parts = len(g.parts)
+	}
+	return key
+}
+
+// knownUnplaceable reports whether a group with an equal key and at most as many parts did not fit in this round. The
+// available capacity only decreases in a round.
+func (r *round) knownUnplaceable(g *group, key demandKey) bool {
+	parts, ok := r.unplaceable[key]
+	return ok && len(g.parts) >= parts
 }
 
 // eligibilityKey returns the properties of g that determine which nodes can run its parts.
@@ -96,14 +115,17 @@
 
 // newRound returns a round with the current free capacity of all nodes.
 func newRound(e *Engine, now time.Time) *round {
-	r := &round{engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]bool{}, eligible: map[eligibilityKey][]*node{}}
+	r := &round{
+		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
+		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{},
+	}
 	for i, n := range e.nodes {
 		free := n.free()
 		r.available[i] = availability{free: free, freeSoon: free.Plus(n.stopping)}
 	}
-	r.speeds = make([]speedClass, len(e.nodes))
+	r.speeds, r.slow = make([]speedClass, len(e.nodes)), make([]bool, len(e.nodes))
 	for i, n := range e.nodes {
-		r.speeds[i] = n.classifySpeed()
+		r.speeds[i], r.slow[i] = n.classifySpeed(), n.recentRates.isSlow(now)
 	}
 	r.headroom = e.headroomNodes(now)
 	return r
@@ -113,7 +135,7 @@
 // else has other groups stopped. It reports false if neither is possible.
 func (r *round) schedule(g *group) bool {
 	key := r.demandKey(g)
-	if r.unplaceable[key] {
+	if r.knownUnplaceable(g, key) {
 		return false
 	}
 	if nodes := r.pack(g, r.free); nodes != nil {
@@ -129,7 +151,7 @@
 			return true
 		}
 	}
-	r.unplaceable[key] = true
+	r.unplaceable[key] = len(g.parts)
 	return false
 }
 
