--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -165,3 +165,22 @@
 	fmt.Println(queue.Name, rest)
 	// Output: urgent 17
 }
+
+// TestConfigurationStorm accepts versions in quick succession while the feed fails now and then. The version in force must
+// never go back, and the last one must be in force within a second.
+func TestConfigurationStorm(t *testing.T) {
+	runWithSource(t, func(h *harness) {
+		last := ident.Version(0)
+		for i := range 24 {
+			h.feedDown.Store(i%5 < 2)
+			h.put(strconv.Itoa(7 * (i + 1)))
+			for range 33 {
+				time.Sleep(10 * time.Millisecond)
+				assert.Assert(t, h.version() >= last)
+				last = h.version()
+			}
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, h.version(), ident.Version(7*24))
+	})
+}
