--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 1
 MINUTES ?= 1
 
-.PHONY: all build demo test short lint format generate bench soak soak-own clean
+.PHONY: all build demo test short lint format generate bench soak soak-own regress clean
 
 all: build
 
@@ -55,5 +55,9 @@
 soak-own: build
 	scripts/soak $(SEED) $(MINUTES)
 
+# regress scores the deployments of the regression runs with the users' program BENCH and their site files in SITES.
+regress:
+	scripts/regress $(BENCH) $(SITES) --jobs 3
+
 clean:
 	rm -rf .run
--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -100,6 +100,11 @@
 			time.Sleep(3 * time.Second)
 			s.start(s.worker1, first, 1, nil)
 		}, "after it started draining"},
+		{"evacuated data centre", func(s *fixture) {
+			s.worker1.EvacuatedSince = time.Now()
+			time.Sleep(6 * time.Second)
+			s.start(s.worker1, first, 1, nil)
+		}, "after the evacuation of its data centre"},
 		{"incomplete gang", func(s *fixture) {
 			s.job.Spec.Steps[0].Gang = true
 			s.start(s.worker1, first, 1, nil)
--- a/sard/fakes/fleet.go
+++ b/sard/fakes/fleet.go
@@ -31,6 +31,10 @@
 	drainGrace = 2 * time.Second
 )
 
+// EvacuationGrace is how long parts may still start in a data centre after its evacuation was requested. A later start is
+// a violation only if there was no disturbance within the last EvacuationGrace.
+const EvacuationGrace = 5 * time.Second
+
 // Job is a submitted job, as known to the fleet.
 type Job struct {
 	Spec *work.Job
@@ -239,6 +243,8 @@
 		f.addViolation("%v: started %v after its cancellation", part, time.Since(j.Cancelled))
 	case !w.DrainingSince.IsZero() && time.Since(w.DrainingSince) > drainGrace && f.undisturbedFor(drainGrace):
 		f.addViolation("%v: started on %s %v after it started draining", part, w.Entry.WorkerProcess.Worker, time.Since(w.DrainingSince))
+	case !w.EvacuatedSince.IsZero() && time.Since(w.EvacuatedSince) > EvacuationGrace && f.undisturbedFor(EvacuationGrace):
+		f.addViolation("%v: started on %s %v after the evacuation of its data centre", part, w.Entry.WorkerProcess.Worker, time.Since(w.EvacuatedSince))
 	case time.Now().UnixMilli() < j.Spec.Repeat.DueMs(part.Occurrence)-earlyStartMs:
 		f.addViolation("%v: started %d ms before its due time", part, j.Spec.Repeat.DueMs(part.Occurrence)-time.Now().UnixMilli())
 	case step.Label != "" && !w.hasLabel(step.Label):
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -35,6 +35,8 @@
 	ClockSlowPercent int
 	// DrainingSince is when the worker reported that it is draining; zero if it is not.
 	DrainingSince time.Time
+	// EvacuatedSince is when the evacuation of the worker's data centre was requested; zero if it is not being evacuated.
+	EvacuatedSince time.Time
 	// RefuseStarts, if not nil, is the cause with which all start requests are refused.
 	RefuseStarts *sched.Cause
 
--- a/sardsoak/play/faults.go
+++ b/sardsoak/play/faults.go
@@ -105,6 +105,8 @@
 	})},
 	{"workers silent", 1, false, silenceWorkers},
 
+	{"data centre evacuated", 3, true, evacuateDataCentre},
+
 	{"burst", 2, true, submitBurst},
 }
 
--- a/sardsoak/play/workers.go
+++ b/sardsoak/play/workers.go
@@ -47,7 +47,7 @@
 			WorkerProcess: work.WorkerProcess{Worker: ident.Worker(fmt.Sprintf("w%d", number)), StartedMs: time.Now().UnixMilli()},
 			Service:       service, Capacity: workerCapacity, Accepting: true,
 		},
-		DataCentre: "dc",
+		DataCentre: workerDataCentre(number),
 	}
 	entry.Rack = ident.Rack(fmt.Sprintf("r%d", number/rackSize))
 	entry.Labels = []string{"kind", string(entry.Rack)}
