--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -158,7 +158,7 @@
 	withinGuarantee bool
 }
 
-// victimList holds the victims on a node.
+// victimList holds the victims on a node, of which there may be none.
 type victimList struct {
 	victims []victim
 }
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -59,7 +59,7 @@
 	// eligible caches, for each key, the nodes that can run the groups with that key, and racks groups them by rack.
 	eligible map[eligibilityKey][]*node
 	racks    map[eligibilityKey][][]*node
-	// victims caches, for each class of groups that may preempt others, the victims on each node; nil if not known.
+	// victimLists caches, for each class of groups that may preempt others, the victims on each node; nil if not known.
 	victimLists map[preemptorClass][]*victimList
 }
 
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -91,7 +91,7 @@
 	return nil, nil
 }
 
-// depart records that a command was sent to a worker.
+// depart records that a command is being sent to a worker, which makes it active.
 func (q *commandQueue) depart(w *session) *flight {
 	f := &flight{session: w, sentAt: clock.Now()}
 	w.flight = f
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -14,6 +14,8 @@
 //   - A report is a worker's response to a lease renewal. It lists the running attempts and the ended ones. Each end
 //     has a sequence number; it is confirmed when its consequences are recorded in the store, and reported until a
 //     renewal acknowledges it.
+//   - A command is a start or stop request, which is queued until it is sent. A command in flight is active while it
+//     counts towards the limits on commands.
 //   - The worker list is a table in which the platform that operates the workers has a row for each of them. A worker
 //     is listed while it has a row.
 //   - A feed call (Store.Feed) reads the changes to a table after a version, and waits for one if there are none.
