List a gang of one rack that neither starts nor reclaims as a known fault, with its test

When no rack can be reclaimed for such a gang, free workers on several racks are reserved for it in each round, where it may not be placed. TestGangOfOneRackStartsWhereThereIsRoom shows it and fails.

--- a/sard/pool/reservation_test.go
+++ b/sard/pool/reservation_test.go
@@ -71,3 +71,21 @@
 	h.confirmStops()
 	assert.Equal(t, len(h.workersOf("quote")), 2)
 }
+
+// TestGangOfOneRackStartsWhereThereIsRoom lets guaranteed jobs of other accounts take all but one worker of each rack. A gang
+// within its guarantee that is faster on one rack then has no rack to wait for, and must start on the workers that are free.
+func TestGangOfOneRackStartsWhereThereIsRoom(t *testing.T) {
+	h := newHarness(t, 16)
+	for i := range 14 {
+		h.engine.AddJob(&work.Job{
+			ID: ident.Job(fmt.Sprintf("other%02d", i)), Account: ident.Account(fmt.Sprintf("b%d", i/2)), AcceptedMs: h.now.UnixMilli(),
+			Steps: []work.Step{{Parts: 1, Need: largePart, Gang: true, DataRack: ident.Rack(fmt.Sprintf("r%d", i%2)), Estimate: time.Minute}},
+			Terms: work.QueueSettings{Service: "s", Priority: work.Guaranteed, Failures: 3, Stretch: 3, Target: time.Second},
+		}, nil, h.now, h.now.UnixMilli())
+	}
+	h.decide()
+	assert.Equal(t, len(h.starts), 14)
+	h.addJob("quote", work.Guaranteed, work.Step{Parts: 2, Need: largePart, Gang: true, SameRack: true})
+	h.advance(2 * time.Second)
+	assert.Equal(t, len(h.workersOf("quote")), 2)
+}
