--- a/sard/sched/starved_test.go
+++ b/sard/sched/starved_test.go
@@ -13,6 +13,7 @@
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/sched"
+	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -166,3 +167,33 @@
 		assert.Equal(t, r.fleet.StartCount(), 64)
 	})
 }
+
+// slowStore is a connection to the store whose transactions take a fixed time.
+type slowStore struct {
+	store.Store
+	delay time.Duration
+}
+
+// Apply runs a transaction after the delay.
+func (s *slowStore) Apply(ctx context.Context, tx store.Tx) (store.Result, error) {
+	clock.Sleep(ctx, s.delay)
+	return s.Store.Apply(ctx, tx)
+}
+
+// TestReclaimOfPartsThatWereNotStarted lets a guaranteed gang claim the workers of a job that was placed right before, and
+// whose starts are not recorded yet, while renewals to those workers wait. No worker knows of those parts, so the gang
+// must not wait for the workers' next reports.
+func TestReclaimOfPartsThatWereNotStarted(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		r.slowStore = 100 * time.Millisecond
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("small", 20*time.Second, work.Step{Parts: 1})
+		r.sleep(2500 * time.Millisecond)
+		r.submit("ja", 20*time.Second, work.Step{Parts: 15})
+		r.sleep(30 * time.Millisecond)
+		r.submit("w1!", time.Second, work.Step{Parts: 2, Gang: true})
+		r.sleep(1100 * time.Millisecond)
+		assert.Assert(t, r.fleet.Started("w1!"))
+	})
+}
