--- a/sardined/network_test.go
+++ b/sardined/network_test.go
@@ -238,6 +238,9 @@
 		c.mu.Unlock()
 		var timeout <-chan time.Time
 		if !expiry.IsZero() {
+			if !time.Now().Before(expiry) {
+				return os.ErrDeadlineExceeded
+			}
 			timeout = time.After(time.Until(expiry))
 		}
 		select {
