Wait for the longest lease where a start may have reached a later worker process

A worker had restarted under its name, and its responses were lost. The scheduler computed the deadlines of its lease on the clock of the former process, which for the new one lay 18 s too far ahead, and considered the lease expired 5.1 s after its last extension. PROTOCOL.md: a worker shortens a longer lease to hold_max_ms. The fake worker did not, and kept the lease for 22 s more.

Change: fakes.MaxLease, as the protocol says. An attempt whose start no response has confirmed is considered lost only when the longest lease that a later process may have granted has expired. Renewals to a worker that left one without a response no longer carry a deadline. After a takeover the longest lease applies, too, since the starts of the former holder are unknown. Cost: parts on workers that were cut off are started elsewhere up to 1.1 s later (5.1 s where hold_max_ms is 10 s), if a start to the worker was not confirmed or the holder has changed.

Measured: TestUnreachableWorkerWithUnknownProcess fails before ("two concurrent runs") and passes after.

--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -15,6 +15,9 @@
 // renewalPollPeriod is how often a waiting lease renewal checks for ended attempts.
 const renewalPollPeriod = 50 * time.Millisecond
 
+// MaxLease is the longest lease that workers grant, counted from the arrival of the request.
+const MaxLease = 6 * time.Second
+
 // Worker simulates a worker process. It implements sched.WorkerClient. Its exported fields must only be changed within
 // Fleet.Update.
 type Worker struct {
@@ -164,7 +167,7 @@
 	if req.Deadline != 0 && req.Deadline <= w.Clock() {
 		return w.refusal(sched.Expired)
 	}
-	w.deadline = max(w.deadline, req.Deadline)
+	w.extendLease(req.Deadline)
 	if r := w.runs[part]; r != nil && r.attempt == req.Attempt {
 		return nil
 	}
@@ -186,6 +189,11 @@
 	return nil
 }
 
+// extendLease extends the lease until a deadline, but by no more than MaxLease from now.
+func (w *Worker) extendLease(deadline sched.WorkerClock) {
+	w.deadline = max(w.deadline, min(deadline, w.Clock()+sched.WorkerClock(MaxLease.Milliseconds())))
+}
+
 // checkCapacity records a violation if the runs need more resources than the worker has.
 func (w *Worker) checkCapacity() {
 	var total work.Resources
@@ -224,7 +232,7 @@
 		var report sched.WorkerReport
 		var changed chan struct{}
 		err := w.call(ctx, req.Worker, req.Epoch, func() error {
-			w.deadline = max(w.deadline, req.Deadline)
+			w.extendLease(req.Deadline)
 			w.ackEnds(req.AckedEnd)
 			report = w.newReport()
 			changed = w.changed
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -90,7 +90,7 @@
 	flight := s.commands.depart(w)
 	req := StartRequest{
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
-		Epoch: s.lease.Epoch(), Deadline: w.extendLease(s.config.WorkerLease),
+		Epoch: s.lease.Epoch(), Deadline: s.extendLease(w),
 	}
 	client, sentAt := w.client, clock.Now()
 	s.runAsync(ctx, func() event {
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -22,7 +22,7 @@
 		if w.silent() {
 			s.engine.DropWorker(w.id())
 		}
-		if w.lost || w.renewing || now.Before(w.leaseExpiry) || (!w.unanswered && w.fenced) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
+		if w.lost || w.renewing || now.Before(w.leaseExpiry) || (!w.unanswered && w.fenced) || !s.engine.ProcessBusy(w.entry.WorkerProcess) || now.Before(w.certainExpiry()) {
 			continue
 		}
 		w.lost = true
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -195,7 +195,7 @@
 		},
 		Policy:      func() *policy.Policy { return r.policy },
 		Evacuations: r.evacuations.Load,
-		WorkerLease: 5 * time.Second, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
+		WorkerLease: 5 * time.Second, MaxWorkerLease: fakes.MaxLease, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
 		Logger: r.logger.Named(name),
 	}
 }
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -80,14 +80,14 @@
 }
 
 // sendRenewal sends a lease renewal in the background. It extends the lease if the worker is busy or has not been
-// contacted yet.
+// contacted yet, unless the last renewal got no response.
 func (s *Scheduler) sendRenewal(ctx context.Context, w *session, busy bool) {
 	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: s.lease.Epoch()}
 	if w.confirmedEnd > w.ackedEnd {
 		req.AckedEnd = w.confirmedEnd
 	}
-	if busy || !w.fenced {
-		req.Deadline = w.extendLease(s.config.WorkerLease)
+	if (busy || !w.fenced) && !w.unanswered {
+		req.Deadline = s.extendLease(w)
 	}
 	// A renewal that waits acknowledges no ends, because it may reach a later process of the worker, whose end
 	// sequence starts again from 1.
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -71,6 +71,8 @@
 	Evacuations func() *policy.Evacuations
 	// WorkerLease is how long a worker keeps running its parts without contact with the scheduler.
 	WorkerLease time.Duration
+	// MaxWorkerLease is the longest lease that a worker grants if a request asks for a longer one.
+	MaxWorkerLease time.Duration
 	// MaxStopTime is the maximum time that a worker takes to stop a part.
 	MaxStopTime time.Duration
 	// JobRetention is how long the records of an ended job are kept.
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -149,6 +149,29 @@
 	})
 }
 
+// TestUnreachableWorkerWithUnknownProcess starts a part on a worker that has restarted. Its responses are lost, and then
+// it is cut off. The scheduler knows neither the clock nor the lease of the new process, so it must wait for the longest
+// lease that a worker grants before it starts the part elsewhere.
+func TestUnreachableWorkerWithUnknownProcess(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.startInstance("i1")
+		r.sleep(20 * time.Second)
+		restarted := r.fleet.Worker("wa")
+		r.updateFleet(func() {
+			restarted.Crash()
+			restarted.DropReplies = true
+		})
+		r.submit("j1", 20*time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		r.updateFleet(func() {
+			assert.Equal(t, restarted.RunningCount(), 1)
+			restarted.Unreachable = true
+		})
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, time.Minute)
+	})
+}
+
 // TestStoreOutageStopsNoParts checks that parts keep running during a store outage of 5 s.
 func TestStoreOutageStopsNoParts(t *testing.T) {
 	runTest(t, 2, func(r *harness) {
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -25,8 +25,11 @@
 	clockReadAt clock.Instant
 	// deadline is the latest deadline of the worker's lease that was sent to it, on its own clock.
 	deadline WorkerClock
-	// leaseExpiry is when all attempts on the worker have certainly ended, unless its lease is extended.
+	// leaseExpiry is when all attempts on the worker process have certainly ended, unless its lease is extended.
 	leaseExpiry clock.Instant
+	// nextProcessExpiry is the same for a later process of the worker, which the requests may have reached. Its clock is
+	// not known, so that it may grant the longest lease.
+	nextProcessExpiry clock.Instant
 	// renewing indicates that a lease renewal is in flight; nextRenewal is when the next one may be sent.
 	renewing    bool
 	nextRenewal clock.Instant
@@ -63,23 +66,35 @@
 	return w.clock + WorkerClock(elapsed.Milliseconds())
 }
 
-// extendLease returns the deadline of the worker's lease to send with a request, and updates when the lease expires. It
+// extendLease returns the deadline of a worker's lease to send with a request, and updates when the lease expires. It
 // extends nothing if the last renewal got no response. It returns 0 if the worker's clock is unknown.
-func (w *session) extendLease(lease time.Duration) WorkerClock {
+func (s *Scheduler) extendLease(w *session) WorkerClock {
 	now := w.workerNow()
 	if now == 0 {
 		return 0
 	}
+	w.nextProcessExpiry = clock.Now().Add(requestTimeout + s.maxLeaseDuration())
 	if w.unanswered {
 		// A request that may not have arrived must not change the expiry of the lease.
 		return w.deadline
 	}
-	w.deadline = max(w.deadline, now+WorkerClock(lease.Milliseconds()))
+	w.deadline = max(w.deadline, now+WorkerClock(s.config.WorkerLease.Milliseconds()))
 	remaining := time.Duration(w.deadline-now) * time.Millisecond
 	w.leaseExpiry = max(w.leaseExpiry, clock.Now().Add(remaining*100/(100-maxClockSlowPercent)+expiryMargin))
 	return w.deadline
 }
 
+// certainExpiry returns when all attempts on the worker have certainly ended, unless its lease is extended. A later
+// process of the worker can only run attempts whose start no response has confirmed.
+func (w *session) certainExpiry() clock.Instant {
+	for _, state := range w.attempts {
+		if state.startsSent > 0 && state.startConfirmed == clock.Never {
+			return max(w.leaseExpiry, w.nextProcessExpiry)
+		}
+	}
+	return w.leaseExpiry
+}
+
 // recordReply records that the worker responded, and the time on its clock.
 func (w *session) recordReply(reply Reply) {
 	if reply.Clock == 0 {
@@ -133,10 +148,10 @@
 	return s.started.Add(leaseGrace + s.maxLeaseDuration())
 }
 
-// maxLeaseDuration returns the time after which a worker lease that is not extended has certainly expired, even if the
-// worker's clock runs slow.
+// maxLeaseDuration returns the time after which a worker lease that is not extended has certainly expired, whatever
+// deadline was requested and even if the worker's clock runs slow.
 func (s *Scheduler) maxLeaseDuration() time.Duration {
-	return s.config.WorkerLease*100/(100-maxClockSlowPercent) + expiryMargin
+	return s.config.MaxWorkerLease*100/(100-maxClockSlowPercent) + expiryMargin
 }
 
 // replaceProcess resets the session for another process of the same worker. Attempts on the former process are lost,
