End parts at once whose start was decided but not recorded

Cause: a decision to start parts is recorded in the store before any request is sent. A guaranteed gang that claimed the workers of such parts in the meantime had stop requests sent for them, and waited for the workers' next reports (up to 2 s) to learn that they do not run.

Change: the scheduler creates the state of an attempt with the decision. A stop of an attempt that is not recorded yet ends it at once, and its start is dropped when the record is written. A successor that finds the record may start the attempt; it was sent nowhere before.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -24,6 +24,9 @@
 
 // attemptState is what the scheduler knows about an attempt that was requested to start or stop and may still run.
 type attemptState struct {
+	// unrecorded indicates that the decision to start the attempt is not recorded in the store yet, so that no request was
+	// sent.
+	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
@@ -35,11 +38,6 @@
 	stopPending bool
 }
 
-// newAttemptState returns the state of an attempt for which no request was sent.
-func newAttemptState() *attemptState {
-	return &attemptState{}
-}
-
 // session returns the session with a worker process, or nil.
 func (s *Scheduler) session(process work.WorkerProcess) *session {
 	if w := s.sessions[process.Worker]; w != nil && w.entry.WorkerProcess == process {
@@ -58,7 +56,14 @@
 	})
 }
 
-// startAttempt sends the start request for a start decision that has been recorded in the store.
+// trackStart creates the state of an attempt that was decided to start.
+func (s *Scheduler) trackStart(start pool.Start) {
+	if w := s.session(start.Worker); w != nil {
+		w.ensureAttempt(start.Attempt).unrecorded = true
+	}
+}
+
+// startAttempt queues the start request for a start decision that has been recorded in the store.
 func (s *Scheduler) startAttempt(start pool.Start) {
 	if !s.engine.ShouldRun(start.Attempt, start.Worker.Worker) {
 		return
@@ -68,8 +73,8 @@
 		s.engine.StopUnconfirmed(start.Attempt)
 		return
 	}
-	state := newAttemptState()
-	w.attempts[start.Attempt] = state
+	state := w.ensureAttempt(start.Attempt)
+	state.unrecorded = false
 	s.queueStart(w, state, start)
 }
 
@@ -224,7 +229,7 @@
 	s.config.Metrics.attemptsStopped.WithLabelValues(string(stop.Reason)).Inc()
 	s.config.Logger.Info("part is stopped", "part", stop.Attempt.Part, "attempt", stop.Attempt.Number, "worker", stop.Worker.Worker,
 		"reason", stop.Reason, "sent", state.startsSent)
-	if state.startQueued && state.startsSent == 0 {
+	if (state.unrecorded || state.startQueued) && state.startsSent == 0 {
 		delete(w.attempts, stop.Attempt)
 		s.engine.AttemptEnded(stop.Attempt, pool.Stopped, "", time.Now())
 		return
@@ -243,12 +248,12 @@
 	}
 }
 
-// ensureAttempt returns the state of an attempt on the worker, and creates it if it does not exist. A state that it
-// creates counts no start requests, because startAttempt creates the state of each attempt that this instance starts.
+// ensureAttempt returns the state of an attempt on the worker, and creates it if it does not exist. The new state counts no
+// start requests, because trackStart creates the state of each attempt that this instance starts.
 func (w *session) ensureAttempt(a work.Attempt) *attemptState {
 	state := w.attempts[a]
 	if state == nil {
-		state = newAttemptState()
+		state = &attemptState{}
 		w.attempts[a] = state
 	}
 	return state
@@ -323,7 +328,7 @@
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
-	case first && state.startsSent == 0:
+	case first && state.startsSent == 0 && !state.unrecorded:
 		if start, pending := s.engine.PendingStart(a); pending {
 			s.queueStart(w, state, start)
 		}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -246,6 +246,7 @@
 		switch d := d.(type) {
 		case pool.Start:
 			s.journal.pendingStarts = append(s.journal.pendingStarts, d)
+			s.trackStart(d)
 		case pool.Stop:
 			s.stopAttempt(d)
 		}
