Hold the reservations of guaranteed gangs, and place them across racks if need be

Change: at the start of a round the reservations of groups within their account's guarantee are set aside. Other groups claim capacity of their own. If they find none and their guarantee covers them, the reservations are released. A group is placed on its reserved workers as soon as they are all free, also on several racks.

--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -16,8 +16,9 @@
 	cost  time.Duration
 }
 
-// reclaim stops groups that g may preempt so that g fits, and reserves their capacity for g. If g would not fit even
-// then, it stops nothing and returns false.
+// reclaim stops groups that g may preempt so that g fits, and reserves their capacity for g. If there is nothing to stop,
+// it places g. A group that no rack can hold, although it should stay on one, gets nodes of several racks. If g would not
+// fit even then, reclaim stops nothing and returns false.
 func (r *round) reclaim(g *group) bool {
 	step := g.spec()
 	candidates := r.candidates(g)
@@ -29,8 +30,11 @@
 	if best == nil {
 		best = r.cheapestOffers(g, candidates)
 	}
-	if best != nil {
-		r.reserveFor(g, offeredNodes(best))
+	if best == nil {
+		return false
+	}
+	if r.placeOrReserve(g, offeredNodes(best)) {
+		return true
 	}
 	for _, o := range best {
 		for _, v := range o.victims {
@@ -39,7 +43,7 @@
 			}
 		}
 	}
-	return best != nil
+	return true
 }
 
 // offer says that a node could hold a number of parts of a group if the victims, which run there, were stopped. The
--- a/sard/pool/reservation_test.go
+++ b/sard/pool/reservation_test.go
@@ -56,6 +56,54 @@
 	return here, there
 }
 
+// TestShorterGuaranteedJobTakesNoReservedWorker lets a guaranteed gang claim two workers of a rack. When the first one is
+// free, a guaranteed job of another account arrives that has less time left. It must claim a worker of its own, because the
+// gang would otherwise have to claim another rack.
+func TestShorterGuaranteedJobTakesNoReservedWorker(t *testing.T) {
+	h := newHarness(t, 16)
+	for i := range 16 {
+		h.addJob(ident.Job(fmt.Sprintf("low%02d", i)), 1, work.Step{Parts: 1, Need: largePart, Estimate: time.Millisecond})
+	}
+	h.advance(20 * time.Second)
+	h.addJob("quote", work.Guaranteed, work.Step{Parts: 2, Need: largePart, Gang: true, SameRack: true})
+	assert.Equal(t, len(h.stops), 2)
+	claimed := append([]Stop(nil), h.stops...)
+
+	h.engine.AttemptEnded(claimed[0].Attempt, Stopped, "", h.now)
+	h.engine.AddJob(&work.Job{
+		ID: "short", Account: "b", AcceptedMs: h.now.UnixMilli(),
+		Steps: []work.Step{{Parts: 1, Need: largePart, Gang: true, Estimate: time.Second}},
+		Terms: work.QueueSettings{Service: "s", Priority: work.Guaranteed, Failures: 3, Stretch: 3, Target: time.Second},
+	}, nil, h.now, h.now.UnixMilli())
+	h.decide()
+	assert.Equal(t, len(h.workersOf("short")), 0)
+	assert.Equal(t, len(h.stops), 3)
+
+	h.engine.AttemptEnded(claimed[1].Attempt, Stopped, "", h.now)
+	h.decide()
+	assert.Equal(t, len(h.workersOf("quote")), 2)
+	h.engine.AttemptEnded(h.stops[2].Attempt, Stopped, "", h.now)
+	h.decide()
+	assert.Equal(t, len(h.workersOf("short")), 1)
+}
+
+// TestReservationGivesWayIfThereIsNoOtherWorker lets a guaranteed gang wait for a worker that is reserved for it, next to a
+// free one. A guaranteed job with less time left that can claim nothing else gets the free worker.
+func TestReservationGivesWayIfThereIsNoOtherWorker(t *testing.T) {
+	h := newHarness(t, 2)
+	h.addJob("low", 1, work.Step{Parts: 1, Need: largePart, Estimate: time.Millisecond})
+	h.advance(20 * time.Second)
+	h.addJob("quote", work.Guaranteed, work.Step{Parts: 2, Need: largePart, Gang: true})
+	assert.Equal(t, len(h.stops), 1)
+	h.engine.AddJob(&work.Job{
+		ID: "short", Account: "b", AcceptedMs: h.now.UnixMilli(),
+		Steps: []work.Step{{Parts: 1, Need: largePart, Gang: true, Estimate: time.Second}},
+		Terms: work.QueueSettings{Service: "s", Priority: work.Guaranteed, Failures: 3, Stretch: 3, Target: time.Second},
+	}, nil, h.now, h.now.UnixMilli())
+	h.decide()
+	assert.Equal(t, len(h.workersOf("short")), 1)
+}
+
 // TestReservationEndsWithItsWorker checks that a gang looks for other workers when one that is reserved for it leaves.
 func TestReservationEndsWithItsWorker(t *testing.T) {
 	h := newHarness(t, 4)
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -18,11 +18,13 @@
 	}
 	e.moveStalledAndSlow(now)
 	e.moveOffLeavingWorkers()
+	queue := e.placementQueue(now)
 	r := newRound(e, now)
+	r.holdReservations(queue)
 	var unplaceable *stepState
-	for _, g := range e.placementQueue(now) {
+	for _, g := range queue {
 		step := g.stepState()
-		if step == unplaceable {
+		if step == unplaceable && r.held[g] == nil {
 			// All groups of a step have the same demand.
 			continue
 		}
@@ -61,6 +63,8 @@
 	racks    map[eligibilityKey][][]*node
 	// victimLists caches, for each class of groups that may preempt others, the victims on each node; nil if not known.
 	victimLists map[preemptorClass][]*victimList
+	// held holds the reservations that are set aside for groups that were not scheduled yet.
+	held map[*group][]*node
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
@@ -98,8 +102,8 @@
 	return key
 }
 
-// knownUnplaceable reports whether a group with an equal key and at most as many parts did not fit in this round. The
-// available capacity only decreases in a round.
+// knownUnplaceable reports whether a group with an equal key and at most as many parts did not fit in this round. Except
+// for the capacity of released reservations, the available capacity only decreases in a round.
 func (r *round) knownUnplaceable(g *group, key demandKey) bool {
 	parts, ok := r.unplaceable[key]
 	return ok && len(g.parts) >= parts
@@ -117,7 +121,7 @@
 func newRound(e *Engine, now time.Time) *round {
 	r := &round{
 		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
-		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{},
+		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
 	}
 	for i, n := range e.nodes {
 		free := n.free()
@@ -131,31 +135,45 @@
 	return r
 }
 
-// schedule places a group if it fits. A guaranteed group that does not fit reserves capacity that is being freed, or
-// else has other groups stopped. It reports false if neither is possible.
+// schedule places a group or reserves capacity for it. A group that its account's guarantee covers may use the
+// reservations of others if there is no other way. It reports false if neither is possible.
 func (r *round) schedule(g *group) bool {
 	key := r.demandKey(g)
-	if r.knownUnplaceable(g, key) {
+	released := r.releaseReservation(g)
+	if !released && r.knownUnplaceable(g, key) {
 		return false
 	}
+	if r.tryToSchedule(g) {
+		return true
+	}
+	if g.job.withinGuarantee && len(r.held) > 0 {
+		r.releaseAllReservations()
+		if r.tryToSchedule(g) {
+			return true
+		}
+	}
+	r.unplaceable[key] = len(g.parts)
+	return false
+}
+
+// tryToSchedule places a group if it fits. A guaranteed group that does not fit reserves capacity that is being freed, or
+// else has other groups stopped. It reports false if neither is possible.
+func (r *round) tryToSchedule(g *group) bool {
 	if nodes := r.pack(g, r.free); nodes != nil {
 		r.place(g, nodes)
 		return true
 	}
 	if g.job.settings.Priority == work.Guaranteed {
 		if nodes := r.keptReservation(g); nodes != nil {
-			r.reserve(g, nodes)
+			r.placeOrReserve(g, nodes)
 			return true
 		}
 		if nodes := r.pack(g, r.freeSoon); nodes != nil {
 			r.reserveFor(g, nodes)
 			return true
 		}
-		if r.reclaim(g) {
-			return true
-		}
+		return r.reclaim(g)
 	}
-	r.unplaceable[key] = len(g.parts)
 	return false
 }
 
@@ -165,15 +183,6 @@
 // freeSoon returns the capacity of a node that is available once all pending stops have completed.
 func (r *round) freeSoon(n *node) work.Resources { return r.available[n.index].freeSoon }
 
-// reserve removes a group's demand from the available capacity of the nodes.
-func (r *round) reserve(g *group, nodes []*node) {
-	for _, n := range nodes {
-		c := &r.available[n.index]
-		c.free = c.free.Minus(g.demand())
-		c.freeSoon = c.freeSoon.Minus(g.demand())
-	}
-}
-
 // place starts a new attempt of a group on the given nodes. If that would violate an invariant, it records the
 // violation and delays the group.
 func (r *round) place(g *group, nodes []*node) {
