Confirm starts by reports of workers, and repeat them to workers that respond

Change: an attempt that a worker's report lists as running counts as started. A start request without a response is repeated up to four times while the worker responds to other requests; to a silent worker, twice as before. Whether a start may have reached a later process of the worker is now kept for itself (processUnknown).

Measured: TestStartsWithoutResponsesKeepTheirGang failed before.

--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -28,6 +28,8 @@
 	Unreachable bool
 	// DropReplies executes calls but makes them time out.
 	DropReplies bool
+	// LostStartReplies is the number of start requests to come that are executed but time out.
+	LostStartReplies int
 	// StopDelay is how long it takes to stop an attempt.
 	StopDelay time.Duration
 	// Failing makes all runs fail immediately; Stalled makes new runs make no progress.
@@ -155,9 +157,23 @@
 		reply = w.reply()
 		return w.startAttempt(req)
 	})
+	if w.loseStartReply() {
+		return sched.Reply{}, waitForCancel(ctx, req.Worker)
+	}
 	return reply, err
 }
 
+// loseStartReply reports whether the response to a start request is lost, and counts it.
+func (w *Worker) loseStartReply() bool {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if w.LostStartReplies == 0 {
+		return false
+	}
+	w.LostStartReplies--
+	return true
+}
+
 // startAttempt starts the attempt of a start request, or returns a refusal. A repeated request has no further effect.
 func (w *Worker) startAttempt(req sched.StartRequest) error {
 	part := req.Attempt.Part
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -15,8 +15,11 @@
 	requestTimeout = 600 * time.Millisecond
 	// stopRetryPause is the pause after a failed stop request.
 	stopRetryPause = 200 * time.Millisecond
-	// maxStartSends is the maximum number of times that a start request is sent.
+	// maxStartSends is the maximum number of times that a start request is sent to a worker that does not respond.
 	maxStartSends = 2
+	// maxStartSendsResponding replaces maxStartSends while the worker responds to other requests. The other parts of a gang
+	// wait for longer than these requests take.
+	maxStartSendsResponding = 4
 	// unwellSuspension is how long no new parts are placed on a worker that refused a start for lack of health or
 	// capacity.
 	unwellSuspension = 2 * time.Second
@@ -29,6 +32,11 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
+	// firstSentAt is when the first start request was sent.
+	firstSentAt clock.Instant
+	// processUnknown indicates that a start request may have reached a later process of the worker, because no response has
+	// shown since which process it reached.
+	processUnknown bool
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
@@ -86,12 +94,18 @@
 		return
 	}
 	state.startQueued = false
+	if state.startConfirmed != clock.Never {
+		return
+	}
 	if s.evacuated(w) {
 		s.cancelStart(w, state, start.Attempt)
 		return
 	}
+	if state.startsSent == 0 {
+		state.firstSentAt = clock.Now()
+	}
 	state.startsSent++
-	state.startInFlight = true
+	state.startInFlight, state.processUnknown = true, true
 	flight := s.commands.depart(w)
 	req := StartRequest{
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
@@ -164,9 +178,8 @@
 			s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs}, ev.attempt)
 		}
 		w.recordReply(ev.reply)
-		state.startConfirmed = clock.Now()
-		s.config.Logger.Info("part started", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(),
-			"epoch", s.lease.Epoch())
+		state.processUnknown = false
+		s.confirmStart(w, state, ev.attempt)
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
 	default:
@@ -174,6 +187,16 @@
 	}
 }
 
+// confirmStart records that an attempt was started on a worker, unless that is known.
+func (s *Scheduler) confirmStart(w *session, state *attemptState, a work.Attempt) {
+	if state.startConfirmed != clock.Never {
+		return
+	}
+	state.startConfirmed = clock.Now()
+	s.config.Logger.Info("part started", "part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(),
+		"sent", state.startsSent)
+}
+
 // startRefused handles a start request that the worker refused. The attempt ends as refused, unless an earlier request
 // may have started it or the scheduler lease is lost.
 func (s *Scheduler) startRefused(state *attemptState, w *session, ev startResult, refusal *RefusalError) {
@@ -207,12 +230,20 @@
 }
 
 // startUnanswered handles a start request that got no response. It repeats the request, which has no effect if the
-// attempt runs, until maxStartSends is reached; then it stops the attempt, which may run.
+// attempt runs, until the limit is reached; then it stops the attempt, which may run. There is nothing to do if a report
+// of the worker has listed the attempt in the meantime.
 func (s *Scheduler) startUnanswered(w *session, state *attemptState, ev startResult) {
+	if state.startConfirmed != clock.Never {
+		return
+	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
 	start, pending := s.engine.PendingStart(ev.attempt)
-	if pending && state.startsSent < maxStartSends {
+	limit := maxStartSends
+	if state.firstSentAt.Before(w.lastAnswer) {
+		limit = maxStartSendsResponding
+	}
+	if pending && state.startsSent < limit {
 		s.queueStart(w, state, start)
 		return
 	}
--- a/sard/sched/patterns_test.go
+++ b/sard/sched/patterns_test.go
@@ -55,6 +55,31 @@
 	})
 }
 
+// TestStartsWithoutResponsesKeepTheirGang loses the responses to start requests, while the workers respond to lease renewals.
+// The gang must not be stopped and started again.
+func TestStartsWithoutResponsesKeepTheirGang(t *testing.T) {
+	tests := []struct {
+		name string
+		lost int
+	}{
+		{name: "one response", lost: 1},
+		{name: "several responses", lost: 3},
+		{name: "all responses", lost: 100},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 2, func(r *harness) {
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.fleet.ForEachWorker(func(w *fakes.Worker) { w.LostStartReplies = test.lost })
+				r.submit("w1", 10*time.Second, work.Step{Parts: 2, Gang: true})
+				r.waitForState("w1", ident.Succeeded, 11*time.Second)
+				assert.Equal(t, r.fleet.HighestAttempt("w1"), ident.Attempt(1))
+			})
+		})
+	}
+}
+
 // dropReplies lets the given number of workers carry out requests without responses, and the others respond.
 func (r *harness) dropReplies(workers int) {
 	left := workers
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -192,6 +192,10 @@
 		if !s.engine.MayRun(r.Attempt, w.id()) {
 			w.unexpected++
 		}
+		if state := w.attempts[r.Attempt]; state != nil && state.startsSent > 0 {
+			state.processUnknown = state.processUnknown && state.startInFlight
+			s.confirmStart(w, state, r.Attempt)
+		}
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
 			continue
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -84,11 +84,10 @@
 	return w.deadline
 }
 
-// certainExpiry returns when all attempts on the worker have certainly ended, unless its lease is extended. A later
-// process of the worker can only run attempts whose start no response has confirmed.
+// certainExpiry returns when all attempts on the worker have certainly ended, unless its lease is extended.
 func (w *session) certainExpiry() clock.Instant {
 	for _, state := range w.attempts {
-		if state.startsSent > 0 && state.startConfirmed == clock.Never {
+		if state.processUnknown {
 			return max(w.leaseExpiry, w.nextProcessExpiry)
 		}
 	}
