Stop no more groups than a guaranteed gang needs

Cause: the nodes that a guaranteed gang claims were chosen one by one, each with its own victims. A gang among them frees its capacity on all of its nodes, so groups were stopped next to it that could have run on. The cost by which racks are compared counted such gangs several times, too.

Change: a claim starts from the same choice and leaves out, costliest first, each victim without which the gang still fits. Its cost is that of the remaining victims.

--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -26,22 +26,18 @@
 	if step.DataRack != "" {
 		near = nodesOnRack(candidates, step.DataRack)
 	}
-	best := r.cheapestRackOffers(g, near)
+	best := r.cheapestRackClaim(g, near)
 	if best == nil {
-		best = r.cheapestOffers(g, candidates)
+		best = r.cheapestClaim(g, candidates)
 	}
 	if best == nil {
 		return false
 	}
-	if r.placeOrReserve(g, offeredNodes(best)) {
+	if r.placeOrReserve(g, best.nodes) {
 		return true
 	}
-	for _, o := range best {
-		for _, v := range o.victims {
-			if v.phase == placed {
-				r.preempt(v)
-			}
-		}
+	for _, v := range best.victims {
+		r.preempt(v)
 	}
 	return true
 }
@@ -55,49 +51,29 @@
 	cost    time.Duration
 }
 
-// offeredNodes returns the node of each part that the offers hold.
-func offeredNodes(offers []offer) []*node {
-	var nodes []*node
-	for _, o := range offers {
-		for range o.parts {
-			nodes = append(nodes, o.node)
-		}
-	}
-	return nodes
-}
-
-// cheapestRackOffers returns the offers of the cheapest rack if the group must stay on one rack, and otherwise the
-// cheapest offers of all candidates.
-func (r *round) cheapestRackOffers(g *group, candidates []*node) []offer {
+// cheapestRackClaim returns the claim on the cheapest rack if the group must stay on one rack, and otherwise the cheapest
+// claim on all candidates.
+func (r *round) cheapestRackClaim(g *group, candidates []*node) *claim {
 	step := g.spec()
 	if !step.SameRack {
-		return r.cheapestOffers(g, candidates)
+		return r.cheapestClaim(g, candidates)
 	}
 	racks := [][]*node{candidates}
 	if step.DataRack == "" {
 		racks = r.racksOf(g, candidates)
 	}
-	var best []offer
-	bestCost := time.Duration(0)
+	var best *claim
 	for _, rack := range racks {
-		offers := r.cheapestOffers(g, rack)
-		if offers == nil {
-			continue
-		}
-		cost := time.Duration(0)
-		for _, o := range offers {
-			cost += o.cost
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = offers, cost
+		if c := r.cheapestClaim(g, rack); c != nil && (best == nil || c.cost < best.cost) {
+			best = c
 		}
 	}
 	return best
 }
 
-// cheapestOffers returns the offers with the lowest cost per part that together hold the group, or nil if there are not
-// enough.
-func (r *round) cheapestOffers(g *group, candidates []*node) []offer {
+// cheapestClaim returns a claim made of the offers with the lowest cost per part, or nil if all offers together can't hold
+// the group.
+func (r *round) cheapestClaim(g *group, candidates []*node) *claim {
 	var offers []offer
 	for _, n := range candidates {
 		offers = append(offers, r.offers(g, n)...)
@@ -110,7 +86,7 @@
 	})
 	want := len(g.parts)
 	taken := map[*node]int{}
-	chosen := make([]offer, 0, len(offers))
+	var victims []*group
 	for _, o := range offers {
 		if want == 0 {
 			break
@@ -122,12 +98,12 @@
 		}
 		taken[o.node] += added
 		want -= added
-		chosen = append(chosen, offer{node: o.node, parts: added, victims: o.victims, cost: o.cost})
+		victims = append(victims, o.victims...)
 	}
 	if want > 0 {
 		return nil
 	}
-	return chosen
+	return r.newClaim(g, taken, victims)
 }
 
 // offers returns how many parts of g fit on a node, and the cost, for an increasing number of victims that are stopped
