One list of causes in sardctl causes, with the number of parts and an example for each

Cause: the command showed the end of a part (Failed, Broken) and the state of a job (failed) next to the reasons of stops, so that one cause stood under two names. Change: each way in which a part ends too early has a cause of the same list, and the lost work names the number of parts and the one that lost most. Tested by TestCauses.

--- a/sardctl/causes.go
+++ b/sardctl/causes.go
@@ -19,15 +19,33 @@
 )
 
 // Causes of late jobs, and results of jobs that were not late. Other causes are the reasons for which the logs say that
-// a part was stopped or failed.
+// a part was stopped, and those of endCauses.
 const (
 	causeInTime         = "in time"
 	causeNotEnded       = "not ended"
-	causeFailed         = "failed"
+	causeJobFailed      = "job failed"
 	causeStartDelay     = "waited for the first start"
 	causeUnderestimated = "work longer than estimated"
 )
 
+// endCauses lists, for each way in which a part ends too early without a stop, the name of the cause.
+var endCauses = []struct{ how, cause string }{
+	{how: "Failed", cause: "part failed"},
+	{how: "Broken", cause: "another part of the gang ended"},
+	{how: "Alone", cause: "gang not complete in time"},
+	{how: "Lapsed", cause: "worker lease expired"},
+}
+
+// endCause returns the cause for the way in which a part ended, or false if it is none.
+func endCause(how string) (string, bool) {
+	for _, c := range endCauses {
+		if c.how == how {
+			return c.cause, true
+		}
+	}
+	return "", false
+}
+
 // Parameters of the analysis of causes.
 const (
 	// minStartDelay is the shortest time from admission to first start that can be the cause of a late job.
@@ -60,7 +78,7 @@
 		return err
 	}
 	slices.SortStableFunc(events, func(a, b logEvent) int { return a.Time.Compare(b.Time) })
-	h := logHistory{jobs: map[string]*jobHistory{}, lostWork: map[string]float64{}}
+	h := logHistory{jobs: map[string]*jobHistory{}, lostWork: map[string]*lostWorkRow{}}
 	for _, e := range events {
 		h.add(e)
 	}
@@ -71,9 +89,9 @@
 			w.writeRow(r.Priority, r.Cause, r.Jobs, r.MeanWait, r.MeanOver)
 		}
 		w.startSection()
-		w.writeRow("LOST WORK", "CORE SECONDS")
+		w.writeRow("LOST WORK", "CORE SECONDS", "PARTS", "EXAMPLE")
 		for _, r := range report.Lost {
-			w.writeRow(r.Reason, int64(r.CoreSeconds))
+			w.writeRow(r.Reason, int64(r.CoreSeconds), r.Parts, r.Example)
 		}
 	})
 }
@@ -115,8 +133,8 @@
 // logHistory is what the logs say about all jobs.
 type logHistory struct {
 	jobs map[string]*jobHistory
-	// lostWork is the work of interrupted attempts in core-seconds, by the reason of the interruption.
-	lostWork map[string]float64
+	// lostWork is the work of interrupted attempts, by the reason of the interruption.
+	lostWork map[string]*lostWorkRow
 }
 
 // add updates the history with a log line. It ignores jobs whose admission is not in the logs.
@@ -143,8 +161,8 @@
 	case messagePartStopped:
 		h.recordLostWork(j, key, e.Reason, e.Time)
 	case messagePartEnded:
-		if e.How != "Done" && e.How != "Stopped" {
-			h.recordLostWork(j, key, e.How, e.Time)
+		if cause, ok := endCause(e.How); ok {
+			h.recordLostWork(j, key, cause, e.Time)
 		}
 	case messageJobEnded:
 		j.end = &e
@@ -154,10 +172,17 @@
 // recordLostWork counts an interruption of a part, and adds the work since the start of the attempt to the lost work.
 func (h *logHistory) recordLostWork(j *jobHistory, key attemptKey, reason string, at time.Time) {
 	j.interruptions[reason]++
-	if started, ok := j.attemptStarts[key]; ok {
-		h.lostWork[reason] += at.Sub(started).Seconds() * j.coreEquivalents
-		delete(j.attemptStarts, key)
+	started, ok := j.attemptStarts[key]
+	if !ok {
+		return
+	}
+	delete(j.attemptStarts, key)
+	row := h.lostWork[reason]
+	if row == nil {
+		row = &lostWorkRow{Reason: reason}
+		h.lostWork[reason] = row
 	}
+	row.add(key.part, at.Sub(started).Seconds()*j.coreEquivalents)
 }
 
 // cause returns why the job was late. That is the wait for its first start if it took longer than minStartDelay and
@@ -167,7 +192,7 @@
 	case j.end == nil:
 		return causeNotEnded
 	case j.end.State == "Failed":
-		return causeFailed
+		return causeJobFailed
 	case j.overObjective() <= 0:
 		return causeInTime
 	case j.startDelay() > minStartDelay && 2*j.startDelay() > j.overObjective():
@@ -208,10 +233,24 @@
 	MeanWait, MeanOver time.Duration
 }
 
-// lostWorkRow is the work, in core-seconds, that was lost to interruptions for one reason.
+// lostWorkRow is the work, in core-seconds, that was lost to interruptions for one reason, the number of interrupted parts
+// and the part that lost most.
 type lostWorkRow struct {
 	Reason      string
 	CoreSeconds float64
+	Parts       int
+	Example     string
+	// mostLost is the work, in core-seconds, that the example lost.
+	mostLost float64
+}
+
+// add adds the work, in core-seconds, that a part lost.
+func (r *lostWorkRow) add(part string, lost float64) {
+	r.CoreSeconds += lost
+	r.Parts++
+	if r.Example == "" || lost > r.mostLost {
+		r.Example, r.mostLost = part, lost
+	}
 }
 
 // causeReport is the output of "sardctl causes".
@@ -248,8 +287,8 @@
 	slices.SortFunc(report.Jobs, func(a, b causeRow) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.Jobs, a.Jobs), cmp.Compare(a.Cause, b.Cause))
 	})
-	for reason, lost := range h.lostWork {
-		report.Lost = append(report.Lost, lostWorkRow{Reason: reason, CoreSeconds: lost})
+	for _, row := range h.lostWork {
+		report.Lost = append(report.Lost, *row)
 	}
 	slices.SortFunc(report.Lost, func(a, b lostWorkRow) int {
 		return cmp.Or(cmp.Compare(b.CoreSeconds, a.CoreSeconds), cmp.Compare(a.Reason, b.Reason))
--- a/sardctl/causes_test.go
+++ b/sardctl/causes_test.go
@@ -9,7 +9,7 @@
 )
 
 // schedulerLog has a job that ended in time, one that waited for its start, one whose capacity was reclaimed, one
-// that ran longer than estimated, one that failed, one that has not ended and one that was cancelled.
+// with a failed part, one that ran longer than estimated, one that failed, one that has not ended and one that was cancelled.
 const schedulerLog = `{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"a","priority":0,"need":{"CPU":2000,"Accelerators":1}}
 {"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"part started","part":"a.0.0.0","attempt":1}
 {"@timestamp":"2026-01-01T00:00:01Z","@module":"sardined.sched","@message":"job ended","job":"a","state":"Succeeded","took_ms":1000,"objective_ms":2000}
@@ -23,7 +23,10 @@
 {"@timestamp":"2026-01-01T00:00:09Z","@module":"sardined.sched","@message":"job ended","job":"c","state":"Succeeded","took_ms":9000,"objective_ms":4000}
 {"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"d","priority":1,"need":{"CPU":2000,"Accelerators":1}}
 {"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"part started","part":"d.0.0.0","attempt":1}
+{"@timestamp":"2026-01-01T00:00:01Z","@module":"sardined.sched","@message":"part ended","part":"d.0.0.0","attempt":1,"how":"Failed"}
 {"@timestamp":"2026-01-01T00:00:09Z","@module":"sardined.sched","@message":"job ended","job":"d","state":"Succeeded","took_ms":9000,"objective_ms":4000}
+{"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"h","priority":1,"need":{}}
+{"@timestamp":"2026-01-01T00:00:09Z","@module":"sardined.sched","@message":"job ended","job":"h","state":"Succeeded","took_ms":9000,"objective_ms":4000}
 {"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"e","priority":2,"need":{}}
 {"@timestamp":"2026-01-01T00:00:01Z","@module":"sardined.sched","@message":"job ended","job":"e","state":"Failed","took_ms":1000,"objective_ms":4000}
 {"@timestamp":"2026-01-01T00:00:00Z","@module":"sardined.sched","@message":"job taken in","job":"f","priority":2,"need":{}}
@@ -39,8 +42,8 @@
 	text := strings.Join(strings.Fields(out.String()), " ")
 	for _, want := range []string{
 		"0 in time 1 0s -1s", "0 waited for the first start 1 3s 2s", "1 capacity reclaimed 1 0s 5s",
-		"1 work longer than estimated 1 0s 5s", "2 failed 1 0s -3s", "2 not ended 1 0s 0s",
-		"LOST WORK CORE SECONDS capacity reclaimed 20",
+		"1 part failed 1 0s 5s", "1 work longer than estimated 1 0s 5s", "2 job failed 1 0s -3s", "2 not ended 1 0s 0s",
+		"LOST WORK CORE SECONDS PARTS EXAMPLE capacity reclaimed 20 1 c.0.0.0", "part failed 10 1 d.0.0.0",
 	} {
 		assert.Assert(t, strings.Contains(text, want), "%q is missing in %q", want, text)
 	}
