Leave the lease to its holder after a store outage, and to strong instances

The candidate's read of the lease's changes waited for most of its time, then failed; the read after it found the lease unchanged, and the whole time counted as a term without a renewal. The delay that leaves the lease to stronger instances was 70 ms, less than the time by which instances notice the end of an outage.

Change: a candidate follows the lease's changes directly, and only after a read that succeeded. After a failure it reads the lease until that succeeds, and the term starts again then. The takeover rank is now a delay.

--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -54,7 +54,7 @@
 type Config struct {
 	// Store holds the rows of the lease.
 	Store store.Store
-	// Watched is the Store by which a candidate observes the lease; nil means Store.
+	// Watched is the Store by which a candidate reads the lease again after a failure; nil means Store.
 	Watched store.Store
 	// Instance is the candidate's name, which is the same after a restart.
 	Instance ident.Instance
@@ -62,9 +62,9 @@
 	ProcessID string
 	// Term is the time after which a lease expires unless renewed; 0 means DefaultTerm.
 	Term time.Duration
-	// TakeoverRank orders the candidates: those with a higher rank, which have less capacity, wait longer before they
-	// take over.
-	TakeoverRank int
+	// TakeoverDelay is how long the candidate leaves a free or expired lease to others. Candidates with less capacity wait
+	// longer.
+	TakeoverDelay time.Duration
 	// WatchPause is the pause between two reads of the lease's changes while it is being renewed. A takeover may come
 	// later by this time.
 	WatchPause time.Duration
@@ -72,9 +72,6 @@
 	Logger hclog.Logger
 }
 
-// rankDelay is the extra takeover delay per rank. It makes simultaneous attempts unlikely.
-const rankDelay = 10 * time.Millisecond
-
 // Candidate watches the lease and acquires it when it is free or expired.
 type Candidate struct {
 	config Config
@@ -160,10 +157,10 @@
 	}
 	for ctx.Err() == nil {
 		if c.isFree(view) {
-			clock.Sleep(ctx, time.Duration(c.config.TakeoverRank)*rankDelay)
+			clock.Sleep(ctx, c.config.TakeoverDelay)
 			return c.tryAcquire(ctx, view)
 		}
-		if view.holder == c.holder || clock.Since(view.changedAt) >= c.takeoverDelay() {
+		if view.holder == c.holder || clock.Since(view.changedAt) >= c.takeoverAge() {
 			return c.tryAcquire(ctx, view)
 		}
 		view = c.awaitChange(ctx, view)
@@ -171,9 +168,9 @@
 	return nil, ctx.Err()
 }
 
-// takeoverDelay is how long the lease must have been unchanged before this candidate takes it over.
-func (c *Candidate) takeoverDelay() time.Duration {
-	return c.config.Term + time.Duration(c.config.TakeoverRank)*rankDelay
+// takeoverAge is how long the lease must have been unchanged before this candidate takes it over.
+func (c *Candidate) takeoverAge() time.Duration {
+	return c.config.Term + c.config.TakeoverDelay
 }
 
 // read reads the lease from the store.
@@ -205,12 +202,12 @@
 
 // awaitChange waits for a change of the lease or its expiry.
 func (c *Candidate) awaitChange(ctx context.Context, view leaseView) leaseView {
-	wait := max(c.takeoverDelay()-clock.Since(view.changedAt), retryInterval)
+	wait := max(c.takeoverAge()-clock.Since(view.changedAt), retryInterval)
 	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	changes, err := c.config.Watched.Feed(callCtx, TableName, view.feedVersion, wait)
+	changes, err := c.config.Store.Feed(callCtx, TableName, view.feedVersion, wait)
 	if err != nil {
-		return c.reread(ctx, view)
+		return c.reread(ctx, view, fault.Is(err, fault.NotFound))
 	}
 	for _, row := range changes.Rows {
 		view.apply(row)
@@ -219,26 +216,30 @@
 	if len(changes.Rows) > 0 && !c.isFree(view) {
 		clock.Sleep(ctx, c.config.WatchPause)
 	}
-	if clock.Since(view.changedAt) >= c.takeoverDelay() {
+	if clock.Since(view.changedAt) >= c.takeoverAge() {
 		// The feed may lag behind, so confirm with a read that the lease hasn't changed.
-		return c.reread(ctx, view)
+		return c.reread(ctx, view, true)
 	}
 	return view
 }
 
-// reread reads the lease again. It keeps the time of the last change if the lease hasn't changed.
-func (c *Candidate) reread(ctx context.Context, view leaseView) leaseView {
-	current, err := c.read(ctx)
-	if err != nil {
-		clock.Sleep(ctx, retryInterval)
-		// Changes can't be observed while the store is unavailable, so the term starts again when it is back.
-		view.changedAt = clock.Now()
-		return view
-	}
-	if current.owner == view.owner && current.heartbeat == view.heartbeat {
-		current.changedAt = view.changedAt
+// reread reads the lease again, until that succeeds. It keeps the time of the last change if the lease hasn't changed and
+// the store has served since the last read, as far as the candidate knows. Otherwise, the holder may have been unable to
+// renew the lease, so the term starts again.
+func (c *Candidate) reread(ctx context.Context, view leaseView, storeServed bool) leaseView {
+	for {
+		current, err := c.read(ctx)
+		if err == nil {
+			if storeServed && current.owner == view.owner && current.heartbeat == view.heartbeat {
+				current.changedAt = view.changedAt
+			}
+			return current
+		}
+		storeServed = false
+		if !clock.Sleep(ctx, retryInterval) {
+			return view
+		}
 	}
-	return current
 }
 
 // tryAcquire writes the owner row, on condition that the lease hasn't changed since it was read.
--- a/sard/elect/candidate_test.go
+++ b/sard/elect/candidate_test.go
@@ -25,8 +25,10 @@
 	stops []context.CancelFunc
 	// acting counts the candidates that may act at this moment.
 	acting atomic.Int32
-	// watchPause is the WatchPause of candidates that are started.
-	watchPause time.Duration
+	// watchPause and takeoverDelay are the WatchPause and TakeoverDelay of candidates that are started.
+	watchPause, takeoverDelay time.Duration
+	// otherReaders is the number of other background readers of the store in each process that is started.
+	otherReaders int
 }
 
 // process is one process of an instance, with its own connection to the store.
@@ -91,7 +93,19 @@
 	ctx, stop := context.WithCancel(f.t.Context())
 	f.stops = append(f.stops, stop)
 	p := &process{store: &faultyStore{Store: f.store}, stop: stop}
-	runner := New(Config{Store: p.store, Instance: instance, ProcessID: processID, WatchPause: f.watchPause, Logger: hclog.NewNullLogger()})
+	breaker := store.NewBreaker(p.store)
+	runner := New(Config{
+		Store: breaker, Watched: breaker.Background(), Instance: instance, ProcessID: processID,
+		WatchPause: f.watchPause, TakeoverDelay: f.takeoverDelay, Logger: hclog.NewNullLogger(),
+	})
+	for range f.otherReaders {
+		f.group.Go(func() error {
+			for clock.Sleep(ctx, 100*time.Millisecond) {
+				_, _ = breaker.Background().List(ctx, store.Range{Table: "other"})
+			}
+			return nil
+		})
+	}
 	f.group.Go(func() error {
 		return runner.Run(ctx, func(ctx context.Context, l *Lease) error { return f.checkExclusive(ctx, p, l) })
 	})
@@ -264,3 +278,60 @@
 		})
 	}
 }
+
+// TestWeakCandidateLeavesLeaseToOthers checks that a candidate with a long takeover delay leaves the lease to one with a
+// short delay. The holder is killed, and the store is unavailable for a time at any phase of the candidates' tries.
+func TestWeakCandidateLeavesLeaseToOthers(t *testing.T) {
+	for outage := time.Duration(0); outage < 6*time.Second; outage += 130 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			runWithFixture(t, func(f *fixture) {
+				holder := f.start("a", "1")
+				time.Sleep(time.Second)
+				f.watchPause, f.takeoverDelay = 600*time.Millisecond, 680*time.Millisecond
+				processes := []*process{f.start("weak1", "1"), f.start("weak2", "1"), f.start("weak3", "1"), f.start("weak4", "1")}
+				f.watchPause, f.takeoverDelay = 0, 20*time.Millisecond
+				strong := f.start("strong", "1")
+				time.Sleep(10 * time.Second)
+
+				holder.store.unavailable.Store(true)
+				holder.stop()
+				for _, p := range append(processes, strong) {
+					p.store.unavailable.Store(outage > 0)
+				}
+				time.Sleep(outage)
+				for _, p := range append(processes, strong) {
+					p.store.unavailable.Store(false)
+				}
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, strong.mayAct())
+			})
+		})
+	}
+}
+
+// TestHolderKeepsLeaseThroughOutage checks that no other candidate takes the lease right after a store outage, before the
+// holder can renew it. The candidates can't have observed the lease in the meantime.
+func TestHolderKeepsLeaseThroughOutage(t *testing.T) {
+	for outage := 1500 * time.Millisecond; outage < 6*time.Second; outage += 130 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			runWithFixture(t, func(f *fixture) {
+				holder := f.start("a", "1")
+				time.Sleep(time.Second)
+				f.watchPause, f.otherReaders = 600*time.Millisecond, 3
+				processes := []*process{holder, f.start("b", "1"), f.start("c", "1"), f.start("d", "1"), f.start("e", "1")}
+				time.Sleep(10 * time.Second)
+				epoch := holder.lease.Load().Epoch()
+				for _, p := range processes {
+					p.store.unavailable.Store(true)
+				}
+				time.Sleep(outage)
+				for _, p := range processes {
+					p.store.unavailable.Store(false)
+				}
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, holder.mayAct())
+				assert.Equal(t, holder.lease.Load().Epoch(), epoch)
+			})
+		})
+	}
+}
