--- a/sard/pool/harness_test.go
+++ b/sard/pool/harness_test.go
@@ -58,17 +58,22 @@
 	return ident.Worker(fmt.Sprintf("w%02d", i))
 }
 
-// addJob submits a job with a single step, then runs decide.
+// addJob submits a job of account "a" with a single step, then runs decide.
 func (h *harness) addJob(id ident.Job, priority work.Priority, step work.Step) {
 	h.t.Helper()
+	h.submit("a", id, priority, step)
+	h.decide()
+}
+
+// submit submits a job of an account with a single step.
+func (h *harness) submit(account ident.Account, id ident.Job, priority work.Priority, step work.Step) {
 	if step.Estimate == 0 {
 		step.Estimate = 10 * time.Second
 	}
 	h.engine.AddJob(&work.Job{
-		ID: id, Account: "a", Steps: []work.Step{step}, AcceptedMs: h.now.UnixMilli(),
+		ID: id, Account: account, Steps: []work.Step{step}, AcceptedMs: h.now.UnixMilli(),
 		Terms: work.QueueSettings{Service: "s", Priority: priority, Failures: 3, Stretch: 3, Target: time.Second},
 	}, nil, h.now, h.now.UnixMilli())
-	h.decide()
 }
 
 // decide calls Decide, collects the decisions and checks that no worker is over capacity and no invariant was violated.
--- a/sard/pool/reservation_test.go
+++ b/sard/pool/reservation_test.go
@@ -70,11 +70,7 @@
 	claimed := append([]Stop(nil), h.stops...)
 
 	h.engine.AttemptEnded(claimed[0].Attempt, Stopped, "", h.now)
-	h.engine.AddJob(&work.Job{
-		ID: "short", Account: "b", AcceptedMs: h.now.UnixMilli(),
-		Steps: []work.Step{{Parts: 1, Need: largePart, Gang: true, Estimate: time.Second}},
-		Terms: work.QueueSettings{Service: "s", Priority: work.Guaranteed, Failures: 3, Stretch: 3, Target: time.Second},
-	}, nil, h.now, h.now.UnixMilli())
+	h.submit("b", "short", work.Guaranteed, work.Step{Parts: 1, Need: largePart, Gang: true, Estimate: time.Second})
 	h.decide()
 	assert.Equal(t, len(h.workersOf("short")), 0)
 	assert.Equal(t, len(h.stops), 3)
@@ -95,11 +91,7 @@
 	h.advance(20 * time.Second)
 	h.addJob("quote", work.Guaranteed, work.Step{Parts: 2, Need: largePart, Gang: true})
 	assert.Equal(t, len(h.stops), 1)
-	h.engine.AddJob(&work.Job{
-		ID: "short", Account: "b", AcceptedMs: h.now.UnixMilli(),
-		Steps: []work.Step{{Parts: 1, Need: largePart, Gang: true, Estimate: time.Second}},
-		Terms: work.QueueSettings{Service: "s", Priority: work.Guaranteed, Failures: 3, Stretch: 3, Target: time.Second},
-	}, nil, h.now, h.now.UnixMilli())
+	h.submit("b", "short", work.Guaranteed, work.Step{Parts: 1, Need: largePart, Gang: true, Estimate: time.Second})
 	h.decide()
 	assert.Equal(t, len(h.workersOf("short")), 1)
 }
@@ -125,11 +117,9 @@
 func TestGangOfOneRackStartsWhereThereIsRoom(t *testing.T) {
 	h := newHarness(t, 16)
 	for i := range 14 {
-		h.engine.AddJob(&work.Job{
-			ID: ident.Job(fmt.Sprintf("other%02d", i)), Account: ident.Account(fmt.Sprintf("b%d", i/2)), AcceptedMs: h.now.UnixMilli(),
-			Steps: []work.Step{{Parts: 1, Need: largePart, Gang: true, DataRack: ident.Rack(fmt.Sprintf("r%d", i%2)), Estimate: time.Minute}},
-			Terms: work.QueueSettings{Service: "s", Priority: work.Guaranteed, Failures: 3, Stretch: 3, Target: time.Second},
-		}, nil, h.now, h.now.UnixMilli())
+		h.submit(ident.Account(fmt.Sprintf("b%d", i/2)), ident.Job(fmt.Sprintf("other%02d", i)), work.Guaranteed, work.Step{
+			Parts: 1, Need: largePart, Gang: true, DataRack: ident.Rack(fmt.Sprintf("r%d", i%2)), Estimate: time.Minute,
+		})
 	}
 	h.decide()
 	assert.Equal(t, len(h.starts), 14)
