End the parts of a gang that lost a part as broken in the fake worker

The fake worker ended the other parts as alone, since it looked only at the time since their start. By the platform's protocol a part is alone when it waited for the others, and broken when another one ended.

Change: a run keeps whether its gang was complete. The check for gangs that were never complete stays as it is, with its test; TestFleetReportsViolations has the new case, which failed before.

Ruled out: a gang placed on a worker that was known to leave. The drain was listed after the start (started at 10:21:05.393, left at 10:21:10.589 with 4 s of notice and one heartbeat).

--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -105,6 +105,15 @@
 			time.Sleep(6 * time.Second)
 			s.start(s.worker1, first, 1, nil)
 		}, "after the evacuation of its data centre"},
+		{"gang that lost a part", func(s *fixture) {
+			s.job.RunTime, s.job.Spec.Steps[0].Gang = time.Minute, true
+			s.start(s.worker1, first, 1, nil)
+			s.start(s.worker2, second, 1, nil)
+			time.Sleep(4 * time.Second)
+			s.renewLease(s.worker1, 0)
+			s.worker2.Crash()
+			s.renewLease(s.worker1, 0)
+		}, ""},
 		{"incomplete gang", func(s *fixture) {
 			s.job.Spec.Steps[0].Gang = true
 			s.start(s.worker1, first, 1, nil)
--- a/sard/fakes/run.go
+++ b/sard/fakes/run.go
@@ -21,6 +21,8 @@
 	ended     bool
 	// stalled makes the run make no progress.
 	stalled bool
+	// gangWasComplete is set once all parts of the gang were running at the same time.
+	gangWasComplete bool
 	// stopDue is when a requested stop takes effect; zero if no stop was requested.
 	stopDue time.Time
 }
@@ -66,6 +68,7 @@
 // updateWork adds the work done since updatedAt to workDone. A gang progresses at the speed of its slowest part.
 func (r *run) updateWork() {
 	now := time.Now()
+	r.gangWasComplete = r.gangWasComplete || r.gangComplete()
 	from := r.updatedAt
 	slowdown, stalled := 1.0, false
 	for _, m := range r.gangRuns() {
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -309,6 +309,9 @@
 			w.endRun(r, pool.Lapsed)
 		case w.Failing || r.job().AlwaysFails:
 			w.endGangRuns(r, pool.Failed, pool.Broken)
+		case !r.gangComplete() && r.gangWasComplete:
+			// Another part of the gang has ended, or its worker was lost.
+			w.endRun(r, pool.Broken)
 		case !r.gangComplete() && time.Since(r.startedAt) > gangTimeout:
 			w.checkGangTimeout(r)
 			w.endRun(r, pool.Alone)
