Remove a counter that nothing reads; take the causes of ends from pool

Found while reading the whole change again. commandQueue.queued was counted up and down and never read. The list of causes in sardctl spelled the names of ends and the reason "another part of the gang ended" again; it now uses pool.End and pool.ReasonGangEnded, so that they can't drift apart. No behaviour changes: the texts that TestCauses expects stay as they are.

--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -61,13 +61,11 @@
 	// flights holds the active commands and some released ones, in the order in which they were sent.
 	flights []*flight
 	active  int
-	queued  int
 }
 
 // add queues a command for a worker.
 func (q *commandQueue) add(w *session, class commandClass, c command) {
 	w.commands[class] = append(w.commands[class], c)
-	q.queued++
 	if w.flight == nil {
 		q.ready[class] = append(q.ready[class], w)
 	}
@@ -84,7 +82,6 @@
 			}
 			c := w.commands[class][0]
 			w.commands[class] = w.commands[class][1:]
-			q.queued--
 			return w, c
 		}
 	}
@@ -137,7 +134,6 @@
 // discard removes all queued commands of a worker, whose process was replaced.
 func (q *commandQueue) discard(w *session) {
 	for class := range classCount {
-		q.queued -= len(w.commands[class])
 		w.commands[class] = nil
 	}
 	if w.flight != nil {
--- a/sardctl/causes.go
+++ b/sardctl/causes.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/sardineline/sardineline/sard/pool"
 )
 
 // Messages of the scheduler's log lines from which the analysis takes its data.
@@ -29,17 +31,20 @@
 )
 
 // endCauses lists, for each way in which a part ends too early without a stop, the name of the cause.
-var endCauses = []struct{ how, cause string }{
-	{how: "Failed", cause: "part failed"},
-	{how: "Broken", cause: "another part of the gang ended"},
-	{how: "Alone", cause: "gang not complete in time"},
-	{how: "Lapsed", cause: "worker lease expired"},
+var endCauses = []struct {
+	end   pool.End
+	cause string
+}{
+	{end: pool.Failed, cause: "part failed"},
+	{end: pool.Broken, cause: string(pool.ReasonGangEnded)},
+	{end: pool.Alone, cause: "gang not complete in time"},
+	{end: pool.Lapsed, cause: "worker lease expired"},
 }
 
 // endCause returns the cause for the way in which a part ended, or false if it is none.
 func endCause(how string) (string, bool) {
 	for _, c := range endCauses {
-		if c.how == how {
+		if c.end.String() == how {
 			return c.cause, true
 		}
 	}
