--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sardineline/sardineline/sard/clock"
@@ -26,6 +27,8 @@
 	// EvacuationPrefix is the prefix of the names of the rows that request the evacuation of a data centre, which are in
 	// the table and partition of Key; the rest of such a name is the data centre. It must sort after the name of Key.
 	EvacuationPrefix string
+	// Registerer registers the metrics of the Source; nil registers none.
+	Registerer prometheus.Registerer
 	// Logger logs changes of the configuration in force and outages of the store.
 	Logger hclog.Logger
 }
@@ -46,7 +49,8 @@
 
 // Source reads the configuration of a pool from the store and keeps it up to date while Run runs.
 type Source struct {
-	config Config
+	config  Config
+	metrics *metrics
 
 	mu         sync.Mutex
 	current    *Policy
@@ -62,7 +66,9 @@
 
 // NewSource returns a Source that has no configuration until Run reads it.
 func NewSource(config Config) *Source {
-	return &Source{config: config, evacuationRows: evacuationRows{}, confirmed: clock.Never}
+	s := &Source{config: config, evacuationRows: evacuationRows{}, confirmed: clock.Never}
+	s.metrics = newMetrics(config.Registerer, s.Staleness)
+	return s
 }
 
 // Current returns the configuration in force, or nil if none has been read yet.
@@ -115,8 +121,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	listing, err := s.config.Store.List(ctx, s.rowRange())
+	s.metrics.observeRead(clock.Since(sent), err)
 	if err != nil {
-		s.markUnreachable(err)
+		s.markUnreachable(sent, err)
 		return 0, err
 	}
 	for _, row := range listing.Rows {
@@ -228,6 +235,7 @@
 	if row.Version <= s.rowVersion {
 		return
 	}
+	decoding := clock.Now()
 	p, err := s.config.Decode(row.Value)
 	if err != nil {
 		s.config.Logger.Error("can't decode the configuration, keeping the current one", "row_version", row.Version, "error", err)
@@ -239,8 +247,10 @@
 	}
 	p.BuildIndex()
 	s.current, s.rowVersion = p, row.Version
+	s.metrics.size.Set(float64(len(row.Value)))
 	s.config.Logger.Info("configuration in force", "version", p.Version, "row_version", row.Version,
-		"queues", len(p.Queues), "accounts", len(p.Accounts))
+		"queues", len(p.Queues), "accounts", len(p.Accounts), "bytes", len(row.Value),
+		"decode_ms", clock.Since(decoding).Milliseconds())
 }
 
 // markConfirmed records that the configuration was the newest at the given time and that the store is reachable.
@@ -254,12 +264,14 @@
 	}
 }
 
-// markUnreachable records that the store is unreachable and logs the first failure after a successful read.
-func (s *Source) markUnreachable(err error) {
+// markUnreachable records that a read that was sent at the given time failed, and logs the first failure after a
+// successful read.
+func (s *Source) markUnreachable(sent clock.Instant, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.reachable {
 		s.reachable = false
-		s.config.Logger.Warn("store lost", "confirmed_ago_ms", clock.Since(s.confirmed).Milliseconds(), "error", err)
+		s.config.Logger.Warn("store lost", "confirmed_ago_ms", clock.Since(s.confirmed).Milliseconds(),
+			"read_ms", clock.Since(sent).Milliseconds(), "error", err)
 	}
 }
