Confirm the configuration by its changes, so that a large one is transferred once

Cause: each second an instance reads the whole row of the configuration to learn that it is current, and gives up after 900 ms. The row is 1.1 MB on the wire, which takes 0.9 s and more on such a link. The read is cancelled, its bytes are lost, and the next one starts 200 ms later: the link is full for good and no read ever ends. The class of fault: a time limit on a whole answer whose size grows, and a retry that starts from zero.

Evidence: received bytes of these instances stay at 930 to 1,240 KB/s from 65 s on, with 1 to 5% of a core; the step from 762 KB (served) to 1.1 MB (not); the deadline in 'store lost'. Ruled out: decoding (the same version came into force through the feed within 2.1 s) and the store (its calls ended with 200).

Change: the feed's answers confirm the configuration. An answer without changes tells that there were none until the end of its wait. All rows are read at the start, when the history is gone, and while versions follow each other faster than they are transferred. Reads of the store fail when it sends nothing for 700 ms, and last as long as they need otherwise. The wait of 700 ms keeps the age below 2.2 s also when a connection falls silent (0.7 + 0.7 + 0.7 s). A row that can't be decoded is decoded, and logged, once.

The fake store now also fails a feed call that waits while the store goes down; without that it answered as if it were up. In the tests pollInterval became listPeriod, the same second, and one bound of pollInterval + readTimeout its value, 1.9 s.

--- a/sard/policy/evacuation_test.go
+++ b/sard/policy/evacuation_test.go
@@ -38,7 +38,7 @@
 		wait     time.Duration
 	}{
 		{"by the feed", false, 10 * time.Millisecond},
-		{"by the poll", true, pollInterval + time.Millisecond},
+		{"by the poll", true, listPeriod + time.Millisecond},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- /dev/null
+++ b/sard/policy/follow_test.go
@@ -0,0 +1,50 @@
+package policy
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/clock"
+)
+
+// TestFollowerChoosesNextRead checks what is read after a successful and after a failed read.
+func TestFollowerChoosesNextRead(t *testing.T) {
+	tests := []struct {
+		name            string
+		read            readKind
+		listed          bool
+		changed, failed bool
+		want            readKind
+		wantPause       time.Duration
+	}{
+		{name: "first read of all rows", read: readAll, changed: true, want: readNewChanges},
+		{name: "all rows, unchanged", read: readAll, listed: true, want: readNewChanges},
+		{name: "all rows, changed again", read: readAll, listed: true, changed: true, want: readAll},
+		{name: "a change", read: readNextChange, listed: true, changed: true, want: readNewChanges},
+		{name: "no change", read: readNextChange, listed: true, want: readNextChange},
+		{name: "no further change", read: readNewChanges, listed: true, want: readNextChange},
+		{name: "a change while another was transferred", read: readNewChanges, listed: true, changed: true, want: readAll},
+		{name: "first read of all rows fails", read: readAll, failed: true, want: readAll, wantPause: retryPeriod},
+		{name: "later read of all rows fails", read: readAll, listed: true, failed: true, want: readNewChanges, wantPause: retryPeriod},
+		{name: "changes can't be read", read: readNextChange, listed: true, failed: true, want: readAll, wantPause: listPeriod},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := follower{next: test.read}
+				if test.listed {
+					f.listed = clock.Now()
+				}
+				if test.failed {
+					assert.Equal(t, f.failed(clock.Now()), test.wantPause)
+				} else {
+					f.succeeded(clock.Now(), readResult{changed: test.changed})
+				}
+				assert.Equal(t, f.next, test.want)
+			})
+		})
+	}
+}
--- a/sard/policy/metrics.go
+++ b/sard/policy/metrics.go
@@ -20,9 +20,9 @@
 			Namespace: "sardine", Subsystem: "policy", Name: "bytes", Help: "Size of the row of the configuration in force.",
 		}),
 		readSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "sardine", Subsystem: "policy", Name: "read_seconds", Help: "Time of a read that confirms the configuration.",
+			Namespace: "sardine", Subsystem: "policy", Name: "read_seconds", Help: "Time of a read that confirms the configuration; NextChange waits for a change.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
-		}, []string{"result"}),
+		}, []string{"read", "result"}),
 	}
 	if registerer != nil {
 		registerer.MustRegister(m.size, m.readSeconds, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -32,11 +32,11 @@
 	return m
 }
 
-// observeRead records the duration of a read that confirms the configuration, and whether it failed.
-func (m *metrics) observeRead(elapsed time.Duration, err error) {
+// observeRead records the kind and duration of a read, and whether it failed.
+func (m *metrics) observeRead(kind readKind, elapsed time.Duration, err error) {
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
-	m.readSeconds.WithLabelValues(result).Observe(elapsed.Seconds())
+	m.readSeconds.WithLabelValues(kind.String(), result).Observe(elapsed.Seconds())
 }
--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -1,17 +1,14 @@
 package policy
 
 import (
-	"context"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/sardineline/sardineline/sard/clock"
-	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/store"
 )
@@ -33,27 +30,14 @@
 	Logger hclog.Logger
 }
 
-const (
-	// pollInterval is the time between two reads of the row. Reads find changes that the feed missed and confirm that
-	// the configuration is current.
-	pollInterval = time.Second
-	// readTimeout limits the duration of a read.
-	readTimeout = 900 * time.Millisecond
-	// feedWait is how long a feed call waits for a change.
-	feedWait = 10 * time.Second
-	// feedGrace is added to feedWait to give the timeout of a feed call.
-	feedGrace = 2 * time.Second
-	// retryDelay is the wait after a failed call to the store.
-	retryDelay = 200 * time.Millisecond
-)
-
 // Source reads the configuration of a pool from the store and keeps it up to date while Run runs.
 type Source struct {
 	config  Config
 	metrics *metrics
 
-	mu         sync.Mutex
-	current    *Policy
+	mu      sync.Mutex
+	current *Policy
+	// rowVersion is the version of the newest row of the configuration that was read.
 	rowVersion store.Version
 	// evacuationRows tracks the rows that request evacuations; evacuations is nil until they were listed.
 	evacuationRows evacuationRows
@@ -93,88 +77,6 @@
 	return clock.Since(s.confirmed)
 }
 
-// Run follows the configuration until ctx is cancelled.
-func (s *Source) Run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.poll(ctx) })
-	group.Go(func() error { return s.followFeed(ctx) })
-	return group.Wait()
-}
-
-// poll reads the row at regular intervals.
-func (s *Source) poll(ctx context.Context) error {
-	for {
-		pause := pollInterval
-		if _, err := s.readRows(ctx); err != nil {
-			pause = retryDelay
-		}
-		if !clock.Sleep(ctx, pause) {
-			return nil
-		}
-	}
-}
-
-// readRows reads and applies the row of the configuration and those of evacuations. It returns the store version from
-// which the feed can continue.
-func (s *Source) readRows(ctx context.Context) (store.Version, error) {
-	sent := clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	listing, err := s.config.Store.List(ctx, s.rowRange())
-	s.metrics.observeRead(clock.Since(sent), err)
-	if err != nil {
-		s.markUnreachable(sent, err)
-		return 0, err
-	}
-	for _, row := range listing.Rows {
-		if row.Key == s.config.Key {
-			s.apply(row)
-		}
-	}
-	s.applyEvacuations(listing)
-	s.markConfirmed(sent)
-	return listing.Version, nil
-}
-
-// followFeed applies changes as soon as the store's feed delivers them.
-func (s *Source) followFeed(ctx context.Context) error {
-	after := store.Version(0)
-	for ctx.Err() == nil {
-		next, err := s.readFeed(ctx, after)
-		if err == nil {
-			after = next
-			continue
-		}
-		if fault.Is(err, fault.NotFound) {
-			// If this read fails too, the next feed call reports again that its history was removed.
-			after, _ = s.readRows(ctx)
-		}
-		if !clock.Sleep(ctx, retryDelay) {
-			break
-		}
-	}
-	return nil
-}
-
-// readFeed waits for changes after the given version and applies them. It returns the version from which to continue.
-func (s *Source) readFeed(ctx context.Context, after store.Version) (store.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
-	defer cancel()
-	changes, err := s.config.Store.Feed(ctx, s.config.Key.Table, after, feedWait)
-	if err != nil {
-		return after, err
-	}
-	for _, row := range changes.Rows {
-		if row.Key == s.config.Key && !row.Deleted {
-			s.apply(row)
-		}
-		if dc, ok := s.evacuatedBy(row); ok {
-			s.applyEvacuation(dc, row)
-		}
-	}
-	return changes.Version, nil
-}
-
 // rowRange returns the range that holds the row of the configuration and those of evacuations.
 func (s *Source) rowRange() store.Range {
 	if s.config.EvacuationPrefix == "" {
@@ -229,28 +131,31 @@
 }
 
 // apply makes the configuration in a row the current one, unless it is older than the current one or can't be decoded.
-func (s *Source) apply(row store.Row) {
+// It reports whether the row is newer than the one applied last.
+func (s *Source) apply(row store.Row) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if row.Version <= s.rowVersion {
-		return
+		return false
 	}
+	s.rowVersion = row.Version
 	decoding := clock.Now()
 	p, err := s.config.Decode(row.Value)
 	if err != nil {
 		s.config.Logger.Error("can't decode the configuration, keeping the current one", "row_version", row.Version, "error", err)
-		return
+		return true
 	}
 	if s.current != nil && p.Version < s.current.Version {
 		s.config.Logger.Error("ignored a configuration older than the one in force", "version", p.Version, "in_force", s.current.Version)
-		return
+		return true
 	}
 	p.BuildIndex()
-	s.current, s.rowVersion = p, row.Version
+	s.current = p
 	s.metrics.size.Set(float64(len(row.Value)))
 	s.config.Logger.Info("configuration in force", "version", p.Version, "row_version", row.Version,
 		"queues", len(p.Queues), "accounts", len(p.Accounts), "bytes", len(row.Value),
 		"decode_ms", clock.Since(decoding).Milliseconds())
+	return true
 }
 
 // markConfirmed records that the configuration was the newest at the given time and that the store is reachable.
--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -21,6 +21,9 @@
 // rowKey is the key of the configuration row.
 var rowKey = store.Key{Table: "op", Name: "config"}
 
+// missedChangeDelay is the time after which a change that the feed missed must be in force.
+const missedChangeDelay = 1900 * time.Millisecond
+
 // harness runs a Source on an in-memory store. The value of the row is its version number as text.
 type harness struct {
 	t      *testing.T
@@ -93,7 +96,7 @@
 		time.Sleep(time.Second)
 		h.feedDown.Store(true)
 		h.put("2")
-		time.Sleep(pollInterval + readTimeout)
+		time.Sleep(missedChangeDelay)
 		assert.Equal(t, h.version(), ident.Version(2))
 	})
 }
@@ -128,13 +131,13 @@
 		assert.Assert(t, NewSource(Config{}).Staleness() > time.Hour, "nothing is confirmed before Run")
 		h.put("1")
 		time.Sleep(3 * time.Second)
-		assert.Assert(t, h.source.Staleness() <= pollInterval)
+		assert.Assert(t, h.source.Staleness() <= listPeriod)
 		h.storeDown.Store(true)
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, h.source.Staleness() >= 5*time.Second)
 		h.storeDown.Store(false)
 		time.Sleep(time.Second)
-		assert.Assert(t, h.source.Staleness() <= pollInterval)
+		assert.Assert(t, h.source.Staleness() <= listPeriod)
 	})
 }
 
--- a/sard/store/memory.go
+++ b/sard/store/memory.go
@@ -134,7 +134,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return changes, nil
+			return changes, m.injectedError("feed", false)
 		}
 	}
 }
