Read tables at a takeover for as long as they keep arriving

A table that takes longer over the holder's link was never read: a new holder kept the lease and scheduled nothing, and one whose history was removed kept relisting with a full link.

Change: no time limit of the whole listing or feed call.

Measured: TestTakeoverReadsTablesOverSlowLink (listings of 0.8 s for each of four partitions) failed before: 'job j1 is Queued, want Succeeded, after 20s'; it passes 20 of 20 times with the race detector.

--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -47,8 +47,8 @@
 	disturbed atomic.Bool
 	// wrapClient, if not nil, returns the client to use in place of c.
 	wrapClient func(c sched.WorkerClient) sched.WorkerClient
-	// slowStore is how long the instances' transactions take.
-	slowStore time.Duration
+	// slowStore is how long the instances' transactions take, and slowLists how long their listings take.
+	slowStore, slowLists time.Duration
 	// wrapLease, if not nil, returns the lease to use in place of l.
 	wrapLease func(l sched.Lease) sched.Lease
 	// failingJobs holds the jobs whose attempts all fail.
@@ -147,7 +147,7 @@
 	ctx, stop := context.WithCancel(r.ctx)
 	r.stopInstances = append(r.stopInstances, stop)
 	var killed atomic.Bool
-	rows := &killableStore{Store: &slowStore{Store: r.store, delay: r.slowStore}, killed: &killed}
+	rows := &killableStore{Store: &slowStore{Store: r.store, delay: r.slowStore, listDelay: r.slowLists}, killed: &killed}
 	c := elect.New(elect.Config{Store: rows, Instance: ident.Instance(name), ProcessID: "1", Logger: r.logger.Named(name)})
 	r.group.Go(func() error {
 		return c.Run(ctx, func(ctx context.Context, held *elect.Lease) error {
--- a/sard/sched/starved_test.go
+++ b/sard/sched/starved_test.go
@@ -168,10 +168,10 @@
 	})
 }
 
-// slowStore is a connection to the store whose transactions take a fixed time.
+// slowStore is a connection to the store whose transactions and listings take a fixed time.
 type slowStore struct {
 	store.Store
-	delay time.Duration
+	delay, listDelay time.Duration
 }
 
 // Apply runs a transaction after the delay.
@@ -180,6 +180,25 @@
 	return s.Store.Apply(ctx, tx)
 }
 
+// List returns the rows of a range after the delay. It fails if ctx ends before.
+func (s *slowStore) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	if !clock.Sleep(ctx, s.listDelay) {
+		return store.Listing{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "list", "store")
+	}
+	return s.Store.List(ctx, r)
+}
+
+// TestTakeoverReadsTablesOverSlowLink guards against holders of the scheduler lease that never take over a large pool,
+// because they give up reading a table before all of it has arrived.
+func TestTakeoverReadsTablesOverSlowLink(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		r.slowLists = 800 * time.Millisecond
+		r.submit("j1", time.Second, work.Step{Parts: 2})
+		r.startInstance("i1")
+		r.waitForState("j1", ident.Succeeded, 20*time.Second)
+	})
+}
+
 // TestReclaimOfPartsThatWereNotStarted lets a guaranteed gang claim the workers of a job that was placed right before, and
 // whose starts are not recorded yet, while renewals to those workers wait. No worker knows of those parts, so the gang
 // must not wait for the workers' next reports.
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -12,14 +12,9 @@
 )
 
 const (
-	// listTimeout limits the duration of listing all rows of a table.
-	listTimeout = 2 * time.Second
 	// feedWait is how long a feed call, which reads the changes to a table, waits for a change if there is none.
 	// Changes that feed calls miss are found by listing the table every relistPeriod.
 	feedWait = 2 * time.Second
-	// feedMargin is how much longer the timeout of a feed call, which reads the changes to a table, is than the
-	// time for which the call waits for a change.
-	feedMargin = time.Second
 	// relistPeriod is the time between listings of all rows of a watched table.
 	relistPeriod = 6 * time.Second
 	// workerFeedPause is the pause between feed calls for the worker list, which changes with each heartbeat of a
@@ -112,8 +107,6 @@
 // list lists the rows of ranges, one range after another, and combines them. The version is that of the first listing,
 // so that a feed from there misses no change.
 func (s *Scheduler) list(ctx context.Context, ranges ...store.Range) (store.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	var all store.Listing
 	for i, part := range ranges {
 		listing, err := s.config.Watched.List(ctx, part)
@@ -138,7 +131,7 @@
 				after, listed = listing.Version, clock.Now()
 			}
 		}
-		changes, err := s.readFeed(ctx, table, after)
+		changes, err := s.config.Watched.Feed(ctx, table, after, feedWait)
 		if err != nil {
 			if fault.Is(err, fault.NotFound) {
 				listed = clock.Never
@@ -156,10 +149,3 @@
 	}
 	return nil
 }
-
-// readFeed returns the changes to a table after a version. If there are none, it waits for one up to feedWait.
-func (s *Scheduler) readFeed(ctx context.Context, table string, after store.Version) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
-	defer cancel()
-	return s.config.Watched.Feed(ctx, table, after, feedWait)
-}
--- a/sard/store/store.go
+++ b/sard/store/store.go
@@ -104,6 +104,9 @@
 }
 
 // Store reads and writes rows. Reads are linearizable.
+//
+// List and Feed take as long as the transfer of their result needs. They fail soon when nothing arrives any more, so that
+// callers need no timeout for that.
 type Store interface {
 	// Apply runs a transaction. If it fails with Conflict, the result holds the current rows.
 	Apply(ctx context.Context, tx Tx) (Result, error)
