Log which worker process confirmed a start, and what a restart leaves behind

'part started' has the start time of the process now, 0 if the answer does not name it, and 'worker started again' the number of attempts that were kept and lost. Tests of sched pass; no decision changes.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -179,7 +179,7 @@
 		}
 		w.recordReply(ev.reply)
 		state.processUnknown = false
-		s.confirmStart(w, state, ev.attempt)
+		s.confirmStart(w, state, ev.attempt, ev.reply.StartedMs)
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
 	default:
@@ -187,14 +187,15 @@
 	}
 }
 
-// confirmStart records that an attempt was started on a worker, unless that is known.
-func (s *Scheduler) confirmStart(w *session, state *attemptState, a work.Attempt) {
+// confirmStart records that an attempt was started on a worker, unless that is known. StartedMs is the start time of the
+// worker process that confirmed it, or 0 if that is unknown.
+func (s *Scheduler) confirmStart(w *session, state *attemptState, a work.Attempt, startedMs int64) {
 	if state.startConfirmed != clock.Never {
 		return
 	}
 	state.startConfirmed = clock.Now()
 	s.config.Logger.Info("part started", "part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(),
-		"sent", state.startsSent)
+		"sent", state.startsSent, "born", startedMs)
 }
 
 // startRefused handles a start request that the worker refused. The attempt ends as refused, unless an earlier request
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -194,7 +194,7 @@
 		}
 		if state := w.attempts[r.Attempt]; state != nil && state.startsSent > 0 {
 			state.processUnknown = state.processUnknown && state.startInFlight
-			s.confirmStart(w, state, r.Attempt)
+			s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
 		}
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -157,7 +157,6 @@
 // except for those that the new process has reported and those with a start request in flight, which may have reached
 // the new process.
 func (s *Scheduler) replaceProcess(w *session, process work.WorkerProcess, reported ...work.Attempt) {
-	s.config.Logger.Info("worker started again", "worker", process.Worker, "born", process.StartedMs, "was", w.entry.StartedMs)
 	kept := map[work.Attempt]*attemptState{}
 	for _, a := range reported {
 		if state := w.attempts[a]; state != nil {
@@ -169,6 +168,8 @@
 			kept[a] = state
 		}
 	}
+	s.config.Logger.Info("worker started again", "worker", process.Worker, "born", process.StartedMs, "was", w.entry.StartedMs,
+		"kept_attempts", len(kept), "lost_attempts", len(w.attempts)-len(kept))
 	s.commands.discard(w)
 	entry := w.entry
 	entry.WorkerProcess = process
