--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -106,8 +106,9 @@
 	return slices.Contains(w.Entry.Labels, label)
 }
 
+// reply returns what all responses have in common. Only reports name the process.
 func (w *Worker) reply() sched.Reply {
-	return sched.Reply{Clock: w.Clock(), StartedMs: w.Entry.StartedMs}
+	return sched.Reply{Clock: w.Clock()}
 }
 
 func (w *Worker) refusal(cause sched.Cause) error {
@@ -287,6 +288,7 @@
 // newReport returns the running attempts and the ends that are not acknowledged yet.
 func (w *Worker) newReport() sched.WorkerReport {
 	report := sched.WorkerReport{Reply: w.reply()}
+	report.StartedMs = w.Entry.StartedMs
 	report.Ended = append(report.Ended, w.unackedEnds...)
 	for _, r := range w.runs {
 		report.Running = append(report.Running, sched.RunningAttempt{Attempt: r.attempt, Percent: r.percent(), Checkpoint: r.checkpoint()})
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -149,6 +149,41 @@
 	})
 }
 
+// TestStartOnLaterProcessRunsOnce guards against parts that run twice because their start reached a later process of the
+// worker, which the list named only after the worker had confirmed the start.
+func TestStartOnLaterProcessRunsOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// lostReplies is the number of responses to starts that are lost.
+		lostReplies int
+		// listed is when the list names the later process, after the job is submitted.
+		listed time.Duration
+	}{
+		{"after the start was confirmed", 0, 100 * time.Millisecond},
+		{"while a start is in flight", 1, 100 * time.Millisecond},
+		{"after a start without response was repeated", 1, 700 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				restarted := r.fleet.Worker("wa")
+				r.updateFleet(func() {
+					restarted.Crash()
+					restarted.LostStartReplies = test.lostReplies
+				})
+				r.submit("j1", 5*time.Second, work.Step{Parts: 1})
+				r.sleep(test.listed)
+				r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+				r.listWorker(restarted)
+				r.waitForState("j1", ident.Succeeded, 15*time.Second)
+				assert.Equal(t, r.fleet.StartCount(), 1)
+			})
+		})
+	}
+}
+
 // TestUnreachableWorkerWithUnknownProcess starts a part on a worker that has restarted. Its responses are lost, and then
 // it is cut off. The scheduler knows neither the clock nor the lease of the new process, so it must wait for the longest
 // lease that a worker grants before it starts the part elsewhere.
