Keep attempts whose start may have reached a later process until that process reports

Cause: a start reaches whatever process listens at the worker's address, and its answer does not name the process; by the protocol's changed term only the list entry and the reports do. The scheduler took any answer as one of the process that it knew. When the list then named a later process, the attempt was counted as lost with the former one and started elsewhere, while the later one ran it. The class of fault: an answer is attributed to a peer's identity that the answer does not prove.

Change: a start stays open until a report lists or lacks it, unless the answer names the process. When the process is replaced, attempts with an open start are kept, also those of an earlier lease holder, and the first report of the new process decides. Queued stops of kept attempts survive the replacement; starts are queued again by that report, since a start without the process's clock has no deadline.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -34,9 +34,11 @@
 	startsSent int
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
-	// processUnknown indicates that a start request may have reached a later process of the worker, because no response has
-	// shown since which process it reached.
+	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
+	// report shows which process it reached, unless the response to the request names it.
 	processUnknown bool
+	// processReplaced indicates that the worker's process was replaced since the start, and that the attempt was kept.
+	processReplaced bool
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
@@ -55,11 +57,12 @@
 }
 
 // adoptPlacements creates the state of attempts that an earlier holder of the scheduler lease has placed, for sessions
-// with workers that have not responded under this epoch yet.
+// with workers that have not responded under this epoch yet. Their start requests may have reached later processes than the
+// recorded ones.
 func (s *Scheduler) adoptPlacements() {
 	s.engine.ForEachAttempt(func(a work.Attempt, process work.WorkerProcess) {
 		if w := s.session(process); w != nil && !w.fenced {
-			w.ensureAttempt(a)
+			w.ensureAttempt(a).processUnknown = true
 		}
 	})
 }
@@ -94,7 +97,8 @@
 		return
 	}
 	state.startQueued = false
-	if state.startConfirmed != clock.Never {
+	if state.startConfirmed != clock.Never || w.clock == 0 {
+		// Without the worker's clock, the request could carry no deadline. The first report queues the start again.
 		return
 	}
 	if s.evacuated(w) {
@@ -178,7 +182,7 @@
 			s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs}, ev.attempt)
 		}
 		w.recordReply(ev.reply)
-		state.processUnknown = false
+		state.processUnknown = ev.reply.StartedMs == 0
 		s.confirmStart(w, state, ev.attempt, ev.reply.StartedMs)
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
@@ -350,7 +354,8 @@
 
 // resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal sent at
 // sentAt. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
-// report, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
+// report, an attempt that an earlier holder of the scheduler lease placed has ended as lost if the process was replaced.
+// Otherwise, it is started if it is meant to run, as is one whose start may not have reached the process.
 func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, sentAt clock.Instant, first bool) {
 	switch {
 	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(sentAt):
@@ -360,7 +365,10 @@
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
-	case first && state.startsSent == 0 && !state.unrecorded:
+	case first && state.startsSent == 0 && state.processReplaced:
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+	case first && !state.startInFlight && !state.unrecorded:
 		if start, pending := s.engine.PendingStart(a); pending {
 			s.queueStart(w, state, start)
 		}
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
@@ -131,10 +132,14 @@
 	}
 }
 
-// discard removes all queued commands of a worker, whose process was replaced.
-func (q *commandQueue) discard(w *session) {
+// discard removes the queued commands of a worker whose process was replaced, except the stops of attempts for which keep
+// returns true. Starts are queued again when the new process has reported that it does not run the attempt.
+func (q *commandQueue) discard(w *session, keep func(work.Attempt) bool) {
 	for class := range classCount {
-		w.commands[class] = nil
+		w.commands[class] = slices.DeleteFunc(w.commands[class], func(c command) bool {
+			stop, ok := c.(stopCommand)
+			return !ok || !keep(stop.attempt)
+		})
 	}
 	if w.flight != nil {
 		q.release(w.flight)
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -22,6 +22,9 @@
 	147, // the record named the former process, so the next lease holder considered the part lost
 	197, // the attempt had already ended on the later process when that was first contacted
 	241, // a lease renewal meant for the former process made the later one discard an end
+	577, // a start was confirmed by a later process that the list named afterwards
+	595, // an attempt of an earlier lease holder ran on a later process that the list named before the worker responded
+	760, // a start was repeated to a later process without a deadline, so that its end counted after its lease had expired
 }
 
 // TestRandomFaults runs several minutes of random jobs, cancellations and faults, alone and combined. It checks that
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -184,6 +184,29 @@
 	}
 }
 
+// TestTakeoverKeepsPartOfLaterProcess guards against parts that run twice because the next lease holder takes them for
+// lost with the recorded process of a worker, when the list names a later one before the worker has responded.
+func TestTakeoverKeepsPartOfLaterProcess(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.startInstance("i2")
+		restarted := r.fleet.Worker("wa")
+		r.updateFleet(restarted.Crash)
+		r.submit("j1", 12*time.Second, work.Step{Parts: 1})
+		r.sleep(100 * time.Millisecond)
+		kill()
+		r.updateFleet(func() { restarted.Unreachable = true })
+		r.sleep(4200 * time.Millisecond)
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.listWorker(restarted)
+		r.sleep(200 * time.Millisecond)
+		r.updateFleet(func() { restarted.Unreachable = false })
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 1)
+	})
+}
+
 // TestUnreachableWorkerWithUnknownProcess starts a part on a worker that has restarted. Its responses are lost, and then
 // it is cut off. The scheduler knows neither the clock nor the lease of the new process, so it must wait for the longest
 // lease that a worker grants before it starts the part elsewhere.
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
@@ -154,28 +155,24 @@
 }
 
 // replaceProcess resets the session for another process of the same worker. Attempts on the former process are lost,
-// except for those that the new process has reported and those with a start request in flight, which may have reached
-// the new process.
+// except for those that the new process has reported and those whose start request may have reached it. The next report
+// tells of the latter.
 func (s *Scheduler) replaceProcess(w *session, process work.WorkerProcess, reported ...work.Attempt) {
 	kept := map[work.Attempt]*attemptState{}
-	for _, a := range reported {
-		if state := w.attempts[a]; state != nil {
-			kept[a] = state
-		}
-	}
 	for a, state := range w.attempts {
-		if state.startInFlight {
+		if state.startInFlight || state.processUnknown || slices.Contains(reported, a) {
+			state.startQueued, state.processReplaced = false, true
 			kept[a] = state
 		}
 	}
 	s.config.Logger.Info("worker started again", "worker", process.Worker, "born", process.StartedMs, "was", w.entry.StartedMs,
 		"kept_attempts", len(kept), "lost_attempts", len(w.attempts)-len(kept))
-	s.commands.discard(w)
+	s.commands.discard(w, func(a work.Attempt) bool { return kept[a] != nil })
 	entry := w.entry
 	entry.WorkerProcess = process
-	client, listed := w.client, w.listed
+	client, listed, commands := w.client, w.listed, w.commands
 	*w = *s.newSession(entry)
-	w.client, w.listed, w.attempts = client, listed, kept
+	w.client, w.listed, w.attempts, w.commands = client, listed, kept, commands
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
 }
 
