--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -207,6 +207,30 @@
 	})
 }
 
+// TestAcknowledgementSparesEndsOfLaterProcess guards against parts that run again after they were done, because the
+// acknowledgement of an end of a worker's former process made the later one discard an end that no report had listed.
+func TestAcknowledgementSparesEndsOfLaterProcess(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(500 * time.Millisecond)
+		r.storeDown.Store(true)
+		r.sleep(700 * time.Millisecond)
+		restarted := r.fleet.Worker("wa")
+		r.updateFleet(func() {
+			restarted.Crash()
+			restarted.DropReplies = true
+		})
+		r.storeDown.Store(false)
+		r.submit("j2", 50*time.Millisecond, work.Step{Parts: 1})
+		r.sleep(1500 * time.Millisecond)
+		r.updateFleet(func() { restarted.DropReplies = false })
+		r.waitForState("j2", ident.Succeeded, 20*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+	})
+}
+
 // TestUnreachableWorkerWithUnknownProcess starts a part on a worker that has restarted. Its responses are lost, and then
 // it is cut off. The scheduler knows neither the clock nor the lease of the new process, so it must wait for the longest
 // lease that a worker grants before it starts the part elsewhere.
