Acknowledge ends only to a process that has just reported

Cause: acknowledgements of ends were repeated until one was answered, and were sent however old the last report was.

Change: a renewal acknowledges ends only if the last one was answered and the last report is at most 0.5 s old, which is less than a worker needs to start again and to end an attempt. Otherwise it only asks for a report, whose answer names the process; the acknowledgement follows at once.

--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -24,6 +24,7 @@
 	241, // a lease renewal meant for the former process made the later one discard an end
 	577, // a start was confirmed by a later process that the list named afterwards
 	595, // an attempt of an earlier lease holder ran on a later process that the list named before the worker responded
+	623, // a repeated acknowledgement made a later process discard an end that no report had listed
 	760, // a start was repeated to a later process without a deadline, so that its end counted after its lease had expired
 }
 
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -25,6 +25,9 @@
 	// unconfirmedPause is the pause between lease renewals of a worker while the consequences of reported ends of
 	// attempts are not recorded in the store yet.
 	unconfirmedPause = 500 * time.Millisecond
+	// maxReportAge is the age of a worker's last report up to which ends are acknowledged. It is shorter than a worker takes
+	// to start again and to end an attempt.
+	maxReportAge = 500 * time.Millisecond
 	// renewalScanPeriod is the time between checks whether the renewal of any worker's lease is due.
 	renewalScanPeriod = 20 * time.Millisecond
 	// unexpectedPause is the pause between lease renewals of a worker while it runs attempts that the engine does
@@ -83,7 +86,7 @@
 // contacted yet, unless the last renewal got no response.
 func (s *Scheduler) sendRenewal(ctx context.Context, w *session, busy bool) {
 	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: s.lease.Epoch()}
-	if w.confirmedEnd > w.ackedEnd {
+	if w.confirmedEnd > w.ackedEnd && w.mayAcknowledge() {
 		req.AckedEnd = w.confirmedEnd
 	}
 	if (busy || !w.fenced) && !w.unanswered {
@@ -105,6 +108,12 @@
 	})
 }
 
+// mayAcknowledge reports whether the worker process that sent the last report certainly still runs. A later process would
+// discard its own ends on an acknowledgement, before any report has listed them.
+func (w *session) mayAcknowledge() bool {
+	return !w.unanswered && clock.Since(w.lastReport) <= maxReportAge
+}
+
 // handleRenewal processes the result of a lease renewal, which normally is a report of the worker's attempts.
 func (s *Scheduler) handleRenewal(ev renewalResult) {
 	w := s.sessions[ev.process.Worker]
@@ -123,6 +132,7 @@
 	first := !w.fenced
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
+	w.lastReport = clock.Now()
 	s.handleEnded(w, ev.report)
 	s.handleRunning(w, ev.report)
 	s.handleMissing(w, ev, first)
