Confirm recorded ends of the worker process that listed them only

Cause: a written record confirmed ends by the name of the worker. If its process had been replaced while the record was written, and the later one had listed as many ends, these counted as recorded and were acknowledged; a holder that was lost then left parts that are done to be started again.

Change: the ends of a batch are kept by worker process.

Measured: TestRecordConfirmsEndsOfItsProcessOnly fails before for a later process (1 != 0) and passes; tests of sched pass with the race detector.

--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -51,7 +51,7 @@
 	tx       store.Tx
 	changes  []pool.Change
 	starts   []pool.Start
-	seenEnds map[ident.Worker]EndSequence
+	seenEnds map[work.WorkerProcess]EndSequence
 }
 
 // loadJournal reads the version of the row at journalKey, which an earlier holder of the scheduler lease may have
@@ -222,16 +222,16 @@
 	})
 }
 
-// unconfirmedEnds returns, for each worker with ends of attempts whose consequences are not recorded yet, the last
+// unconfirmedEnds returns, for each worker process with ends of attempts whose consequences are not recorded yet, the last
 // processed end.
-func (s *Scheduler) unconfirmedEnds() map[ident.Worker]EndSequence {
+func (s *Scheduler) unconfirmedEnds() map[work.WorkerProcess]EndSequence {
 	if len(s.unconfirmed) == 0 {
 		return nil
 	}
-	ends := map[ident.Worker]EndSequence{}
+	ends := map[work.WorkerProcess]EndSequence{}
 	for id, w := range s.unconfirmed {
 		if w.seenEnd > w.confirmedEnd {
-			ends[id] = w.seenEnd
+			ends[w.entry.WorkerProcess] = w.seenEnd
 			continue
 		}
 		delete(s.unconfirmed, id)
@@ -241,9 +241,9 @@
 
 // confirmEnds marks ends of attempts whose consequences are recorded in the store, so that the workers can discard
 // them.
-func (s *Scheduler) confirmEnds(ends map[ident.Worker]EndSequence) {
-	for id, sequence := range ends {
-		if w := s.sessions[id]; w != nil && w.seenEnd >= sequence {
+func (s *Scheduler) confirmEnds(ends map[work.WorkerProcess]EndSequence) {
+	for process, sequence := range ends {
+		if w := s.session(process); w != nil {
 			w.confirmedEnd = max(w.confirmedEnd, sequence)
 			s.renewSoon(w)
 		}
