Retry cheaply after a failed call of the configuration's feed

Several silent connections were tried one after another, each until its time limit.

Change: a failed wait is followed by a read of the pending changes, and only then by one of all rows.

--- a/sard/policy/follow.go
+++ b/sard/policy/follow.go
@@ -11,7 +11,7 @@
 
 const (
 	// feedWait is how long a feed call waits for a change. Each response confirms that the configuration is current.
-	feedWait = 700 * time.Millisecond
+	feedWait = 600 * time.Millisecond
 	// retryPeriod is the minimum time from the start of a failed call to the next call.
 	retryPeriod = 200 * time.Millisecond
 	// listPeriod is the minimum time between two reads of all rows while their changes can't be read.
@@ -36,7 +36,7 @@
 		if ctx.Err() == nil && !fault.Is(err, fault.NotFound) {
 			s.markUnreachable(sent, err)
 		}
-		clock.Sleep(ctx, f.failed(sent))
+		clock.Sleep(ctx, f.failed(sent, err))
 	}
 	return nil
 }
@@ -49,8 +49,8 @@
 const (
 	// readAll reads all rows.
 	readAll readKind = iota
-	// readNewChanges reads the changes since the last read.
-	readNewChanges
+	// readPendingChanges reads the changes since the last read that there are already.
+	readPendingChanges
 	// readNextChange reads the changes since the last read, and waits for one if there are none.
 	readNextChange
 )
@@ -84,38 +84,44 @@
 	case readAll:
 		f.listed = sent
 		if first || !result.changed {
-			f.next = readNewChanges
+			f.next = readPendingChanges
 		}
-	case readNewChanges:
+	case readPendingChanges:
 		f.next = readNextChange
 		if result.changed {
 			f.next = readAll
 		}
 	case readNextChange:
 		if result.changed {
-			f.next = readNewChanges
+			f.next = readPendingChanges
 		}
 	}
 }
 
-// failed takes note of a failed read that was sent at a time. It returns the pause before the next read. All rows are read
-// if their changes can't be read, and the other way round.
-func (f *follower) failed(sent clock.Instant) time.Duration {
+// failed takes note of a failed read that was sent at a time, and returns the pause before the next one. A failed wait for
+// a change is followed by a read of the pending ones, which is cheap. All rows are read if that fails too, or if the
+// store has removed the changes.
+func (f *follower) failed(sent clock.Instant, err error) time.Duration {
 	pause := retryPeriod - clock.Since(sent)
 	switch {
-	case f.next != readAll:
+	case f.next == readAll:
+		if f.listed != clock.Never {
+			f.next = readPendingChanges
+		}
+		return pause
+	case f.next == readNextChange && !fault.Is(err, fault.NotFound):
+		f.next = readPendingChanges
+		return pause
+	default:
 		f.next = readAll
 		return max(pause, listPeriod-clock.Since(f.listed))
-	case f.listed != clock.Never:
-		f.next = readNewChanges
 	}
-	return pause
 }
 
 // read makes the next read of a follower and applies its result.
 func (s *Source) read(ctx context.Context, f follower) (readResult, error) {
 	switch f.next {
-	case readNewChanges:
+	case readPendingChanges:
 		return s.readChanges(ctx, f.version, 0)
 	case readNextChange:
 		return s.readChanges(ctx, f.version, feedWait)
@@ -150,7 +156,8 @@
 	}
 	result := readResult{version: changes.Version, confirmed: sent}
 	if len(changes.Rows) == 0 && clock.Since(sent) >= wait {
-		// The store found no change until the end of the wait.
+		// The store found no change until the end of the wait. If it did not wait and the response was late, this is too
+		// late by no more than the wait.
 		result.confirmed = sent.Add(wait)
 	}
 	for _, row := range changes.Rows {
--- a/sard/policy/readkind_string.go
+++ b/sard/policy/readkind_string.go
@@ -9,13 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[readAll-0]
-	_ = x[readNewChanges-1]
+	_ = x[readPendingChanges-1]
 	_ = x[readNextChange-2]
 }
 
-const _readKind_name = "AllNewChangesNextChange"
+const _readKind_name = "AllPendingChangesNextChange"
 
-var _readKind_index = [...]uint8{0, 3, 13, 23}
+var _readKind_index = [...]uint8{0, 3, 17, 27}
 
 func (i readKind) String() string {
 	idx := int(i) - 0
