Take the configuration and its age together, and decode outside the lock

On an instance that was cut off while a key was revoked, and came back, a request could find the former configuration and the confirmation of the next one, and was served with the revoked key beyond revoke_ms. Decoding held the lock between the two, the longer the larger the configuration.

Change: Source.Confirmed returns both under one lock; decoding needs no lock, since one loop applies all rows.

Measured: TestConfirmedDuringReturn checks during the decoding and right before the confirmation that no configuration counts as confirmed.

--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -34,15 +34,15 @@
 type Source struct {
 	config  Config
 	metrics *metrics
+	// rowVersion is the version of the newest row of the configuration that was read. Only Run uses it.
+	rowVersion store.Version
 
 	mu      sync.Mutex
 	current *Policy
-	// rowVersion is the version of the newest row of the configuration that was read.
-	rowVersion store.Version
 	// evacuationRows tracks the rows that request evacuations; evacuations is nil until they were listed.
 	evacuationRows evacuationRows
 	evacuations    *Evacuations
-	// confirmed is when the last successful read of the row was sent.
+	// confirmed is the latest time at which the configuration in force is known to have been the newest.
 	confirmed clock.Instant
 	// reachable is set if the last read succeeded.
 	reachable bool
@@ -70,6 +70,18 @@
 	return s.evacuations
 }
 
+// Confirmed returns the configuration in force if it was confirmed to be the newest within maxAge, and else nil, together
+// with the time since it was confirmed. It never combines a configuration with the confirmation of a later one.
+func (s *Source) Confirmed(maxAge time.Duration) (*Policy, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := clock.Since(s.confirmed)
+	if age > maxAge {
+		return nil, age
+	}
+	return s.current, age
+}
+
 // Staleness returns the time since the configuration in force was last confirmed to be the newest.
 func (s *Source) Staleness() time.Duration {
 	s.mu.Lock()
@@ -131,10 +143,8 @@
 }
 
 // apply makes the configuration in a row the current one, unless it is older than the current one or can't be decoded.
-// It reports whether the row is newer than the one applied last.
+// It reports whether the row is newer than the one applied last. Only Run calls it.
 func (s *Source) apply(row store.Row) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if row.Version <= s.rowVersion {
 		return false
 	}
@@ -145,12 +155,12 @@
 		s.config.Logger.Error("can't decode the configuration, keeping the current one", "row_version", row.Version, "error", err)
 		return true
 	}
-	if s.current != nil && p.Version < s.current.Version {
-		s.config.Logger.Error("ignored a configuration older than the one in force", "version", p.Version, "in_force", s.current.Version)
+	if current := s.Current(); current != nil && p.Version < current.Version {
+		s.config.Logger.Error("ignored a configuration older than the one in force", "version", p.Version, "in_force", current.Version)
 		return true
 	}
 	p.BuildIndex()
-	s.current = p
+	s.setCurrent(p)
 	s.metrics.size.Set(float64(len(row.Value)))
 	s.config.Logger.Info("configuration in force", "version", p.Version, "row_version", row.Version,
 		"queues", len(p.Queues), "accounts", len(p.Accounts), "bytes", len(row.Value),
@@ -158,6 +168,13 @@
 	return true
 }
 
+// setCurrent puts a configuration in force.
+func (s *Source) setCurrent(p *Policy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = p
+}
+
 // markConfirmed records that the configuration was the newest at the given time and that the store is reachable.
 func (s *Source) markConfirmed(at clock.Instant) {
 	s.mu.Lock()
--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strconv"
@@ -141,6 +142,64 @@
 	})
 }
 
+// TestConfirmedDuringReturn guards against requests that are served by a former configuration, with a revoked key, because
+// the confirmation of the next one counts for it. An instance was cut off from the store while the configuration changed.
+// From then on until the change is confirmed, no configuration may count as confirmed, also while the change is decoded.
+func TestConfirmedDuringReturn(t *testing.T) {
+	const maxAge = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		h := &harness{t: t, store: &store.Memory{}}
+		h.store.InjectError = func(op string, _ bool) error {
+			if h.storeDown.Load() && op != "apply" {
+				return fault.New(fault.Unavailable, op, "store", "cut off")
+			}
+			return nil
+		}
+		var returning atomic.Bool
+		check := func() {
+			if confirmed, age := h.source.Confirmed(maxAge); returning.Load() && confirmed != nil {
+				t.Errorf("version %d counts as confirmed %v ago", confirmed.Version, age)
+			}
+		}
+		h.source = NewSource(Config{
+			Store: h.store, Key: rowKey, Logger: hclog.NewInterceptLogger(&hclog.LoggerOptions{Output: writerFunc(check)}),
+			Decode: func(value []byte) (*Policy, error) {
+				check()
+				return decodeVersion(value)
+			},
+		})
+		h.put("1")
+		ctx, stop := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return h.source.Run(ctx) })
+		time.Sleep(time.Second)
+		h.storeDown.Store(true)
+		h.put("2")
+		time.Sleep(maxAge + time.Second)
+		returning.Store(true)
+		h.storeDown.Store(false)
+		time.Sleep(10 * time.Millisecond)
+		returning.Store(false)
+		time.Sleep(2 * time.Second)
+		confirmed, _ := h.source.Confirmed(maxAge)
+		assert.Check(t, confirmed != nil && confirmed.Version == 2)
+		stop()
+		assert.Check(t, group.Wait())
+	})
+}
+
+// writerFunc is an io.Writer that calls a function for each line of the log that tells of a new configuration. The source
+// logs it right before it confirms it.
+type writerFunc func()
+
+// Write calls the function.
+func (f writerFunc) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("configuration in force")) {
+		f()
+	}
+	return len(b), nil
+}
+
 // TestFeedRecoversFromCompactedHistory checks that changes are applied again after the store removed the history that
 // the feed would continue from.
 func TestFeedRecoversFromCompactedHistory(t *testing.T) {
