Start no member of a gang that is done

Measured: TestDoneGangStartsNoMember failed before in both cases, with three starts of two parts, and passes.

--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -208,10 +208,10 @@
 }
 
 // PendingStart returns the start order of an attempt that is meant to run, for a lease holder that does not know
-// whether the order was sent. It returns false for all other attempts.
+// whether the order was sent. It returns false for all other attempts, such as those of a gang that is done.
 func (e *Engine) PendingStart(a work.Attempt) (Start, bool) {
 	p := e.currentPart(a)
-	if p == nil || p.stopping {
+	if p == nil || p.stopping || p.group.phase == done {
 		return Start{}, false
 	}
 	j := p.group.job
