Bound the expiry of a worker's lease by the longest lease

The deadline on the clock of a process that ran for two minutes then seemed two minutes away, and the part of a worker that was lost was not started elsewhere (LOST). No lease lasts longer than hold_max_ms, so that is the bound. Measured: TestClockOfLaterProcess and TestLateResponseOfFormerProcess failed before, 'job j1 is Running, want Succeeded, after 30s', and pass.

--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -1,15 +1,71 @@
 package sched_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/sched"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
+// disturbedClient is a client of a worker whose responses are disturbed. A disturbance applies to the worker wa only.
+type disturbedClient struct {
+	sched.WorkerClient
+	*disturbances
+}
+
+// disturbances are the disturbances of a disturbedClient.
+type disturbances struct {
+	// renewalsFail makes renewals fail before they are sent.
+	renewalsFail atomic.Bool
+	// startDelay is how long starts take to arrive; their responses are lost if it is set. responseDelay is how long the
+	// responses to starts take.
+	startDelay, responseDelay atomic.Int64
+	// lostIndex is the index of the part whose starts are lost, or 0.
+	lostIndex atomic.Int64
+}
+
+// disturb makes the instances use disturbed clients.
+func (r *harness) disturb() *disturbances {
+	r.disturbed.Store(true)
+	d := &disturbances{}
+	r.wrapClient = func(c sched.WorkerClient) sched.WorkerClient { return &disturbedClient{c, d} }
+	return d
+}
+
+// RenewLease sends a lease renewal.
+func (c *disturbedClient) RenewLease(ctx context.Context, o sched.RenewLeaseRequest) (sched.WorkerReport, error) {
+	if o.Worker.Worker == "wa" && c.renewalsFail.Load() {
+		return sched.WorkerReport{}, fault.New(fault.Unavailable, "renew", "wa", "refused")
+	}
+	return c.WorkerClient.RenewLease(ctx, o)
+}
+
+// Start sends a start request.
+func (c *disturbedClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
+	if o.Worker.Worker != "wa" {
+		return c.WorkerClient.Start(ctx, o)
+	}
+	if index := c.lostIndex.Load(); index != 0 && int64(o.Attempt.Part.Index) == index {
+		time.Sleep(600 * time.Millisecond)
+		return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "lost")
+	}
+	if delay := c.startDelay.Load(); delay > 0 {
+		time.Sleep(time.Duration(delay))
+		_, _ = c.WorkerClient.Start(ctx, o)
+		return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "lost")
+	}
+	reply, err := c.WorkerClient.Start(ctx, o)
+	time.Sleep(time.Duration(c.responseDelay.Load()))
+	return reply, err
+}
+
 // TestDoneGangStartsNoMember guards against members of a gang that run again after the gang is done, because the response
 // to their start was lost and their worker has started again.
 func TestDoneGangStartsNoMember(t *testing.T) {
@@ -43,3 +99,49 @@
 		})
 	}
 }
+
+// TestClockOfLaterProcess guards against worker leases that seem to last as long as the former process of the worker ran,
+// because their deadline is on its clock. The later process confirms a start and dies before the list or a report names
+// it.
+func TestClockOfLaterProcess(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Minute)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(wa.Crash)
+		d.renewalsFail.Store(true)
+		r.submit("j1", 2*time.Second, work.Step{Parts: 1})
+		r.sleep(400 * time.Millisecond)
+		r.updateFleet(func() {
+			wa.Crash()
+			wa.Unreachable = true
+		})
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
+
+// TestLateResponseOfFormerProcess is like TestClockOfLaterProcess, but the former process's response to a start arrives after
+// the list has named the later one.
+func TestLateResponseOfFormerProcess(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Minute)
+		wa := r.fleet.Worker("wa")
+		d.responseDelay.Store(int64(400 * time.Millisecond))
+		d.renewalsFail.Store(true)
+		r.submit("j1", 4*time.Second, work.Step{Parts: 1})
+		r.sleep(20 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.listWorker(wa)
+		r.sleep(430 * time.Millisecond)
+		d.responseDelay.Store(0)
+		d.renewalsFail.Store(false)
+		r.sleep(1500 * time.Millisecond)
+		r.updateFleet(func() { wa.Unreachable = true })
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -82,7 +82,8 @@
 		return w.deadline
 	}
 	w.deadline = max(w.deadline, now+WorkerClock(s.config.WorkerLease.Milliseconds()))
-	remaining := time.Duration(w.deadline-now) * time.Millisecond
+	// The deadline may be on the clock of a former process, which ran for longer.
+	remaining := min(time.Duration(w.deadline-now)*time.Millisecond, s.config.MaxWorkerLease)
 	w.leaseExpiry = max(w.leaseExpiry, clock.Now().Add(remaining*100/(100-maxClockSlowPercent)+expiryMargin))
 	return w.deadline
 }
