--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -145,3 +145,25 @@
 		r.waitForState("j1", ident.Succeeded, 30*time.Second)
 	})
 }
+
+// TestStartInFlightDelaysExpiry guards against parts that run twice, because a start that was in flight when the list named
+// a later process reached it afterwards, and the lease of that process was taken to expire too early.
+func TestStartInFlightDelaysExpiry(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Minute)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() {
+			wa.Crash()
+			wa.ClockSlowPercent = 2
+		})
+		d.renewalsFail.Store(true)
+		d.startDelay.Store(int64(580 * time.Millisecond))
+		r.submit("j1", 20*time.Second, work.Step{Parts: 1})
+		r.sleep(20 * time.Millisecond)
+		r.listWorker(wa)
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, time.Minute)
+	})
+}
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -173,9 +173,10 @@
 	s.commands.discard(w, func(a work.Attempt) bool { return kept[a] != nil })
 	entry := w.entry
 	entry.WorkerProcess = process
-	client, listed, commands := w.client, w.listed, w.commands
-	*w = *s.newSession(entry)
-	w.client, w.listed, w.attempts, w.commands = client, listed, kept, commands
+	next := s.newSession(entry)
+	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
+	next.nextProcessExpiry = w.nextProcessExpiry
+	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
 }
 
