Resolve attempts kept for a later process by a stop, found by the worker's name

A stop that was decided before the list named a later process was looked up by the former one and dropped without a line; the part stayed 'stopping' for good (LOST). So did a gang of which one member was lost with the former process while the start of another one was in flight; that fault is older. And a kept attempt was started again on the later process, which may be of another kind (ROUTE).

Change: stops find the session by the worker's name and the attempt. A start is not repeated to a later process: when its first report lacks the attempt, it is stopped, which also makes the worker refuse a start that arrives late, and is then placed anew. A confirmed stop of the former process counts for nothing.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -97,8 +97,7 @@
 		return
 	}
 	state.startQueued = false
-	if state.startConfirmed != clock.Never || w.clock == 0 {
-		// Without the worker's clock, the request could carry no deadline. The first report queues the start again.
+	if state.startConfirmed != clock.Never {
 		return
 	}
 	if s.evacuated(w) {
@@ -248,7 +247,7 @@
 	if state.firstSentAt.Before(w.lastAnswer) {
 		limit = maxStartSendsResponding
 	}
-	if pending && state.startsSent < limit {
+	if pending && state.startsSent < limit && !state.processReplaced {
 		s.queueStart(w, state, start)
 		return
 	}
@@ -257,8 +256,8 @@
 
 // stopAttempt queues the stop request for a stop decision. An attempt whose start request was never sent ends at once.
 func (s *Scheduler) stopAttempt(stop pool.Stop) {
-	w := s.session(stop.Worker)
-	if w == nil {
+	w := s.sessions[stop.Worker.Worker]
+	if w == nil || w.attempts[stop.Attempt] == nil && w.entry.WorkerProcess != stop.Worker {
 		return
 	}
 	state := w.ensureAttempt(stop.Attempt)
@@ -354,8 +353,7 @@
 
 // resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal sent at
 // sentAt. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
-// report, an attempt that an earlier holder of the scheduler lease placed has ended as lost if the process was replaced.
-// Otherwise, it is started if it is meant to run, as is one whose start may not have reached the process.
+// report, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
 func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, sentAt clock.Instant, first bool) {
 	switch {
 	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(sentAt):
@@ -365,12 +363,27 @@
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
-	case first && state.startsSent == 0 && state.processReplaced:
-		delete(w.attempts, a)
-		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
-	case first && !state.startInFlight && !state.unrecorded:
+	case state.startInFlight || state.stopPending || state.unrecorded:
+		// The result of the request or of the write tells more.
+	case state.startConfirmed != clock.Never || state.stopConfirmed != clock.Never:
+		// A later report tells more.
+	case state.processReplaced:
+		s.resolveReplaced(w, a, state)
+	case first && state.startsSent == 0:
 		if start, pending := s.engine.PendingStart(a); pending {
 			s.queueStart(w, state, start)
 		}
 	}
 }
+
+// resolveReplaced ends an attempt that the later process of a worker does not report. If this instance sent its start
+// request, which may still arrive, the attempt is stopped first.
+func (s *Scheduler) resolveReplaced(w *session, a work.Attempt, state *attemptState) {
+	if state.startsSent == 0 {
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+		return
+	}
+	s.engine.StopUnconfirmed(a)
+	s.queueStop(w, a, state)
+}
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -167,3 +167,87 @@
 		r.waitForState("j1", ident.Succeeded, time.Minute)
 	})
 }
+
+// pausedLease is a scheduler lease that is not known to be held while it is paused.
+type pausedLease struct {
+	sched.Lease
+	paused *atomic.Bool
+}
+
+// Check returns an error while the lease is paused.
+func (l *pausedLease) Check() error {
+	if l.paused.Load() {
+		return fault.New(fault.Unavailable, "check", "lease", "paused")
+	}
+	return l.Lease.Check()
+}
+
+// TestStopDecidedForFormerProcess guards against parts that stay stopping for good, because their stop was decided for the
+// former process of a worker and made when the list had named a later one.
+func TestStopDecidedForFormerProcess(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		var paused atomic.Bool
+		r.wrapLease = func(l sched.Lease) sched.Lease { return &pausedLease{l, &paused} }
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() { wa.Unreachable = true })
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(1150 * time.Millisecond)
+		paused.Store(true)
+		r.sleep(150 * time.Millisecond)
+		r.updateFleet(func() {
+			wa.Crash()
+			wa.Unreachable = false
+		})
+		r.listWorker(wa)
+		r.sleep(300 * time.Millisecond)
+		paused.Store(false)
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
+
+// TestGangMembersOnRestartedWorker guards against gangs that stay stopping for good, when one member on a restarted worker
+// is lost and the start of another one is in flight.
+func TestGangMembersOnRestartedWorker(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		d.lostIndex.Store(1)
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		r.submit("j1", time.Second, work.Step{Parts: 2, Gang: true})
+		// The end of a short part makes the worker report.
+		r.submit("j2", 100*time.Millisecond, work.Step{Parts: 1})
+		r.sleep(300 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.listWorker(wa)
+		r.sleep(100 * time.Millisecond)
+		d.lostIndex.Store(0)
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
+
+// TestLaterProcessOfOtherKind guards against starts that are repeated to a later process of a worker, which may lack what
+// the part requires.
+func TestLaterProcessOfOtherKind(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() { wa.Entry.Labels = []string{"k1"} })
+		r.listWorker(wa)
+		r.sleep(300 * time.Millisecond)
+		r.updateFleet(func() { wa.Unreachable = true })
+		r.submit("j1", time.Second, work.Step{Parts: 1, Label: "k1"})
+		r.sleep(700 * time.Millisecond)
+		r.updateFleet(func() {
+			wa.Crash()
+			wa.Entry.Labels, wa.Unreachable = []string{"k2"}, false
+		})
+		r.listWorker(wa)
+		r.sleep(5 * time.Second)
+	})
+}
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -164,7 +164,7 @@
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
 		if state.startInFlight || state.processUnknown || slices.Contains(reported, a) {
-			state.startQueued, state.processReplaced = false, true
+			state.startQueued, state.processReplaced, state.stopConfirmed = false, true, clock.Never
 			kept[a] = state
 		}
 	}
