List the acknowledgement right after a restart as a known fault, with its test

An acknowledgement carries a number and no process, so that it can't be told from one for the process that has just started. The comments no longer claim certainty.

--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -251,3 +251,26 @@
 		r.sleep(5 * time.Second)
 	})
 }
+
+// TestAcknowledgementRightAfterRestart guards against acknowledgements that reach a process which started after the last
+// report, and which discards an end that no report has listed.
+func TestAcknowledgementRightAfterRestart(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		r.slowStore = 250 * time.Millisecond
+		r.startInstance("i1")
+		r.sleep(3 * time.Second)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(1050 * time.Millisecond)
+		r.submit("j2", 30*time.Millisecond, work.Step{Parts: 1})
+		wa := r.fleet.Worker("wa")
+		for ended := false; !ended; {
+			r.sleep(5 * time.Millisecond)
+			r.updateFleet(func() { ended = wa.EndedCount() > 0 })
+		}
+		r.sleep(5 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.waitForState("j2", ident.Succeeded, 20*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+	})
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -25,8 +25,8 @@
 	// unconfirmedPause is the pause between lease renewals of a worker while the consequences of reported ends of
 	// attempts are not recorded in the store yet.
 	unconfirmedPause = 500 * time.Millisecond
-	// maxReportAge is the age of a worker's last report up to which ends are acknowledged. It is shorter than a worker takes
-	// to start again and to end an attempt.
+	// maxReportAge is the age of a worker's last report up to which ends are acknowledged. A worker that starts again faster
+	// and ends an attempt may discard that end.
 	maxReportAge = 500 * time.Millisecond
 	// renewalScanPeriod is the time between checks whether the renewal of any worker's lease is due.
 	renewalScanPeriod = 20 * time.Millisecond
@@ -108,8 +108,8 @@
 	})
 }
 
-// mayAcknowledge reports whether the worker process that sent the last report certainly still runs. A later process would
-// discard its own ends on an acknowledgement, before any report has listed them.
+// mayAcknowledge reports whether the worker process that sent the last report most likely still runs. A later process
+// would discard its own ends on an acknowledgement, before any report has listed them.
 func (w *session) mayAcknowledge() bool {
 	return !w.unanswered && clock.Since(w.lastReport) <= maxReportAge
 }
