--- a/sard/store/breaker_test.go
+++ b/sard/store/breaker_test.go
@@ -51,7 +51,8 @@
 				time.Sleep(outage)
 				assert.Assert(t, calls.Load() < 50, "%d calls", calls.Load())
 				away.Store(false)
-				time.Sleep(2 * time.Second)
+				// All pauses are whole milliseconds. The second to count begins between two polls, so that none falls on its edge.
+				time.Sleep(2*time.Second + 500*time.Microsecond)
 				before := successes.Load()
 				time.Sleep(time.Second)
 				assert.Equal(t, successes.Load()-before, int64(10*pollers))
