--- a/sard/policy/follow.go
+++ b/sard/policy/follow.go
@@ -156,8 +156,8 @@
 	}
 	result := readResult{version: changes.Version, confirmed: sent}
 	if len(changes.Rows) == 0 && clock.Since(sent) >= wait {
-		// The store found no change until the end of the wait. If it did not wait and the response was late, this is too
-		// late by no more than the wait.
+		// The store found no change until the end of the wait. If it answered early and the response arrived late, the time is
+		// too late, but by no more than the wait.
 		result.confirmed = sent.Add(wait)
 	}
 	for _, row := range changes.Rows {
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -133,7 +133,7 @@
 }
 
 // discard removes the queued commands of a worker whose process was replaced, except the stops of attempts for which keep
-// returns true. Starts are queued again when the new process has reported that it does not run the attempt.
+// returns true. Starts are not repeated to another process.
 func (q *commandQueue) discard(w *session, keep func(work.Attempt) bool) {
 	for class := range classCount {
 		w.commands[class] = slices.DeleteFunc(w.commands[class], func(c command) bool {
