--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/sched"
@@ -274,3 +275,27 @@
 		assert.Equal(t, r.fleet.StartCount(), 2)
 	})
 }
+
+// TestReportedPartOfEarlierHolderExpires guards against parts of an earlier lease holder that are started elsewhere too late
+// when their worker is cut off. A report has shown which process runs the part, so its own lease counts, and not the longest
+// one that an unknown process may grant.
+func TestReportedPartOfEarlierHolderExpires(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		wa := r.fleet.Worker("wa")
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.startInstance("i2")
+		r.submit("j1", 30*time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		kill()
+		r.sleep(15 * time.Second)
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.sleep(time.Second)
+		r.updateFleet(func() { wa.Unreachable = true })
+		r.sleep(fakes.MaxLease)
+		restarted := r.fleet.StartCount() == 2
+		r.waitForState("j1", ident.Succeeded, time.Minute)
+		assert.Check(t, restarted, "the part was not started elsewhere within %v", fakes.MaxLease)
+	})
+}
