Take the process of a reported part of an earlier holder as known

Cause: handleRunning cleared processUnknown only for attempts whose start this instance had sent. An adopted attempt kept it, so that the longest lease of an unknown process counted for its worker for good.

Change: a report clears it for each attempt that it lists. This is sound. The process that sent the report runs the attempt, and it is fenced, so that nobody but this instance can extend its lease any more. What an earlier holder granted before is covered by leaseExpiry: newSession sets it to the longest lease after the takeover and after leaseGrace, and extendLease never moves it back. A start that is in flight keeps the mark, as before.

--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -202,9 +202,11 @@
 		if !s.engine.MayRun(r.Attempt, w.id()) {
 			w.unexpected++
 		}
-		if state := w.attempts[r.Attempt]; state != nil && state.startsSent > 0 {
+		if state := w.attempts[r.Attempt]; state != nil {
 			state.processUnknown = state.processUnknown && state.startInFlight
-			s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
+			if state.startsSent > 0 {
+				s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
+			}
 		}
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
