Workers in tests whose capacity shrinks and grows while they run

The issue says that an executor's capacity may shrink and grow while it runs, that what is being stopped still counts, and that a room that has shrunk counts stable_window_ms and one beat later.

Worker.SetCapacity changes the entry and nothing that runs. A start is a violation if the runs then exceed each capacity that the worker has or had within Fleet.ShrinkGrace (3 s + 1.5 s); growth counts at once. TestFleetReportsViolations has five new cases: just shrunk, shrunk for longer, shrunk under a run, shrunk with a stop in progress, grown.

--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -75,6 +75,39 @@
 		{"no violation", func(s *fixture) { s.start(s.worker1, first, 1, nil); s.start(s.worker2, second, 1, nil) }, ""},
 		{"concurrent runs of a part", func(s *fixture) { s.start(s.worker1, first, 1, nil); s.start(s.worker2, first, 2, nil) }, "two concurrent runs"},
 		{"capacity", func(s *fixture) { s.start(s.worker1, first, 1, nil); s.start(s.worker1, second, 1, nil) }, "exceed the capacity"},
+		{"capacity that has shrunk", func(s *fixture) {
+			s.start(s.worker1, first, 1, nil)
+			s.worker1.SetCapacity(work.Resources{Accelerators: 9})
+			s.worker1.SetCapacity(work.Resources{Accelerators: 4})
+			time.Sleep(fakes.DefaultShrinkGrace + time.Millisecond)
+			s.start(s.worker1, second, 1, nil)
+		}, "exceed the capacity"},
+		{"capacity that shrinks under a run", func(s *fixture) {
+			s.start(s.worker1, first, 1, nil)
+			s.worker1.SetCapacity(work.Resources{Accelerators: 4})
+			time.Sleep(fakes.DefaultShrinkGrace + time.Millisecond)
+			s.renewLease(s.worker1, 0)
+		}, ""},
+		{"capacity that has just shrunk", func(s *fixture) {
+			s.worker1.SetCapacity(work.Resources{Accelerators: 4})
+			time.Sleep(fakes.DefaultShrinkGrace)
+			s.start(s.worker1, first, 1, nil)
+		}, ""},
+		{"capacity that has grown", func(s *fixture) {
+			s.worker1.SetCapacity(work.Resources{Accelerators: 10})
+			s.start(s.worker1, first, 1, nil)
+			s.start(s.worker1, second, 1, nil)
+		}, ""},
+		{"stop in progress on a worker that has shrunk", func(s *fixture) {
+			s.worker1.StopDelay = time.Minute
+			s.start(s.worker1, first, 1, nil)
+			s.worker1.SetCapacity(work.Resources{Accelerators: 5})
+			time.Sleep(fakes.DefaultShrinkGrace / 2)
+			s.job.RunTime = time.Minute
+			_, _ = s.worker1.Stop(context.Background(), sched.StopRequest{Worker: s.worker1.Entry.WorkerProcess, Attempt: work.Attempt{Part: first, Number: 1}, Epoch: 1})
+			time.Sleep(fakes.DefaultShrinkGrace)
+			s.start(s.worker1, second, 1, nil)
+		}, "exceed the capacity"},
 		{"unknown job", func(s *fixture) { s.start(s.worker1, work.Part{Job: "other"}, 1, nil) }, "was never submitted"},
 		{"unknown part", func(s *fixture) { s.start(s.worker1, work.Part{Job: "j", Index: 2}, 1, nil) }, "was never submitted"},
 		{"payload", func(s *fixture) { s.start(s.worker1, first, 1, func(o *sched.StartRequest) { o.Payload = "other" }) }, "payload of another"},
