Send no start to a worker that has lost the room for it

A start that had been decided before the scheduler learned that its worker's capacity had shrunk was still sent, and brought the worker over its capacity (LIMIT).

Cause: capacity was looked at when a part was placed, but not when its start was sent. In between lie the write of the record, the queue of requests to the worker, up to four sends of a start without an answer, and a takeover, after which the next holder sends the starts that the worker's first report lacks.

Change: sendStart checks the room that there is now. Every part that may be on the worker counts, also one that is being stopped; parts of which no request can have reached it don't. What doesn't fit ends as refused and is placed again, a gang as a whole. A start without an answer is stopped in place of being repeated: its first request may not have arrived. What runs goes on.

Before, with the tests of this commit: TestStartDecidedBeforeShrink (single parts, a gang, a guaranteed gang), TestStartRepeatedAfterShrink and TestStartOfEarlierHolderAfterShrink fail with "runs on worker wa exceed the capacity". TestPartsRunOnWhenWorkerShrinks and TestGuaranteedGangLeavesShrunkWorker passed before as well.

--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -36,6 +36,25 @@
 	return p != nil && p.node.WorkerProcess.Worker == worker && !p.stopping
 }
 
+// HasCapacity reports whether the worker of an attempt, which may have shrunk, has the capacity for it beside the worker's
+// other attempts. It leaves out those that absent returns true for.
+func (e *Engine) HasCapacity(a work.Attempt, absent func(work.Attempt) bool) bool {
+	p := e.currentPart(a)
+	if p == nil {
+		return false
+	}
+	if p.node.allocated.Fits(p.node.Capacity) {
+		return true
+	}
+	needed := p.group.demand()
+	for other := range p.node.parts {
+		if other != p && !absent(other.attemptID()) {
+			needed = needed.Plus(other.group.demand())
+		}
+	}
+	return needed.Fits(p.node.Capacity)
+}
+
 // AttemptRunning records a worker's report that an attempt is running, with its progress in percent and its latest
 // checkpoint.
 func (e *Engine) AttemptRunning(a work.Attempt, percent int, checkpoint work.Checkpoint, now time.Time) {
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -100,7 +100,7 @@
 	if state.startConfirmed != clock.Never {
 		return
 	}
-	if s.evacuated(w) {
+	if s.evacuated(w) || !s.hasCapacity(w, start.Attempt) {
 		s.cancelStart(w, state, start.Attempt)
 		return
 	}
@@ -128,6 +128,15 @@
 	})
 }
 
+// hasCapacity reports whether a worker has the capacity for an attempt that is about to be started there, which it may have
+// lost since that was decided. Attempts of which no start request can have reached the worker do not count.
+func (s *Scheduler) hasCapacity(w *session, a work.Attempt) bool {
+	return s.engine.HasCapacity(a, func(other work.Attempt) bool {
+		state := w.attempts[other]
+		return state != nil && state.startsSent == 0 && (state.unrecorded || state.startQueued)
+	})
+}
+
 // startUnsent queues a start request again that was not sent.
 func (s *Scheduler) startUnsent(w *session, state *attemptState, a work.Attempt) {
 	state.startsSent--
