Random test in which the capacity of workers shrinks and grows

TestRandomFaultsWhileWorkersShrink draws the same faults as TestRandomFaults, whose seeds stay as they were, and changes the capacity of a random worker in one of three steps. All workers have their full capacity again before the jobs must end.

--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -43,10 +43,33 @@
 	}
 }
 
+// shrinkRegressionSeeds are seeds of TestRandomFaultsWhileWorkersShrink that failed before, as starts were sent to workers
+// that had shrunk since the starts were decided.
+var shrinkRegressionSeeds = []uint64{72, 110, 246, 255, 399, 466}
+
+// TestRandomFaultsWhileWorkersShrink is like TestRandomFaults, and the capacity of workers shrinks and grows.
+func TestRandomFaultsWhileWorkersShrink(t *testing.T) {
+	seeds := shrinkRegressionSeeds
+	for seed := range uint64(40) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runTest(t, 8, func(r *harness) {
+				s := newScenario(r, seed)
+				s.shrinking = rand.New(rand.NewPCG(seed, 8))
+				s.run()
+			})
+		})
+	}
+}
+
 // scenario is a random sequence of events derived from a seed.
 type scenario struct {
 	*harness
-	rng           *rand.Rand
+	rng *rand.Rand
+	// shrinking, if not nil, makes the capacity of random workers shrink and grow.
+	shrinking     *rand.Rand
 	submitted     []ident.Job
 	cancelled     map[ident.Job]bool
 	killInstances []context.CancelFunc
@@ -66,6 +89,7 @@
 	}
 	for range 120 {
 		s.step()
+		s.resizeRandom()
 		s.sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -158,6 +182,14 @@
 	}
 }
 
+// resizeRandom changes the capacity of a random worker at random, if it can be told to the worker list.
+func (s *scenario) resizeRandom() {
+	if s.shrinking == nil || s.shrinking.IntN(3) > 0 || s.storeDown.Load() || s.dropStoreReplies.Load() {
+		return
+	}
+	s.setAccelerators(workerName(s.shrinking.IntN(8)), ident.Accelerators(s.shrinking.IntN(9)))
+}
+
 // relist writes the current entry of a worker to the worker list if the store is available.
 func (s *scenario) relist(name ident.Worker) {
 	if s.storeDown.Load() || s.dropStoreReplies.Load() {
@@ -172,6 +204,9 @@
 	s.dropStoreReplies.Store(false)
 	s.fleet.ForEachWorker((*fakes.Worker).ClearFaults)
 	for i := range 8 {
+		if s.shrinking != nil {
+			s.setAccelerators(workerName(i), 8)
+		}
 		s.relist(workerName(i))
 	}
 }
