Start nothing while the list of workers can't be read

While the store answered no reads but took writes, and right after an outage of the whole store, parts were placed and started on the capacity that workers had before, for as long as that lasted. A worker that had shrunk in the meantime was brought over its capacity (LIMIT), and the check before a start is sent does not help, as it looks at the same list.

Cause: nothing tells how old the list of workers is. After an outage, the lease and the records are written before the list is read again.

Change: the watcher of the list tells the scheduler loop when it was last read, also when there were no changes. Starts stay queued once that was 2.5 s ago; stops and renewals are sent as before. So that a calm pool never waits for this, the call for changes now waits until 2 s after the last reading, in place of 2 s after the pause; after a failure it does not wait.

--- a/sard/sched/capacity_test.go
+++ b/sard/sched/capacity_test.go
@@ -163,3 +163,39 @@
 		assert.Check(t, r.fleet.Started("w1!"))
 	})
 }
+
+// TestNoStartWhileWorkerListIsUnread guards against starts that bring a worker over its capacity, because the entry that
+// shows the lost capacity could not be read while records could be written, or was read after the end of an outage only
+// when the starts had been sent.
+func TestNoStartWhileWorkerListIsUnread(t *testing.T) {
+	tests := []struct {
+		name   string
+		outage func(r *harness, on bool)
+	}{
+		{"reads fail", func(r *harness, on bool) { r.readsFail.Store(on) }},
+		{"all calls fail", func(r *harness, on bool) { r.storeDown.Store(on) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range 10 {
+				runTest(t, 1, func(r *harness) {
+					r.startInstance("i1")
+					r.sleep(time.Second)
+					r.submit("ja", 6*time.Second, work.Step{Parts: 8})
+					r.sleep(500 * time.Millisecond)
+					r.submit("wb", time.Second, work.Step{Parts: 1})
+					r.sleep(500 * time.Millisecond)
+					r.setAccelerators("wa", 4)
+					test.outage(r, true)
+					r.sleep(8*time.Second + time.Duration(seed)*17*time.Millisecond)
+					test.outage(r, false)
+					r.waitForState("ja", ident.Succeeded, 20*time.Second)
+					r.sleep(time.Second)
+					assert.Check(t, !r.fleet.Started("wb"))
+					r.setAccelerators("wa", 8)
+					r.waitForState("wb", ident.Succeeded, 3*time.Second)
+				})
+			}
+		})
+	}
+}
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -146,11 +146,11 @@
 	}
 }
 
-// sendCommands sends queued commands. Starts are sent only while the scheduler lease is held.
+// sendCommands sends queued commands. Starts are sent only while the scheduler lease is held and the worker list is read.
 func (s *Scheduler) sendCommands(ctx context.Context) {
 	s.commands.releaseSlow()
 	last := startClass
-	if s.lease.Check() != nil {
+	if s.lease.Check() != nil || !s.workerListCurrent() {
 		last = stopClass
 	}
 	for s.commands.active < maxFlights {
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -20,6 +20,8 @@
 	rows  []store.Row
 	// snapshot indicates that rows holds all rows of the table.
 	snapshot bool
+	// readAt is a time at which the table had no changes that the scheduler loop was not told of.
+	readAt clock.Instant
 }
 
 // commitResult is the result of a journal write.
@@ -136,6 +138,7 @@
 // handleWorkerRows updates the sessions with workers after rows of the platform's worker list were listed or have
 // changed.
 func (s *Scheduler) handleWorkerRows(ev rowsChanged) {
+	s.workersReadAt = ev.readAt
 	listed := map[string]bool{}
 	for _, row := range ev.rows {
 		if row.Deleted {
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -41,8 +41,8 @@
 	group         errgroup.Group
 	logger        hclog.Logger
 	stopInstances []context.CancelFunc
-	// storeDown makes all calls to the store fail; dropStoreReplies drops the responses to writes.
-	storeDown, dropStoreReplies atomic.Bool
+	// storeDown makes all calls to the store fail and readsFail all reads; dropStoreReplies drops the responses to writes.
+	storeDown, readsFail, dropStoreReplies atomic.Bool
 	// disturbed disables the check of invariants that only hold without disturbances.
 	disturbed atomic.Bool
 	// wrapClient, if not nil, returns the client to use in place of c.
@@ -76,8 +76,8 @@
 	if testing.Verbose() {
 		r.logger = hclog.New(&hclog.LoggerOptions{Output: t.Output()})
 	}
-	r.store.InjectError = func(_ string, done bool) error {
-		if r.storeDown.Load() && !done {
+	r.store.InjectError = func(op string, done bool) error {
+		if (r.storeDown.Load() || r.readsFail.Load() && op != "apply") && !done {
 			return fault.New(fault.Unavailable, "call", "store", "store is down")
 		}
 		if r.dropStoreReplies.Load() && done {
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -114,8 +114,10 @@
 	unconfirmed map[ident.Worker]*session
 	// nextExpiry is when the worker leases are checked for expiry next.
 	nextExpiry clock.Instant
-	journal    journal
-	commands   commandQueue
+	// workersReadAt is when the worker list was last read.
+	workersReadAt clock.Instant
+	journal       journal
+	commands      commandQueue
 	// evacuations is the set of evacuated data centres of which the engine knows.
 	evacuations *policy.Evacuations
 	// stalls measures for how long this process could not run.
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -20,6 +20,9 @@
 	// workerFeedPause is the pause between feed calls for the worker list, which changes with each heartbeat of a
 	// worker.
 	workerFeedPause = 150 * time.Millisecond
+	// maxWorkerListAge is the time since the last reading of the worker list after which no start requests are sent. The
+	// platform counts the capacity that a worker has lost from a few seconds after its entry shows that.
+	maxWorkerListAge = 2500 * time.Millisecond
 	// watchRetryPause is the pause after a failed call to list a table or read its changes.
 	watchRetryPause = 100 * time.Millisecond
 )
@@ -34,12 +37,13 @@
 		return err
 	}
 	for _, table := range []string{s.config.WorkerTable, work.JobTable} {
+		readAt := clock.Now()
 		listing, err := s.listWithRetry(ctx, tableRanges(table)...)
 		if err != nil {
 			return err
 		}
-		s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true})
-		s.group.Go(func() error { return s.watchTable(ctx, table, listing.Version) })
+		s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: readAt})
+		s.group.Go(func() error { return s.watchTable(ctx, table, listing.Version, readAt) })
 	}
 	s.loadedProgress = nil
 	s.adoptPlacements()
@@ -121,17 +125,23 @@
 	return all, nil
 }
 
-// watchTable posts the changes to a table to the scheduler loop until ctx ends.
-func (s *Scheduler) watchTable(ctx context.Context, table string, after store.Version) error {
-	listed := clock.Now()
+// watchTable posts the changes to a table to the scheduler loop until ctx ends. The table was last read at readAt. Of the
+// worker list it also posts that there are no changes.
+func (s *Scheduler) watchTable(ctx context.Context, table string, after store.Version, readAt clock.Instant) error {
+	listed := readAt
 	for ctx.Err() == nil {
 		if clock.Since(listed) > relistPeriod {
+			asked := clock.Now()
 			if listing, err := s.list(ctx, tableRanges(table)...); err == nil {
-				s.post(ctx, rowsChanged{table: table, rows: listing.Rows, snapshot: true})
-				after, listed = listing.Version, clock.Now()
+				s.post(ctx, rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: asked})
+				after, listed, readAt = listing.Version, clock.Now(), asked
 			}
 		}
-		changes, err := s.config.Watched.Feed(ctx, table, after, feedWait)
+		asked, wait := clock.Now(), feedWait
+		if table == s.config.WorkerTable {
+			wait = max(0, feedWait-clock.Since(readAt))
+		}
+		changes, err := s.config.Watched.Feed(ctx, table, after, wait)
 		if err != nil {
 			if fault.Is(err, fault.NotFound) {
 				listed = clock.Never
@@ -139,9 +149,10 @@
 			clock.Sleep(ctx, watchRetryPause)
 			continue
 		}
-		after = changes.Version
-		if len(changes.Rows) > 0 {
-			s.post(ctx, rowsChanged{table: table, rows: changes.Rows})
+		// A response that was read late, since this process did not run, tells of no changes after the wait.
+		after, readAt = changes.Version, min(clock.Now(), asked.Add(wait))
+		if len(changes.Rows) > 0 || table == s.config.WorkerTable {
+			s.post(ctx, rowsChanged{table: table, rows: changes.Rows, readAt: readAt})
 		}
 		if table == s.config.WorkerTable {
 			clock.Sleep(ctx, workerFeedPause)
@@ -149,3 +160,8 @@
 	}
 	return nil
 }
+
+// workerListCurrent reports whether the worker list was read so recently that start requests may be sent.
+func (s *Scheduler) workerListCurrent() bool {
+	return clock.Since(s.workersReadAt) <= maxWorkerListAge
+}
