Place a part again at once if its start did not reach the worker

Callers saw parts that waited for the expiry of a worker's lease (6.8 s, or 10.9 s where leases last 10 s) after a start that a crashed worker had refused to connect to. The scheduler treated it like a start without a response: it repeated it, and then stopped the attempt, whose worker it could not reach.

A request for which no connection was made had no effect (WorkerClient says so). The attempt now ends as refused if no earlier request may have started it, and the worker gets no new parts for two seconds. Requests that timed out are repeated as before, since the worker may only be slow; so are starts of attempts that an earlier lease holder may have sent.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -21,7 +22,7 @@
 	// wait for longer than these requests take.
 	maxStartSendsResponding = 4
 	// unwellSuspension is how long no new parts are placed on a worker that refused a start for lack of health or
-	// capacity.
+	// capacity, or that a start did not reach.
 	unwellSuspension = 2 * time.Second
 )
 
@@ -104,6 +105,8 @@
 		s.cancelStart(w, state, start.Attempt)
 		return
 	}
+	// An earlier holder of the scheduler lease may have sent a request for an attempt whose process is unknown.
+	first := state.startsSent == 0 && !state.processUnknown
 	if state.startsSent == 0 {
 		state.firstSentAt = clock.Now()
 	}
@@ -118,12 +121,13 @@
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
 		defer cancel()
-		result := startResult{attempt: start.Attempt, process: start.Worker, flight: flight, sentAt: sentAt}
+		result := startResult{attempt: start.Attempt, process: start.Worker, flight: flight, sentAt: sentAt, first: first}
 		if s.lease.Check() != nil {
 			result.unsent = true
 			return result
 		}
 		result.reply, result.err = client.Start(ctx, req)
+		result.timedOut = ctx.Err() != nil
 		return result
 	})
 }
@@ -185,6 +189,8 @@
 		s.confirmStart(w, state, ev.attempt, ev.reply.StartedMs)
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
+	case ev.first && ev.undelivered():
+		s.startUndelivered(w, ev)
 	default:
 		s.startUnanswered(w, state, ev)
 	}
@@ -233,6 +239,20 @@
 	s.engine.StopUnconfirmed(a)
 }
 
+// undelivered reports whether the worker accepted no connection for the request, so that the request had no effect.
+func (ev startResult) undelivered() bool {
+	return !ev.timedOut && fault.Is(ev.err, fault.Unavailable)
+}
+
+// startUndelivered handles a start request that did not reach the worker. The attempt ends as refused, since no request may
+// have started it.
+func (s *Scheduler) startUndelivered(w *session, ev startResult) {
+	s.config.Logger.Warn("start not delivered", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(), "error", ev.err)
+	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+	delete(w.attempts, ev.attempt)
+	s.engine.AttemptEnded(ev.attempt, pool.Refused, "", time.Now())
+}
+
 // startUnanswered handles a start request that got no response. It repeats the request, which has no effect if the
 // attempt runs, until the limit is reached; then it stops the attempt, which may run. There is nothing to do if a report
 // of the worker has listed the attempt in the meantime.
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -34,10 +34,14 @@
 	process work.WorkerProcess
 	flight  *flight
 	sentAt  clock.Instant
+	// first indicates that no earlier request may have started the attempt.
+	first bool
 	// unsent indicates that the request was not sent, because the scheduler lease was not known to be held.
 	unsent bool
-	reply  Reply
-	err    error
+	// timedOut indicates that the request was given up.
+	timedOut bool
+	reply    Reply
+	err      error
 }
 
 // stopResult is the result of a stop request.
