Count the attempts of a worker as lost once its host runs a later one

Callers saw parts of a crashed worker that waited for the expiry of its lease, 10.9 s after the crash where leases last 10 s, though another worker had been running on the same host for 7 s.

The platform's entry of a worker names the host, and a host runs one worker process at a time. So when a worker is listed for the first time on the host of a former one, the former has ended. Its attempts are lost as soon as the later worker has responded under this epoch, the former does not respond, and nothing is in flight to it. The lease's expiry decides as before if the host is unknown, if the start times do not tell which worker is the later one, or if the later one has not responded, since the list may be stale. A refusal by another worker at the same address isn't taken as proof: an address may be given to another host while the former worker is only cut off.

TestLaterWorkerOnHost/same_host fails before ("false != true": the part has not started elsewhere); its other cases fail if the order of the start times or the response of the later worker isn't asked for.

--- a/sard/ident/ident.go
+++ b/sard/ident/ident.go
@@ -25,6 +25,9 @@
 // Worker is the name of a machine that runs tasks on accelerators.
 type Worker string
 
+// Host is the name of the computer that a worker runs on.
+type Host string
+
 // Instance is the name of one running sardined process. A restarted process has a new name.
 type Instance string
 
--- a/sard/sched/departed_test.go
+++ b/sard/sched/departed_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/sched"
@@ -92,3 +95,53 @@
 		})
 	}
 }
+
+// TestLaterWorkerOnHost guards against parts of a crashed worker that wait until its lease has expired, though a later
+// worker runs on its host. The parts must wait while it isn't certain that the former worker has ended.
+func TestLaterWorkerOnHost(t *testing.T) {
+	tests := []struct {
+		name string
+		// formerHost and laterHost are the hosts of the workers; age is by how much the later one seems to be older.
+		formerHost, laterHost ident.Host
+		age                   time.Duration
+		// silent indicates that the later worker does not respond, and cut that the former one runs on without contact.
+		silent, cut bool
+		// early indicates that the parts start elsewhere before the lease has expired.
+		early bool
+	}{
+		{name: "same host", formerHost: "h1", laterHost: "h1", early: true},
+		{name: "other host", formerHost: "h1", laterHost: "h2", cut: true},
+		{name: "host unknown", cut: true},
+		{name: "order unknown", formerHost: "h1", laterHost: "h1", age: time.Minute, cut: true},
+		{name: "later worker silent", formerHost: "h1", laterHost: "h1", silent: true, cut: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				c := r.crashClients()
+				wa := r.fleet.Worker("wa")
+				r.updateFleet(func() { wa.Entry.Host = test.formerHost })
+				r.listWorker(wa)
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("j1", 2*time.Second, work.Step{Parts: 1})
+				r.sleep(300 * time.Millisecond)
+				c.down.Store(true)
+				if !test.cut {
+					r.updateFleet(wa.Crash)
+				}
+				// An open renewal does not notice that the worker is down.
+				r.sleep(1500 * time.Millisecond)
+				later := newListedWorker("wb", "r0")
+				later.Host, later.StartedMs = test.laterHost, later.StartedMs-test.age.Milliseconds()
+				wb := r.fleet.AddWorker(later)
+				r.updateFleet(func() { wb.Unreachable = test.silent })
+				r.listWorker(wb)
+				r.listWorker(r.fleet.AddWorker(newListedWorker("wc", "r0")))
+				r.sleep(time.Second)
+				assert.Equal(t, r.fleet.StartCount() == 2, test.early)
+				r.waitForState("j1", ident.Succeeded, fakes.MaxLease+4*time.Second)
+			})
+		})
+	}
+}
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -9,9 +9,9 @@
 // expiryPeriod is the time between checks of the worker leases for expiry.
 const expiryPeriod = 50 * time.Millisecond
 
-// expireLeases treats the attempts on workers whose leases have certainly expired as lost, so that their parts can be
-// started elsewhere. While a renewal is in flight it waits for its result, since the response may already have arrived
-// and list the ends of attempts. It places no new parts on workers that do not respond.
+// expireLeases treats the attempts on workers that have certainly ended, or whose leases have certainly expired, as lost,
+// so that their parts can be started elsewhere. While a renewal is in flight it waits for its result, since the response
+// may already have arrived and list the ends of attempts. It places no new parts on workers that do not respond.
 func (s *Scheduler) expireLeases() {
 	now := clock.Now()
 	if now.Before(s.nextExpiry) {
@@ -22,12 +22,17 @@
 		if w.silent() {
 			s.engine.DropWorker(w.id())
 		}
-		if w.lost || w.renewing || now.Before(w.leaseExpiry) || (!w.unanswered && w.fenced) || !s.engine.ProcessBusy(w.entry.WorkerProcess) || now.Before(w.certainExpiry()) {
+		ended := w.ended()
+		if w.lost || !ended && !w.expired(now) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
 			continue
 		}
 		w.lost = true
 		s.config.Metrics.workersLost.Inc()
-		s.config.Logger.Warn("worker lost, its lease has expired", "worker", w.id(), "answered_ago_ms", now.Sub(w.lastAnswer).Milliseconds())
+		message := "worker lost, its lease has expired"
+		if ended {
+			message = "worker lost, its host runs a later worker"
+		}
+		s.config.Logger.Warn(message, "worker", w.id(), "answered_ago_ms", now.Sub(w.lastAnswer).Milliseconds())
 		s.engine.ProcessLost(w.entry.WorkerProcess, time.Now())
 	}
 	if now.Before(s.inheritedLeaseExpiry()) {
@@ -42,3 +47,8 @@
 		s.engine.ProcessLost(process, time.Now())
 	}
 }
+
+// expired reports whether the worker does not respond and its lease has certainly expired.
+func (w *session) expired(now clock.Instant) bool {
+	return (w.unanswered || !w.fenced) && !w.renewing && !now.Before(w.leaseExpiry) && !now.Before(w.certainExpiry())
+}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -106,6 +106,8 @@
 	lease    Lease
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
+	// latestOnHost holds the session with the latest worker of each host.
+	latestOnHost map[ident.Host]*session
 	// renewalDue holds sessions whose renewal has become due since the last check, and nextRenewalScan is when the
 	// renewals of all sessions are checked next.
 	renewalDue      []*session
@@ -148,6 +150,7 @@
 		config:          config,
 		lease:           lease,
 		sessions:        map[ident.Worker]*session{},
+		latestOnHost:    map[ident.Host]*session{},
 		unconfirmed:     map[ident.Worker]*session{},
 		loadedProgress:  map[ident.Job]*work.Progress{},
 		latestStartedMs: map[ident.Worker]int64{},
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -19,6 +19,8 @@
 	client WorkerClient
 	// listed indicates that the platform's list contains the worker.
 	listed bool
+	// successor is the session with a later worker on the same host, or nil.
+	successor *session
 	// fenced indicates that the worker has responded under this epoch, so it refuses requests of earlier epochs.
 	fenced bool
 	// clock is the last time reported by the worker's clock. It was received at clockReadAt, so it was read before.
@@ -121,6 +123,7 @@
 	if w == nil {
 		w = s.newSession(entry)
 		s.sessions[id] = w
+		s.recordHost(w)
 		defer s.adoptPlacements()
 		s.config.Logger.Debug("worker listed", "worker", id, "address", entry.Address, "rack", entry.Rack)
 	}
