Use no worker whose entry can't be read

An entry that can't be read names no worker to use. The scheduler skipped such a row when it came as a change, so that the worker went on getting parts on its former capacity until the next listing of the whole table, up to 6 s later, which did drop it. Now both drop it; what runs there goes on.

Before: TestUnreadableEntryNamesNoWorker fails with "r.fleet.Started(j1) is true". After: passes.

--- a/sard/sched/capacity_test.go
+++ b/sard/sched/capacity_test.go
@@ -12,6 +12,7 @@
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/sched"
+	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -199,3 +200,21 @@
 		})
 	}
 }
+
+// TestUnreadableEntryNamesNoWorker guards against starts on the capacity that a worker had before its entry became
+// unreadable. It gets parts again as soon as the entry can be read.
+func TestUnreadableEntryNamesNoWorker(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		_, err := r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(wa), Value: []byte(`{"Capacity":7}`)}}})
+		assert.NilError(t, err)
+		r.sleep(listedGrace)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		assert.Check(t, !r.fleet.Started("j1"))
+		r.listWorker(wa)
+		r.waitForState("j1", ident.Succeeded, 3*time.Second)
+	})
+}
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -136,7 +136,7 @@
 }
 
 // handleWorkerRows updates the sessions with workers after rows of the platform's worker list were listed or have
-// changed.
+// changed. A row that can't be read lists no worker.
 func (s *Scheduler) handleWorkerRows(ev rowsChanged) {
 	s.workersReadAt = ev.readAt
 	listed := map[string]bool{}
@@ -148,6 +148,7 @@
 		entry, err := s.config.DecodeWorker(row)
 		if err != nil {
 			s.config.Logger.Debug("worker list entry ignored", "entry", row.Key.Name, "error", err)
+			s.handleUnlisted(row.Key.Name)
 			continue
 		}
 		listed[row.Key.Name] = true
