Take the refusal of another worker at the address for silence

A part was never started again if the start got no response from a crashing worker, and another worker was running at its address when the lease was renewed next: its refusal (421) counted neither as a response nor as silence. So each renewal extended the lease of the former worker, its attempts were never lost, and its stop was refused for good.

A refusal by another worker now marks the worker as silent, unless it names a later process of the same worker.

TestOtherWorkerAtAddress fails before: "job j1 is Running, want Succeeded, after 10s".

--- a/sard/sched/departed_test.go
+++ b/sard/sched/departed_test.go
@@ -15,7 +15,7 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// crashedClient is a client of a worker that accepts no connections while the worker wa is down.
+// crashedClient is a client of a worker. The worker wa may crash, and another worker may run at its address.
 type crashedClient struct {
 	sched.WorkerClient
 	*crash
@@ -25,11 +25,15 @@
 type crash struct {
 	// down makes requests to the worker fail before they are sent.
 	down atomic.Bool
+	// lostStarts is the number of starts to come during which the worker crashes. Another worker then runs at its
+	// address if replaced is set, and refuses all requests.
+	lostStarts atomic.Int64
+	replaced   atomic.Bool
 	// renewals is the number of lease renewals for the worker.
 	renewals atomic.Int64
 }
 
-// crashClients makes the instances use clients that accept no connections while the worker wa is down.
+// crashClients makes the instances use clients of which that of the worker wa may crash.
 func (r *harness) crashClients() *crash {
 	r.disturbed.Store(true)
 	c := &crash{}
@@ -39,14 +43,22 @@
 
 // refuse returns the error of a request that did not reach the worker, or nil if it may reach it.
 func (c *crash) refuse(worker work.WorkerProcess) error {
-	if worker.Worker == "wa" && c.down.Load() {
+	switch {
+	case worker.Worker != "wa":
+		return nil
+	case c.down.Load():
 		return fault.New(fault.Unavailable, "call", "wa", "connection refused")
+	case c.replaced.Load():
+		return &sched.RefusalError{Cause: sched.OtherLife, Worker: worker.Worker}
 	}
 	return nil
 }
 
 // Start sends a start request.
 func (c *crashedClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
+	if o.Worker.Worker == "wa" && c.lostStarts.Add(-1) >= 0 {
+		return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "connection closed")
+	}
 	if err := c.refuse(o.Worker); err != nil {
 		return sched.Reply{}, err
 	}
@@ -145,3 +157,20 @@
 		})
 	}
 }
+
+// TestOtherWorkerAtAddress guards against parts that are never started again, because another worker at the address of
+// their crashed worker refuses the renewals of its lease.
+func TestOtherWorkerAtAddress(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		c := r.crashClients()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		c.lostStarts.Store(1)
+		c.replaced.Store(true)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.unlistWorker(r.fleet.Worker("wa"))
+		r.waitForState("j1", ident.Succeeded, fakes.MaxLease+4*time.Second)
+	})
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -165,16 +165,26 @@
 // renewalRefused handles the refusal of a lease renewal.
 func (s *Scheduler) renewalRefused(w *session, refusal *RefusalError) {
 	s.config.Logger.Warn("worker refused lease renewal", "worker", w.id(), "cause", refusal.Cause.String())
-	if refusal.Cause == Superseded {
+	switch refusal.Cause {
+	case Superseded:
 		s.lease.MarkLost()
-	}
-	if refusal.Cause == OtherLife && refusal.Reply.StartedMs != 0 && refusal.Reply.StartedMs != w.entry.StartedMs {
-		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: refusal.Reply.StartedMs})
-		s.engine.SetWorker(s.engineView(w))
+	case OtherLife:
+		s.otherLifeResponded(w, refusal.Reply.StartedMs)
 	}
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 }
 
+// otherLifeResponded handles a response of another worker process at a worker's address, which started at startedMs if that
+// isn't 0. If it does not tell that it is a later process of the worker, the worker itself has not responded.
+func (s *Scheduler) otherLifeResponded(w *session, startedMs int64) {
+	if startedMs != 0 && startedMs != w.entry.StartedMs {
+		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs})
+	} else {
+		w.unanswered = true
+	}
+	s.engine.SetWorker(s.engineView(w))
+}
+
 // handleEnded passes the ended attempts of a worker's report to the engine, unless an earlier report contained them.
 func (s *Scheduler) handleEnded(w *session, report WorkerReport) {
 	now := time.Now()
