Place no parts on a worker whose address another worker has taken

A worker now gets no new parts for two seconds after such a refusal, as after one for lack of health or capacity.

TestStartRefusedByOtherWorker fails before: "10 (int64) != 1 (int64)" starts in the first second.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -217,7 +217,7 @@
 	case Superseded:
 		s.lease.MarkLost()
 		return
-	case Unwell, NoRoom:
+	case Unwell, NoRoom, OtherLife:
 		s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
 	}
 	if state.startsSent > 1 {
--- a/sard/sched/departed_test.go
+++ b/sard/sched/departed_test.go
@@ -29,8 +29,8 @@
 	// address if replaced is set, and refuses all requests.
 	lostStarts atomic.Int64
 	replaced   atomic.Bool
-	// renewals is the number of lease renewals for the worker.
-	renewals atomic.Int64
+	// starts and renewals are the numbers of start requests and lease renewals for the worker.
+	starts, renewals atomic.Int64
 }
 
 // crashClients makes the instances use clients of which that of the worker wa may crash.
@@ -56,8 +56,11 @@
 
 // Start sends a start request.
 func (c *crashedClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
-	if o.Worker.Worker == "wa" && c.lostStarts.Add(-1) >= 0 {
-		return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "connection closed")
+	if o.Worker.Worker == "wa" {
+		c.starts.Add(1)
+		if c.lostStarts.Add(-1) >= 0 {
+			return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "connection closed")
+		}
 	}
 	if err := c.refuse(o.Worker); err != nil {
 		return sched.Reply{}, err
@@ -174,3 +177,19 @@
 		r.waitForState("j1", ident.Succeeded, fakes.MaxLease+4*time.Second)
 	})
 }
+
+// TestStartRefusedByOtherWorker guards against starts that are sent again and again to the address of a crashed worker, where
+// another worker refuses them.
+func TestStartRefusedByOtherWorker(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		c := r.crashClients()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		c.replaced.Store(true)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		assert.Equal(t, c.starts.Load(), int64(1))
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, 3*time.Second)
+	})
+}
