End the lease renewals of workers that have left

Renewals went on four times a second, for as long as the instance held the scheduler lease, to each worker that had crashed and left the platform's list, whether it was counted as lost or had no parts. Another worker at its address refused them.

A worker that isn't listed, doesn't respond and has certainly ended, or whose lease has certainly expired, now gets no more renewals. They start again once it is listed again, which also brings the report of a worker that was only cut off. The session is kept: its order of listing tells which worker on a host is the later one.

TestDepartedWorkerIsNotRenewed fails before, with a part (79 renewals, 45 ten seconds earlier) and without (81, 48).

--- a/sard/sched/departed_test.go
+++ b/sard/sched/departed_test.go
@@ -193,3 +193,45 @@
 		r.waitForState("j1", ident.Succeeded, 3*time.Second)
 	})
 }
+
+// TestDepartedWorkerIsNotRenewed guards against lease renewals that are sent for good to a worker that has crashed and left
+// the platform's list. A worker that is listed again must be used again.
+func TestDepartedWorkerIsNotRenewed(t *testing.T) {
+	tests := []struct {
+		name string
+		busy bool
+	}{
+		{"with a part", true},
+		{"without parts", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				c := r.crashClients()
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("j1", 2*time.Second, work.Step{Parts: 1})
+				if !test.busy {
+					r.waitForState("j1", ident.Succeeded, 3*time.Second)
+					c.lostStarts.Store(1)
+					r.submit("j2", time.Second, work.Step{Parts: 1})
+				}
+				r.sleep(300 * time.Millisecond)
+				c.down.Store(true)
+				wa := r.fleet.Worker("wa")
+				r.updateFleet(wa.Crash)
+				r.unlistWorker(wa)
+				r.sleep(2*fakes.MaxLease + time.Second)
+				renewals := c.renewals.Load()
+				r.sleep(10 * time.Second)
+				assert.Equal(t, c.renewals.Load(), renewals)
+				c.down.Store(false)
+				r.listWorker(wa)
+				r.submit("j3", time.Second, work.Step{Parts: 1})
+				for _, id := range []ident.Job{"j1", "j3"} {
+					r.waitForState(id, ident.Succeeded, 5*time.Second)
+				}
+			})
+		})
+	}
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -61,12 +61,21 @@
 		return
 	}
 	busy := s.engine.ProcessBusy(w.entry.WorkerProcess)
+	if !busy && w.departed(now) {
+		return
+	}
 	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered {
 		return
 	}
 	s.sendRenewal(ctx, w, busy)
 }
 
+// departed reports whether the worker has left the platform's list and no longer responds, so that all attempts on it have
+// certainly ended. Its lease is renewed again once it is listed again.
+func (w *session) departed(now clock.Instant) bool {
+	return !w.listed && (w.ended() || w.expired(now))
+}
+
 // renewSoon makes the next renewal of a worker's lease due now.
 func (s *Scheduler) renewSoon(w *session) {
 	w.nextRenewal = 0
