--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -16,6 +16,8 @@
 //     renewal acknowledges it.
 //   - A command is a start or stop request, which is queued until it is sent. A command in flight is active while it
 //     counts towards the limits on commands.
+//   - A host is the computer that a worker runs on. It runs one worker process at a time, so a worker has ended once a later
+//     one is listed on its host.
 //   - The worker list is a table in which the platform that operates the workers has a row for each of them. A worker
 //     is listed while it has a row.
 //   - A feed call (Store.Feed) reads the changes to a table after a version, and waits for one if there are none.
