--- a/sard/sched/departed_test.go
+++ b/sard/sched/departed_test.go
@@ -15,7 +15,7 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// crashedClient is a client of a worker that accepts no connections while the worker wa is down.
+// crashedClient is a client of a worker. The worker wa may crash, and another worker may run at its address.
 type crashedClient struct {
 	sched.WorkerClient
 	*crash
@@ -25,11 +25,15 @@
 type crash struct {
 	// down makes requests to the worker fail before they are sent.
 	down atomic.Bool
-	// renewals is the number of lease renewals for the worker.
-	renewals atomic.Int64
+	// lostStarts is the number of starts to come during which the worker crashes. Another worker then runs at its
+	// address if replaced is set, and refuses all requests.
+	lostStarts atomic.Int64
+	replaced   atomic.Bool
+	// starts and renewals are the numbers of start requests and lease renewals for the worker.
+	starts, renewals atomic.Int64
 }
 
-// crashClients makes the instances use clients that accept no connections while the worker wa is down.
+// crashClients makes the instances use clients of which that of the worker wa may crash.
 func (r *harness) crashClients() *crash {
 	r.disturbed.Store(true)
 	c := &crash{}
@@ -39,14 +43,25 @@
 
 // refuse returns the error of a request that did not reach the worker, or nil if it may reach it.
 func (c *crash) refuse(worker work.WorkerProcess) error {
-	if worker.Worker == "wa" && c.down.Load() {
+	switch {
+	case worker.Worker != "wa":
+		return nil
+	case c.down.Load():
 		return fault.New(fault.Unavailable, "call", "wa", "connection refused")
+	case c.replaced.Load():
+		return &sched.RefusalError{Cause: sched.OtherLife, Worker: worker.Worker}
 	}
 	return nil
 }
 
 // Start sends a start request.
 func (c *crashedClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
+	if o.Worker.Worker == "wa" {
+		c.starts.Add(1)
+		if c.lostStarts.Add(-1) >= 0 {
+			return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "connection closed")
+		}
+	}
 	if err := c.refuse(o.Worker); err != nil {
 		return sched.Reply{}, err
 	}
@@ -145,3 +160,78 @@
 		})
 	}
 }
+
+// TestOtherWorkerAtAddress guards against parts that are never started again, because another worker at the address of
+// their crashed worker refuses the renewals of its lease.
+func TestOtherWorkerAtAddress(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		c := r.crashClients()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		c.lostStarts.Store(1)
+		c.replaced.Store(true)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.unlistWorker(r.fleet.Worker("wa"))
+		r.waitForState("j1", ident.Succeeded, fakes.MaxLease+4*time.Second)
+	})
+}
+
+// TestStartRefusedByOtherWorker guards against starts that are sent again and again to the address of a crashed worker, where
+// another worker refuses them.
+func TestStartRefusedByOtherWorker(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		c := r.crashClients()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		c.replaced.Store(true)
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		assert.Equal(t, c.starts.Load(), int64(1))
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, 3*time.Second)
+	})
+}
+
+// TestDepartedWorkerIsNotRenewed guards against lease renewals that are sent for good to a worker that has crashed and left
+// the platform's list. A worker that is listed again must be used again.
+func TestDepartedWorkerIsNotRenewed(t *testing.T) {
+	tests := []struct {
+		name string
+		busy bool
+	}{
+		{"with a part", true},
+		{"without parts", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				c := r.crashClients()
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("j1", 2*time.Second, work.Step{Parts: 1})
+				if !test.busy {
+					r.waitForState("j1", ident.Succeeded, 3*time.Second)
+					c.lostStarts.Store(1)
+					r.submit("j2", time.Second, work.Step{Parts: 1})
+				}
+				r.sleep(300 * time.Millisecond)
+				c.down.Store(true)
+				wa := r.fleet.Worker("wa")
+				r.updateFleet(wa.Crash)
+				r.unlistWorker(wa)
+				r.sleep(2*fakes.MaxLease + time.Second)
+				renewals := c.renewals.Load()
+				r.sleep(10 * time.Second)
+				assert.Equal(t, c.renewals.Load(), renewals)
+				c.down.Store(false)
+				r.listWorker(wa)
+				r.submit("j3", time.Second, work.Step{Parts: 1})
+				for _, id := range []ident.Job{"j1", "j3"} {
+					r.waitForState(id, ident.Succeeded, 5*time.Second)
+				}
+			})
+		})
+	}
+}
