--- a/sard/pool/capacity_test.go
+++ b/sard/pool/capacity_test.go
@@ -23,7 +23,7 @@
 	if h.resized == nil {
 		h.resized = map[ident.Worker]bool{}
 	}
-	h.resized[w.WorkerProcess.Worker] = true
+	h.resized[workerID(i)] = true
 }
 
 // TestRandomResizes resizes random workers while random jobs are placed, stopped for guaranteed jobs and done. No placement
