Soak: workers shrink and grow

A new kind of fault takes a random part of the capacity of a quarter of the workers, from their next heartbeat on, for 7.5 s or more, and gives it back. It is harmless: the checks with a time limit go on. A start is a violation if it brings a worker over what it has had within the last 3 s; while there is a disturbance within 3 s and 6 s more, as a held link may deliver a start late, as long as its deadline has not passed.

--- a/sard/fakes/fleet.go
+++ b/sard/fakes/fleet.go
@@ -63,6 +63,9 @@
 type Fleet struct {
 	// ShrinkGrace is how long starts may still use the former capacity of a worker after it has shrunk.
 	ShrinkGrace time.Duration
+	// LateStarts is how late start requests may arrive after a disturbance. Until then, they may use the former capacity of a
+	// worker for that much longer.
+	LateStarts time.Duration
 
 	mu      sync.Mutex
 	workers map[ident.Worker]*Worker
--- a/sardsoak/play/faults.go
+++ b/sardsoak/play/faults.go
@@ -104,6 +104,7 @@
 		}
 	})},
 	{"workers silent", 1, false, silenceWorkers},
+	{"workers shrink and grow", 3, true, shrinkWorkers},
 
 	{"data centre evacuated", 3, true, evacuateDataCentre},
 
--- a/sardsoak/play/harness.go
+++ b/sardsoak/play/harness.go
@@ -57,6 +57,7 @@
 		discardLogger: log.New(io.Discard, "", 0),
 	}
 	h.fleet = fakes.NewFleet(h.timingHolds)
+	h.fleet.ShrinkGrace, h.fleet.LateStarts = shrinkGrace, maxWorkerLease
 	h.operator = newOperator(h)
 	if err := h.operator.publish(); err != nil {
 		return h, err
--- a/sardsoak/play/workers.go
+++ b/sardsoak/play/workers.go
@@ -38,6 +38,8 @@
 	link    *proxy.Link
 	// silent suspends the heartbeats, gone ends them for good. Both are accessed only within Fleet.Update.
 	silent, gone bool
+	// capacity is what the worker has from its next heartbeat on. It is accessed only within Fleet.Update.
+	capacity work.Resources
 }
 
 // newWorker creates a worker and starts its heartbeats.
@@ -51,7 +53,7 @@
 	}
 	entry.Rack = ident.Rack(fmt.Sprintf("r%d", number/rackSize))
 	entry.Labels = []string{"kind", string(entry.Rack)}
-	w := &worker{harness: h, fake: h.fleet.AddWorker(entry)}
+	w := &worker{harness: h, fake: h.fleet.AddWorker(entry), capacity: workerCapacity}
 	address, err := h.serveHandler(execs.Handler(w.fake))
 	if err != nil {
 		return nil, err
@@ -76,6 +78,9 @@
 		var entry sched.ListedWorker
 		var silent, gone bool
 		w.harness.fleet.Update(func() {
+			if !w.silent && w.capacity != w.fake.Entry.Capacity {
+				w.fake.SetCapacity(w.capacity)
+			}
 			entry, silent, gone = w.fake.Entry, w.silent, w.gone
 			entry.Clock = w.fake.Clock()
 		})
