Give up parts under which worker after worker crashes

Cause: an attempt that is lost with its worker counts in no limit. Only ends that a worker has reported as failed do.

Change: a crash of a worker process counts against the parts that were on probation there, i.e. whose start may have reached it and that no response of the process, by its own clock, shows to have run for a second. A crash is known when the worker names a later start time, or when another process answers at its address (421) and the list has dropped the former one. A lease that expires, a silent worker and a planned leave count as none. A group with a count is a suspect and starts in isolation: on nodes where nothing was started for a probation, idle ones first, and where nothing else starts until it has survived. If no node is quiet it keeps one for itself, so that it waits for a probation at most. A survived probation clears the count. At the third crash the job fails, with a reason of its own. The count is part of the progress record (a further field, so that former versions read it), written with the change that raises it.

Weighed: a limit of two would spare a worker for each such part, but the first crash usually has several suspects, so that only one start in isolation would stand behind the verdict. Not counted: a crash of which the evidence comes while no instance has a session with the process, e.g. after a takeover that finds it dropped from the list; two such crashes fit into the bound.

--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -56,6 +56,15 @@
 	_, _ = worker.Start(context.Background(), req)
 }
 
+// startCrashing starts a part that crashes its worker a number of times.
+func (s *fixture) startCrashing(times int) {
+	s.job.CrashingParts = map[int]bool{0: true}
+	for attempt := range times {
+		s.start(s.worker1, work.Part{Job: "j"}, ident.Attempt(attempt+1), nil)
+		time.Sleep(fakes.CrashDowntime + time.Second)
+	}
+}
+
 func (s *fixture) renewLease(w *fakes.Worker, ackedEnd sched.EndSequence) sched.WorkerReport {
 	report, err := w.RenewLease(context.Background(), sched.RenewLeaseRequest{Worker: w.Entry.WorkerProcess, Epoch: 1, AckedEnd: ackedEnd})
 	if err != nil {
@@ -133,6 +142,8 @@
 			s.renewLease(s.worker1, 0)
 			s.start(s.worker2, first, 2, nil)
 		}, ""},
+		{"too many starts after crashes", func(s *fixture) { s.startCrashing(6) }, "the start 3 after 5 crashes"},
+		{"starts after crashes", func(s *fixture) { s.startCrashing(5) }, ""},
 		{"too many failures", func(s *fixture) {
 			s.job.AlwaysFails = true
 			s.start(s.worker1, first, 1, nil)
--- a/sard/fakes/fleet.go
+++ b/sard/fakes/fleet.go
@@ -42,6 +42,8 @@
 	RunTime time.Duration
 	// AlwaysFails makes all attempts of the job fail.
 	AlwaysFails bool
+	// CrashingParts holds the indexes of the parts of the first step that crash each worker that starts them.
+	CrashingParts map[int]bool
 	// Cancelled is the time of the response to a cancellation; zero if the job was not cancelled.
 	Cancelled time.Time
 	// Refused indicates that all submissions of the job were permanently refused.
@@ -53,13 +55,19 @@
 	failed, ackedFailures attemptSet
 	// started holds the highest started attempt of each part.
 	started map[work.Part]ident.Attempt
+	// crashes holds what happened to the parts that crash workers.
+	crashes map[work.Part]*crashRecord
 }
 
 // Fleet is a set of workers with a shared record of all runs, against which invariants are checked.
 type Fleet struct {
-	mu      sync.Mutex
-	workers map[ident.Worker]*Worker
-	jobs    map[ident.Job]*Job
+	mu sync.Mutex
+	// OnRestart, if not nil, is called when a worker that a part has crashed is back, with the name that it had before.
+	OnRestart func(w *Worker, former ident.Worker)
+	workers   map[ident.Worker]*Worker
+	// former holds the workers that have a new name, by their former ones.
+	former map[ident.Worker]*Worker
+	jobs   map[ident.Job]*Job
 	// runCounts holds the number of current runs of each part, and completed the parts whose successful end was
 	// acknowledged.
 	runCounts map[work.Part]int
@@ -78,7 +86,7 @@
 // only if it returns true for that time. If undisturbed is nil, all invariants are always checked.
 func NewFleet(undisturbed func(time.Duration) bool) *Fleet {
 	return &Fleet{
-		workers: map[ident.Worker]*Worker{}, jobs: map[ident.Job]*Job{},
+		workers: map[ident.Worker]*Worker{}, former: map[ident.Worker]*Worker{}, jobs: map[ident.Job]*Job{},
 		runCounts: map[work.Part]int{}, completed: map[work.Part]bool{}, undisturbed: undisturbed,
 	}
 }
@@ -91,11 +99,14 @@
 	change()
 }
 
-// Worker returns the worker with the given name, or nil.
+// Worker returns the worker with the given name, or the one at the address of a worker that had it; nil if there is none.
 func (f *Fleet) Worker(id ident.Worker) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.workers[id]
+	if w := f.workers[id]; w != nil {
+		return w
+	}
+	return f.former[id]
 }
 
 // ForEachWorker calls visit for each worker, within Update.
@@ -122,6 +133,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	j.done, j.failed, j.ackedFailures, j.started = map[work.Part]bool{}, attemptSet{}, attemptSet{}, map[work.Part]ident.Attempt{}
+	j.crashes = map[work.Part]*crashRecord{}
 	f.jobs[j.Spec.ID] = j
 }
 
@@ -250,6 +262,7 @@
 	case step.Label != "" && !w.hasLabel(step.Label):
 		f.addViolation("%v: started on %s, which lacks %q", part, w.Entry.WorkerProcess.Worker, step.Label)
 	}
+	f.checkCrashes(w, j, req.Attempt)
 	if _, ok := j.parseCheckpoint(part, req.Checkpoint); !ok {
 		f.addViolation("%v: started with checkpoint %q of another part", part, req.Checkpoint)
 	}
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -42,10 +42,14 @@
 	DrainingSince time.Time
 	// EvacuatedSince is when the evacuation of the worker's data centre was requested; zero if it is not being evacuated.
 	EvacuatedSince time.Time
+	// RenamedByCrashes gives the worker another name, at the same address, whenever a part crashes it.
+	RenamedByCrashes bool
 	// RefuseStarts, if not nil, is the cause with which all start requests are refused.
 	RefuseStarts *sched.Cause
 
 	startedAt time.Time
+	// downUntil is when the process that follows a crash by a part starts.
+	downUntil time.Time
 	// epoch is the highest epoch of a scheduler that called the worker.
 	epoch ident.Epoch
 	// deadline is when the worker's lease expires and its runs end; 0 if it has none yet.
@@ -119,12 +123,16 @@
 func (w *Worker) call(ctx context.Context, process work.WorkerProcess, epoch ident.Epoch, f func() error) error {
 	w.fleet.mu.Lock()
 	unreachable, dropReply := w.Unreachable, w.DropReplies
+	err := w.connect(process.Worker)
 	w.fleet.mu.Unlock()
+	if err != nil && !unreachable {
+		return err
+	}
 	if unreachable {
 		return waitForCancel(ctx, process)
 	}
 	w.fleet.mu.Lock()
-	err := w.runChecked(process, epoch, f)
+	err = w.runChecked(process, epoch, f)
 	w.fleet.mu.Unlock()
 	if dropReply {
 		return waitForCancel(ctx, process)
@@ -201,6 +209,7 @@
 	w.fleet.startCount++
 	w.fleet.runCounts[part]++
 	w.runs[part] = newRun(w, req)
+	w.crashSoon(w.runs[part])
 	w.checkCapacity()
 	w.notifyChange()
 	return nil
--- a/sard/pool/decision.go
+++ b/sard/pool/decision.go
@@ -32,6 +32,7 @@
 const (
 	ReasonCancelled     StopReason = "job cancelled"
 	ReasonFailed        StopReason = "job failed"
+	ReasonCrashes       StopReason = "its workers crash"
 	ReasonReclaimed     StopReason = "capacity reclaimed"
 	ReasonGangEnded     StopReason = "another part of the gang ended"
 	ReasonUnconfirmed   StopReason = "start not confirmed"
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -10,6 +10,10 @@
 // the time in which it should complete, and its slack is how long it can still wait without missing it. Guaranteed jobs
 // have the highest priority, and other groups may be stopped to make room for them. The headroom is the capacity that
 // is kept free so that guaranteed jobs can often start without stopping others.
+//
+// A part may crash each worker that starts it. An attempt is on probation for some time after its start, and a crash of
+// its worker in that time makes its group a suspect. Suspects are started in isolation: while one is on probation, nothing
+// else is on its node. A group whose attempts coincide with crashes again and again is given up.
 package pool
 
 import (
@@ -42,13 +46,15 @@
 	violations []Violation
 	// estimateErrors holds, for each queue, how far the estimated run times of its jobs were from the actual ones.
 	estimateErrors map[work.QueueName]*estimateErrors
+	// suspects holds the groups with counted crashes.
+	suspects map[*group]bool
 	// guaranteedDemand tracks the recent peak demand of guaranteed jobs.
 	guaranteedDemand demandPeak
 }
 
 // New returns an Engine without jobs or workers.
 func New(config Config) *Engine {
-	return &Engine{config: config, jobs: map[ident.Job]*job{}, nodesByID: map[ident.Worker]*node{}, estimateErrors: map[work.QueueName]*estimateErrors{}}
+	return &Engine{config: config, jobs: map[ident.Job]*job{}, suspects: map[*group]bool{}, nodesByID: map[ident.Worker]*node{}, estimateErrors: map[work.QueueName]*estimateErrors{}}
 }
 
 // SetWorker adds a worker or updates its properties. When the worker's process has been replaced, WorkerRestarted
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -56,6 +56,8 @@
 	node *node
 	// stopping is set while the current attempt is being stopped.
 	stopping bool
+	// survived is set when the current attempt is known to have run for Probation.
+	survived bool
 }
 
 // group is a set of parts that are started and retried together: a gang, or a single part.
@@ -72,6 +74,10 @@
 	attempt    ident.Attempt
 	failures   int
 	checkpoint work.Checkpoint
+	// crashes counts the crashes of workers soon after the start of an attempt of the group, since one has survived its
+	// probation; lastCrash is the latest of them.
+	crashes   int
+	lastCrash work.Crash
 	// attemptFailed is set when a part of the current attempt has failed.
 	attemptFailed bool
 	// retryAt is the earliest time at which the group may be placed again.
@@ -86,7 +92,8 @@
 	// checkpoint and so did only part of the work.
 	runTime time.Duration
 	ranOn   []*node
-	// reserved holds the nodes whose capacity is reserved for the group while it waits for stops to complete.
+	// reserved holds the nodes whose capacity is reserved for the group while it waits for stops to complete, or for the
+	// probation of the attempts that were started there.
 	reserved []*node
 	// avoided holds the workers on which the group failed, stalled or ran slowly.
 	avoided map[ident.Worker]bool
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -88,11 +88,16 @@
 // candidates returns the nodes that may run parts of a group.
 func (r *round) candidates(g *group) []*node {
 	found := r.cachedEligibleNodes(g, r.eligibilityKey(g))
-	step := g.spec()
-	if !step.Fills && step.Latency == 0 {
+	if r.cachesCandidates(g) {
 		return found
 	}
-	return slices.DeleteFunc(slices.Clone(found), func(n *node) bool { return n.conflictsWith(step) })
+	return slices.DeleteFunc(slices.Clone(found), func(n *node) bool { return n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) })
+}
+
+// cachesCandidates reports whether all eligible nodes may run parts of the group.
+func (r *round) cachesCandidates(g *group) bool {
+	step := g.spec()
+	return !step.Fills && step.Latency == 0 && len(r.isolated) == 0
 }
 
 // cachedEligibleNodes returns the eligible nodes for the group's key, computing them once per round.
@@ -141,7 +146,7 @@
 
 // racksOf returns the candidates of a group, which must be all of them, by rack.
 func (r *round) racksOf(g *group, candidates []*node) [][]*node {
-	if step := g.spec(); step.Fills || step.Latency > 0 {
+	if !r.cachesCandidates(g) {
 		return groupByRack(candidates)
 	}
 	return r.cachedRacks(g, r.eligibilityKey(g))
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -74,6 +74,9 @@
 				if g.attemptFailed {
 					p.Failing = append(p.Failing, len(p.Groups))
 				}
+				if g.suspected() && g.phase != done {
+					p.Crashes = append(p.Crashes, work.GroupCrashes{Group: len(p.Groups), Count: g.crashes, Last: g.lastCrash})
+				}
 				p.Groups = append(p.Groups, g.groupRecord(p, processes))
 			}
 		}
@@ -140,6 +143,7 @@
 		}
 		e.restoreGroup(part.group, recorded, p.Lives, now)
 	}
+	e.restoreCrashes(j, p)
 	j.state = p.State
 	if j.complete() {
 		j.state = ident.Succeeded
--- a/sard/pool/reservation.go
+++ b/sard/pool/reservation.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	for _, n := range g.reserved {
-		if !n.Accepting || !n.health.healthy(r.now) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) {
+		if !n.Accepting || !n.health.healthy(r.now) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) {
 			return nil
 		}
 	}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -24,11 +24,11 @@
 	var unplaceable *stepState
 	for _, g := range queue {
 		step := g.stepState()
-		if step == unplaceable && r.held[g] == nil {
+		if step == unplaceable && r.held[g] == nil && !g.suspected() {
 			// All groups of a step have the same demand.
 			continue
 		}
-		if !r.schedule(g) {
+		if !r.schedule(g) && !g.suspected() {
 			unplaceable = step
 		}
 	}
@@ -65,6 +65,8 @@
 	victimLists map[preemptorClass][]*victimList
 	// held holds the reservations that are set aside for groups that were not scheduled yet.
 	held map[*group][]*node
+	// isolated holds the nodes on which only the given suspect may be placed.
+	isolated map[*node]*group
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
@@ -132,6 +134,7 @@
 		r.speeds[i], r.slow[i] = n.classifySpeed(), n.recentRates.isSlow(now)
 	}
 	r.headroom = e.headroomNodes(now)
+	r.isolated = e.isolatedNodes(now)
 	return r
 }
 
@@ -140,7 +143,7 @@
 func (r *round) schedule(g *group) bool {
 	key := r.demandKey(g)
 	released := r.releaseReservation(g)
-	if !released && r.knownUnplaceable(g, key) {
+	if !released && !g.suspected() && r.knownUnplaceable(g, key) {
 		return false
 	}
 	if r.tryToSchedule(g) {
@@ -152,14 +155,17 @@
 			return true
 		}
 	}
-	r.unplaceable[key] = len(g.parts)
+	if !g.suspected() {
+		// Suspects have fewer nodes to choose from than other groups.
+		r.unplaceable[key] = len(g.parts)
+	}
 	return false
 }
 
 // tryToSchedule places a group if it fits. A guaranteed group that does not fit reserves capacity that is being freed, or
 // else has other groups stopped. It reports false if neither is possible.
 func (r *round) tryToSchedule(g *group) bool {
-	if nodes := r.pack(g, r.free); nodes != nil {
+	if nodes := r.packNow(g); nodes != nil {
 		r.place(g, nodes)
 		return true
 	}
@@ -177,6 +183,14 @@
 	return false
 }
 
+// packNow returns nodes on which a group can be placed without waiting for stops, or nil.
+func (r *round) packNow(g *group) []*node {
+	if g.suspected() {
+		return r.packIsolated(g)
+	}
+	return r.pack(g, r.free)
+}
+
 // free returns the capacity of a node that is available now.
 func (r *round) free(n *node) work.Resources { return r.available[n.index].free }
 
@@ -184,7 +198,7 @@
 func (r *round) freeSoon(n *node) work.Resources { return r.available[n.index].freeSoon }
 
 // place starts a new attempt of a group on the given nodes. If that would violate an invariant, it records the
-// violation and delays the group.
+// violation and delays the group. For a suspect it waits until nothing else is on probation there.
 func (r *round) place(g *group, nodes []*node) {
 	if violated := r.checkInvariants(g, nodes); violated != "" {
 		r.engine.violations = append(r.engine.violations, Violation{Job: g.job.ID, Invariant: violated})
@@ -192,6 +206,13 @@
 		return
 	}
 	r.reserve(g, nodes)
+	if g.suspected() {
+		r.isolate(g, nodes)
+		if slices.ContainsFunc(nodes, func(n *node) bool { return !n.quiet(r.now) }) {
+			g.reserved = nodes
+			return
+		}
+	}
 	g.reserved = nil
 	g.attempt++
 	g.phase = placed
@@ -203,7 +224,9 @@
 	r.engine.markDirty(j)
 	for i, n := range nodes {
 		p := &g.parts[i]
+		p.survived = false
 		n.attach(p)
+		n.lastStart = r.now
 		r.engine.decisions = append(r.engine.decisions, Start{
 			Attempt: p.attemptID(), Worker: n.WorkerProcess, Priority: j.settings.Priority, Payload: j.Payload, Checkpoint: g.checkpoint,
 		})
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -29,8 +29,10 @@
 	// allocated is the total demand of all parts that may be running, including those that are being stopped.
 	allocated work.Resources
 	// stopping is the portion of allocated that belongs to parts that are being stopped.
-	stopping    work.Resources
-	parts       map[*part]struct{}
+	stopping work.Resources
+	parts    map[*part]struct{}
+	// lastStart is when a part was last placed on the node.
+	lastStart   time.Time
 	health      health
 	recentRates rateHistory
 	// logSpeed is the mean logarithm of the worker's speed relative to the other workers, while no temporary problem
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -32,6 +33,8 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
+	// undelivered is the number of them that certainly did not arrive.
+	undelivered int
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
 	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
@@ -41,6 +44,8 @@
 	processReplaced bool
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
+	// runningAt is the first time on the worker process's clock at which the attempt is known to run there, or 0.
+	runningAt WorkerClock
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
 	startQueued   bool
 	startInFlight bool
@@ -181,6 +186,8 @@
 			s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs}, ev.attempt)
 		}
 		w.recordReply(ev.reply)
+		w.recordAlive(ev.process, ev.reply.Clock)
+		w.recordRunning(state, ev.process, ev.reply.Clock)
 		state.processUnknown = ev.reply.StartedMs == 0
 		s.confirmStart(w, state, ev.attempt, ev.reply.StartedMs)
 	case errors.As(ev.err, &refusal):
@@ -242,6 +249,9 @@
 	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
+	if fault.Is(ev.err, fault.Unavailable) {
+		state.undelivered++
+	}
 	start, pending := s.engine.PendingStart(ev.attempt)
 	limit := maxStartSends
 	if state.firstSentAt.Before(w.lastAnswer) {
--- /dev/null
+++ b/sard/sched/crash.go
@@ -0,0 +1,110 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// countCrashIfReplaced counts the crash of a worker process once it is known that another process has taken its place:
+// it answers at the worker's address, and the list has dropped the former one. A worker that is only silent has not
+// crashed.
+func (s *Scheduler) countCrashIfReplaced(w *session) {
+	if w.otherAnswered && !w.listed {
+		s.countCrash(w, nil)
+	}
+}
+
+// countCrash counts the crash of a worker process against the parts on probation there, except the attempts that the
+// next process has reported. The end of a process whose worker was leaving is no crash.
+func (s *Scheduler) countCrash(w *session, reported []work.Attempt) {
+	if w.crashCounted || w.entry.Leaving {
+		return
+	}
+	w.crashCounted = true
+	var suspects []work.Attempt
+	for a, state := range w.attempts {
+		if state.mayRun() && !w.survived(state) && !slices.Contains(reported, a) {
+			suspects = append(suspects, a)
+		}
+	}
+	slices.SortFunc(suspects, compareAttempt)
+	for _, a := range suspects {
+		s.countSuspect(w, a, len(suspects))
+	}
+}
+
+// countSuspect counts a crash of a worker process against one of the parts on probation there.
+func (s *Scheduler) countSuspect(w *session, a work.Attempt, suspects int) {
+	count := s.engine.CountCrash(a, w.entry.WorkerProcess, time.Now())
+	if count.Crashes == 0 {
+		return
+	}
+	s.config.Metrics.crashesCounted.Inc()
+	s.config.Logger.Warn("worker crashed under a part", "part", a.Part, "attempt", a.Number, "worker", w.id(),
+		"born", w.entry.StartedMs, "crashes", count.Crashes, "suspects", suspects, "placed_ago_ms", count.SincePlaced.Milliseconds())
+	if count.GivenUp {
+		s.config.Metrics.partsGivenUp.Inc()
+		s.config.Logger.Error("part given up, its workers crash", "part", a.Part, "attempt", a.Number, "crashes", count.Crashes)
+	}
+}
+
+// compareAttempt orders attempts by job, occurrence, step, part and number.
+func compareAttempt(a, b work.Attempt) int {
+	return cmp.Or(
+		cmp.Compare(a.Part.Job, b.Part.Job),
+		cmp.Compare(a.Part.Occurrence, b.Part.Occurrence),
+		cmp.Compare(a.Part.Step, b.Part.Step),
+		cmp.Compare(a.Part.Index, b.Part.Index),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
+
+// mayRun reports whether the attempt may have been started in the current process of the worker: by this instance or by
+// an earlier holder of the scheduler lease.
+func (state *attemptState) mayRun() bool {
+	switch {
+	case state.processReplaced:
+		return state.runningAt != 0
+	case state.startsSent == 0:
+		return !state.unrecorded && !state.startQueued
+	default:
+		return state.startsSent > state.undelivered
+	}
+}
+
+// recordAlive records that a worker process has responded at a time on its clock.
+func (w *session) recordAlive(process work.WorkerProcess, at WorkerClock) {
+	if process == w.entry.WorkerProcess {
+		w.aliveAt = max(w.aliveAt, at)
+	}
+}
+
+// recordRunning records that an attempt runs in a worker process at a time on the clock of that process.
+func (w *session) recordRunning(state *attemptState, process work.WorkerProcess, at WorkerClock) {
+	if state.runningAt == 0 && process == w.entry.WorkerProcess {
+		state.runningAt = at
+	}
+}
+
+// survived reports whether a response of the worker process shows that it was alive a probation after the start of an
+// attempt.
+func (w *session) survived(state *attemptState) bool {
+	return state.runningAt != 0 && w.aliveAt >= state.runningAt+WorkerClock(pool.Probation.Milliseconds())
+}
+
+// recordSurvival records that a report has listed an attempt as running, and passes on whether it has survived its
+// probation.
+func (s *Scheduler) recordSurvival(w *session, a work.Attempt) {
+	state := w.attempts[a]
+	if state == nil {
+		return
+	}
+	w.recordRunning(state, w.entry.WorkerProcess, w.aliveAt)
+	if w.survived(state) {
+		s.engine.AttemptSurvived(a)
+	}
+}
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -53,6 +53,8 @@
 	wrapLease func(l sched.Lease) sched.Lease
 	// failingJobs holds the jobs whose attempts all fail.
 	failingJobs map[ident.Job]bool
+	// crashingParts holds the indexes of the parts of jobs that crash each worker that starts them.
+	crashingParts map[ident.Job]map[int]bool
 }
 
 // runTest runs a test with the given number of workers, eight per rack, and checks that no invariant was violated.
@@ -71,7 +73,7 @@
 
 // newHarness returns a harness with the given number of workers and no instances.
 func newHarness(t *testing.T, workers int) *harness {
-	r := &harness{t: t, ctx: t.Context(), store: &store.Memory{}, failingJobs: map[ident.Job]bool{}, logger: hclog.NewNullLogger()}
+	r := &harness{t: t, ctx: t.Context(), store: &store.Memory{}, failingJobs: map[ident.Job]bool{}, crashingParts: map[ident.Job]map[int]bool{}, logger: hclog.NewNullLogger()}
 	r.fleet = fakes.NewFleet(func(time.Duration) bool { return !r.disturbed.Load() })
 	if testing.Verbose() {
 		r.logger = hclog.New(&hclog.LoggerOptions{Output: t.Output()})
@@ -130,6 +132,15 @@
 	assert.NilError(r.t, err)
 }
 
+// relistRenamed lists a worker that a part has crashed again, maybe under a new name.
+func (r *harness) relistRenamed(w *fakes.Worker, former ident.Worker) {
+	if w.Entry.WorkerProcess.Worker != former {
+		_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{{Table: workerTable, Name: string(former)}}})
+		assert.Check(r.t, err)
+	}
+	r.listWorker(w)
+}
+
 // unlistWorker removes a worker from the worker list in the store.
 func (r *harness) unlistWorker(w *fakes.Worker) {
 	r.t.Helper()
@@ -235,7 +246,7 @@
 		ID: id, Account: "a", Queue: queue, Terms: r.policy.Queue(queue).Settings, Payload: "run",
 		Steps: []work.Step{step}, AcceptedMs: time.Now().UnixMilli(),
 	}
-	r.fleet.AddJob(&fakes.Job{Spec: job, RunTime: runTime, AlwaysFails: r.failingJobs[id]})
+	r.fleet.AddJob(&fakes.Job{Spec: job, RunTime: runTime, AlwaysFails: r.failingJobs[id], CrashingParts: r.crashingParts[id]})
 	assert.NilError(r.t, r.api.Submit(r.ctx, job))
 }
 
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -16,6 +16,8 @@
 	attemptsStopped *prometheus.CounterVec
 	violations      *prometheus.CounterVec
 	workersLost     prometheus.Counter
+	crashesCounted  prometheus.Counter
+	partsGivenUp    prometheus.Counter
 	jobSeconds      prometheus.Histogram
 	recordSeconds   prometheus.Histogram
 	decideSeconds   prometheus.Histogram
@@ -35,6 +37,13 @@
 		workersLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "workers_lost_total", Help: "Workers whose leases lapsed with parts on them.",
 		}),
+		crashesCounted: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "sardine", Subsystem: "sched", Name: "crashes_counted_total",
+			Help: "Crashes of workers that were counted against a part that had just started, once for each part.",
+		}),
+		partsGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "sardine", Subsystem: "sched", Name: "parts_given_up_total", Help: "Parts whose job failed because their workers crash.",
+		}),
 		jobSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "job_seconds", Help: "Time from the acceptance of a job to its recorded end.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 10),
@@ -52,7 +61,7 @@
 		}, []string{"of"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool)
+		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool)
 	}
 	return m
 }
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -133,6 +133,8 @@
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
 	w.lastReport = clock.Now()
+	w.otherAnswered = false
+	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
 	s.handleEnded(w, ev.report)
 	s.handleRunning(w, ev.report)
 	s.handleMissing(w, ev, first)
@@ -171,6 +173,9 @@
 	if refusal.Cause == OtherLife && refusal.Reply.StartedMs != 0 && refusal.Reply.StartedMs != w.entry.StartedMs {
 		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: refusal.Reply.StartedMs})
 		s.engine.SetWorker(s.engineView(w))
+	} else if refusal.Cause == OtherLife {
+		w.otherAnswered = true
+		s.countCrashIfReplaced(w)
 	}
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 }
@@ -206,6 +211,7 @@
 			state.processUnknown = state.processUnknown && state.startInFlight
 			s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
 		}
+		s.recordSurvival(w, r.Attempt)
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
 			continue
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -46,6 +46,11 @@
 	// there.
 	ackedEnd EndSequence
 	lost     bool
+	// aliveAt is the latest time on the worker's clock in a report or in the response to a start.
+	aliveAt WorkerClock
+	// otherAnswered indicates that another process has refused the last lease renewal, and crashCounted that the crash of
+	// this process was counted.
+	otherAnswered, crashCounted bool
 	// attempts holds the attempts that were requested to start or stop on the worker.
 	attempts map[work.Attempt]*attemptState
 	// commands holds the queued commands by class, and flight the active one.
@@ -161,10 +166,13 @@
 // except for those that the new process has reported and those whose start request may have reached it. The next report
 // tells of the latter.
 func (s *Scheduler) replaceProcess(w *session, process work.WorkerProcess, reported ...work.Attempt) {
+	if process.StartedMs > w.entry.StartedMs {
+		s.countCrash(w, reported)
+	}
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
 		if state.startInFlight || state.processUnknown || slices.Contains(reported, a) {
-			state.startQueued, state.processReplaced, state.stopConfirmed = false, true, clock.Never
+			state.startQueued, state.processReplaced, state.stopConfirmed, state.runningAt = false, true, clock.Never, 0
 			kept[a] = state
 		}
 	}
@@ -190,6 +198,7 @@
 	w.listed = false
 	s.engine.DropWorker(w.id())
 	s.config.Logger.Info("worker not listed any more", "worker", id)
+	s.countCrashIfReplaced(w)
 }
 
 // engineView returns the worker as it is passed to the engine. It accepts new parts only while it is listed and
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -75,6 +75,8 @@
 	// Failing holds the indexes in Groups of groups whose current attempt has failed while some of its parts may still
 	// run. Their Failures include that attempt.
 	Failing []int `cbor:",omitempty"`
+	// Crashes holds the groups of which the last attempts coincided with crashes of their workers.
+	Crashes []GroupCrashes `cbor:",omitempty"`
 	// EndedMs is the Unix time in milliseconds at which the job ended, from which its retention is counted; 0 while it
 	// is open.
 	EndedMs int64 `cbor:",omitempty"`
@@ -108,6 +110,21 @@
 	Workers []int
 }
 
+// GroupCrashes counts the crashes of workers that may be due to a group.
+type GroupCrashes struct {
+	// Group is the index of the group in Progress.Groups.
+	Group int
+	// Count is the number of counted crashes, and Last the latest of them.
+	Count int
+	Last  Crash
+}
+
+// Crash identifies the crash of a worker process soon after the start of an attempt.
+type Crash struct {
+	Attempt ident.Attempt
+	Process WorkerProcess
+}
+
 // NoWorkerIndex is used in Group.Workers for a part that is known not to run.
 const NoWorkerIndex = -1
 
--- a/sard/work/work_test.go
+++ b/sard/work/work_test.go
@@ -25,6 +25,38 @@
 	assert.Assert(t, Decode([]byte("{"), &read) != nil)
 }
 
+// TestProgressOfOtherVersions guards against progress records that the former version can't decode, or that this one can't
+// decode if the former has written them, while instances of both run.
+func TestProgressOfOtherVersions(t *testing.T) {
+	type formerProgress struct {
+		State   ident.JobState
+		Account ident.Account
+		Queue   QueueName
+		Lives   []WorkerProcess `cbor:",omitempty"`
+		Groups  []Group         `cbor:",omitempty"`
+	}
+	group := Group{Attempt: 2, Placed: true, Workers: []int{0}}
+	process := WorkerProcess{Worker: "w", StartedMs: 5}
+	former := formerProgress{State: ident.Running, Account: "a", Queue: "q", Lives: []WorkerProcess{process}, Groups: []Group{group}}
+	current := Progress{
+		State: former.State, Account: former.Account, Queue: former.Queue, Lives: former.Lives, Groups: former.Groups,
+		Crashes: []GroupCrashes{{Group: 0, Count: 1, Last: Crash{Attempt: 1, Process: process}}},
+	}
+
+	value, err := Encode(current)
+	assert.NilError(t, err)
+	var readByFormer formerProgress
+	assert.NilError(t, Decode(value, &readByFormer))
+	assert.DeepEqual(t, readByFormer, former)
+
+	value, err = Encode(former)
+	assert.NilError(t, err)
+	var read Progress
+	assert.NilError(t, Decode(value, &read))
+	current.Crashes = nil
+	assert.DeepEqual(t, read, current)
+}
+
 // TestParsePartRejectsInvalidText checks texts with the wrong number of fields or an invalid number.
 func TestParsePartRejectsInvalidText(t *testing.T) {
 	for _, text := range []string{"", "j.0.0", "j.0.0.x", "j.0.0.1.2"} {
