--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -46,8 +46,10 @@
 
 // start sends a start request for a part, after applying modify to it if it is not nil.
 func (s *fixture) start(worker *fakes.Worker, part work.Part, attempt ident.Attempt, modify func(*sched.StartRequest)) {
+	var process work.WorkerProcess
+	s.fleet.Update(func() { process = worker.Entry.WorkerProcess })
 	req := sched.StartRequest{
-		Worker: worker.Entry.WorkerProcess, Attempt: work.Attempt{Part: part, Number: attempt}, Payload: s.job.Spec.Payload, Epoch: 1,
+		Worker: process, Attempt: work.Attempt{Part: part, Number: attempt}, Payload: s.job.Spec.Payload, Epoch: 1,
 	}
 	if modify != nil {
 		modify(&req)
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -124,17 +124,23 @@
 // listWorker writes the current entry of a worker to the worker list in the store.
 func (r *harness) listWorker(w *fakes.Worker) {
 	r.t.Helper()
+	var key store.Key
 	var value []byte
 	var err error
-	r.updateFleet(func() { value, err = json.Marshal(w.Entry) })
+	r.updateFleet(func() {
+		key = listKey(w)
+		value, err = json.Marshal(w.Entry)
+	})
 	assert.NilError(r.t, err)
-	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(w), Value: value}}})
+	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: key, Value: value}}})
 	assert.NilError(r.t, err)
 }
 
 // relistRenamed lists a worker that a part has crashed again, maybe under a new name.
 func (r *harness) relistRenamed(w *fakes.Worker, former ident.Worker) {
-	if w.Entry.WorkerProcess.Worker != former {
+	var renamed bool
+	r.updateFleet(func() { renamed = w.Entry.WorkerProcess.Worker != former })
+	if renamed {
 		_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{{Table: workerTable, Name: string(former)}}})
 		assert.Check(r.t, err)
 	}
@@ -144,7 +150,9 @@
 // unlistWorker removes a worker from the worker list in the store.
 func (r *harness) unlistWorker(w *fakes.Worker) {
 	r.t.Helper()
-	_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{listKey(w)}})
+	var key store.Key
+	r.updateFleet(func() { key = listKey(w) })
+	_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{key}})
 	assert.NilError(r.t, err)
 }
 
