--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -22,7 +22,7 @@
 	// wait for longer than these requests take.
 	maxStartSendsResponding = 4
 	// unwellSuspension is how long no new parts are placed on a worker that refused a start for lack of health or
-	// capacity.
+	// capacity, or that a start did not reach.
 	unwellSuspension = 2 * time.Second
 )
 
@@ -105,10 +105,12 @@
 	if state.startConfirmed != clock.Never {
 		return
 	}
-	if s.evacuated(w) {
+	if s.evacuated(w) || !s.hasCapacity(w, start.Attempt) {
 		s.cancelStart(w, state, start.Attempt)
 		return
 	}
+	// An earlier holder of the scheduler lease may have sent a request for an attempt whose process is unknown.
+	first := state.startsSent == 0 && !state.processUnknown
 	if state.startsSent == 0 {
 		state.firstSentAt = clock.Now()
 	}
@@ -123,16 +125,26 @@
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
 		defer cancel()
-		result := startResult{attempt: start.Attempt, process: start.Worker, flight: flight, sentAt: sentAt}
+		result := startResult{attempt: start.Attempt, process: start.Worker, flight: flight, sentAt: sentAt, first: first}
 		if s.lease.Check() != nil {
 			result.unsent = true
 			return result
 		}
 		result.reply, result.err = client.Start(ctx, req)
+		result.timedOut = ctx.Err() != nil
 		return result
 	})
 }
 
+// hasCapacity reports whether a worker has the capacity for an attempt that is about to be started there, which it may have
+// lost since that was decided. Attempts of which no start request can have reached the worker do not count.
+func (s *Scheduler) hasCapacity(w *session, a work.Attempt) bool {
+	return s.engine.HasCapacity(a, func(other work.Attempt) bool {
+		state := w.attempts[other]
+		return state != nil && state.startsSent == 0 && (state.unrecorded || state.startQueued)
+	})
+}
+
 // startUnsent queues a start request again that was not sent.
 func (s *Scheduler) startUnsent(w *session, state *attemptState, a work.Attempt) {
 	state.startsSent--
@@ -192,6 +204,8 @@
 		s.confirmStart(w, state, ev.attempt, ev.reply.StartedMs)
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
+	case ev.first && ev.undelivered():
+		s.startUndelivered(w, ev)
 	default:
 		s.startUnanswered(w, state, ev)
 	}
@@ -218,7 +232,7 @@
 	case Superseded:
 		s.lease.MarkLost()
 		return
-	case Unwell, NoRoom:
+	case Unwell, NoRoom, OtherLife:
 		s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
 	}
 	if state.startsSent > 1 {
@@ -240,6 +254,20 @@
 	s.engine.StopUnconfirmed(a)
 }
 
+// undelivered reports whether the worker accepted no connection for the request, so that the request had no effect.
+func (ev startResult) undelivered() bool {
+	return !ev.timedOut && fault.Is(ev.err, fault.Unavailable)
+}
+
+// startUndelivered handles a start request that did not reach the worker. The attempt ends as refused, since no request may
+// have started it.
+func (s *Scheduler) startUndelivered(w *session, ev startResult) {
+	s.config.Logger.Warn("start not delivered", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(), "error", ev.err)
+	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+	delete(w.attempts, ev.attempt)
+	s.engine.AttemptEnded(ev.attempt, pool.Refused, "", time.Now())
+}
+
 // startUnanswered handles a start request that got no response. It repeats the request, which has no effect if the
 // attempt runs, until the limit is reached; then it stops the attempt, which may run. There is nothing to do if a report
 // of the worker has listed the attempt in the meantime.
@@ -249,7 +277,7 @@
 	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
-	if fault.Is(ev.err, fault.Unavailable) {
+	if ev.undelivered() {
 		state.undelivered++
 	}
 	start, pending := s.engine.PendingStart(ev.attempt)
--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -9,9 +9,8 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// countCrashIfReplaced counts the crash of a worker process once it is known that another process has taken its place:
-// it answers at the worker's address, and the list has dropped the former one. A worker that is only silent has not
-// crashed.
+// countCrashIfReplaced counts the crash of a worker process once another process responds at the worker's address and the
+// list has dropped the worker. A worker that is only silent has not crashed.
 func (s *Scheduler) countCrashIfReplaced(w *session) {
 	if w.otherAnswered && !w.listed {
 		s.countCrash(w, nil)
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -20,6 +20,8 @@
 	rows  []store.Row
 	// snapshot indicates that rows holds all rows of the table.
 	snapshot bool
+	// readAt is a time at which the table had no changes that the scheduler loop was not told of.
+	readAt clock.Instant
 }
 
 // commitResult is the result of a journal write.
@@ -34,10 +36,14 @@
 	process work.WorkerProcess
 	flight  *flight
 	sentAt  clock.Instant
+	// first indicates that no earlier request may have started the attempt.
+	first bool
 	// unsent indicates that the request was not sent, because the scheduler lease was not known to be held.
 	unsent bool
-	reply  Reply
-	err    error
+	// timedOut indicates that the request was given up.
+	timedOut bool
+	reply    Reply
+	err      error
 }
 
 // stopResult is the result of a stop request.
@@ -134,8 +140,9 @@
 }
 
 // handleWorkerRows updates the sessions with workers after rows of the platform's worker list were listed or have
-// changed.
+// changed. A row that can't be read lists no worker.
 func (s *Scheduler) handleWorkerRows(ev rowsChanged) {
+	s.workersReadAt = ev.readAt
 	listed := map[string]bool{}
 	for _, row := range ev.rows {
 		if row.Deleted {
@@ -145,6 +152,7 @@
 		entry, err := s.config.DecodeWorker(row)
 		if err != nil {
 			s.config.Logger.Debug("worker list entry ignored", "entry", row.Key.Name, "error", err)
+			s.handleUnlisted(row.Key.Name)
 			continue
 		}
 		listed[row.Key.Name] = true
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -61,12 +61,21 @@
 		return
 	}
 	busy := s.engine.ProcessBusy(w.entry.WorkerProcess)
+	if !busy && w.departed(now) {
+		return
+	}
 	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered {
 		return
 	}
 	s.sendRenewal(ctx, w, busy)
 }
 
+// departed reports whether the worker has left the platform's list and no longer responds, so that all attempts on it have
+// certainly ended. Its lease is renewed again once it is listed again.
+func (w *session) departed(now clock.Instant) bool {
+	return !w.listed && (w.ended() || w.expired(now))
+}
+
 // renewSoon makes the next renewal of a worker's lease due now.
 func (s *Scheduler) renewSoon(w *session) {
 	w.nextRenewal = 0
@@ -167,17 +176,25 @@
 // renewalRefused handles the refusal of a lease renewal.
 func (s *Scheduler) renewalRefused(w *session, refusal *RefusalError) {
 	s.config.Logger.Warn("worker refused lease renewal", "worker", w.id(), "cause", refusal.Cause.String())
-	if refusal.Cause == Superseded {
+	switch refusal.Cause {
+	case Superseded:
 		s.lease.MarkLost()
+	case OtherLife:
+		s.otherLifeResponded(w, refusal.Reply.StartedMs)
 	}
-	if refusal.Cause == OtherLife && refusal.Reply.StartedMs != 0 && refusal.Reply.StartedMs != w.entry.StartedMs {
-		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: refusal.Reply.StartedMs})
-		s.engine.SetWorker(s.engineView(w))
-	} else if refusal.Cause == OtherLife {
-		w.otherAnswered = true
+	w.nextRenewal = clock.Now().Add(renewalRetryPause)
+}
+
+// otherLifeResponded handles a response of another worker process at a worker's address, which started at startedMs if that
+// isn't 0. If it does not tell that it is a later process of the worker, the worker itself has not responded.
+func (s *Scheduler) otherLifeResponded(w *session, startedMs int64) {
+	if startedMs != 0 && startedMs != w.entry.StartedMs {
+		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs})
+	} else {
+		w.unanswered, w.otherAnswered = true, true
 		s.countCrashIfReplaced(w)
 	}
-	w.nextRenewal = clock.Now().Add(renewalRetryPause)
+	s.engine.SetWorker(s.engineView(w))
 }
 
 // handleEnded passes the ended attempts of a worker's report to the engine, unless an earlier report contained them.
@@ -207,9 +224,11 @@
 		if !s.engine.MayRun(r.Attempt, w.id()) {
 			w.unexpected++
 		}
-		if state := w.attempts[r.Attempt]; state != nil && state.startsSent > 0 {
+		if state := w.attempts[r.Attempt]; state != nil {
 			state.processUnknown = state.processUnknown && state.startInFlight
-			s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
+			if state.startsSent > 0 {
+				s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
+			}
 		}
 		s.recordSurvival(w, r.Attempt)
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -16,6 +16,8 @@
 //     renewal acknowledges it.
 //   - A command is a start or stop request, which is queued until it is sent. A command in flight is active while it
 //     counts towards the limits on commands.
+//   - A host is the computer that a worker runs on. It runs one worker process at a time, so a worker has ended once a later
+//     one is listed on its host.
 //   - The worker list is a table in which the platform that operates the workers has a row for each of them. A worker
 //     is listed while it has a row.
 //   - A feed call (Store.Feed) reads the changes to a table after a version, and waits for one if there are none.
@@ -106,6 +108,8 @@
 	lease    Lease
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
+	// latestOnHost holds the session with the latest worker of each host.
+	latestOnHost map[ident.Host]*session
 	// renewalDue holds sessions whose renewal has become due since the last check, and nextRenewalScan is when the
 	// renewals of all sessions are checked next.
 	renewalDue      []*session
@@ -114,8 +118,10 @@
 	unconfirmed map[ident.Worker]*session
 	// nextExpiry is when the worker leases are checked for expiry next.
 	nextExpiry clock.Instant
-	journal    journal
-	commands   commandQueue
+	// workersReadAt is when the worker list was last read.
+	workersReadAt clock.Instant
+	journal       journal
+	commands      commandQueue
 	// evacuations is the set of evacuated data centres of which the engine knows.
 	evacuations *policy.Evacuations
 	// stalls measures for how long this process could not run.
@@ -148,6 +154,7 @@
 		config:          config,
 		lease:           lease,
 		sessions:        map[ident.Worker]*session{},
+		latestOnHost:    map[ident.Host]*session{},
 		unconfirmed:     map[ident.Worker]*session{},
 		loadedProgress:  map[ident.Job]*work.Progress{},
 		latestStartedMs: map[ident.Worker]int64{},
