Count the crash of a worker whose host runs a later one

A worker has certainly ended once its host runs a later worker, and its attempts are lost at once, before the list has dropped it. Crashes were only counted once it has, so that a part was started once more than needed before it was given up: 4 crashes in place of 3 in each test of crashes, with workers whose hosts are known (all fail without the change, e.g. crash_test.go:72: assertion failed: 4 (int) != 3 (int)). Now a crash counts together with the loss of its attempts.

TestCrashesCountAcrossLeaseHolders kills the lease holder as soon as the record has the count, in place of a fixed time after the crash.

--- a/sard/sched/crash_test.go
+++ b/sard/sched/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -16,24 +17,33 @@
 type restartCase struct {
 	name    string
 	renamed bool
-	// countedWithin is the time from the crash until the scheduler has recorded it. The part is not started before.
-	countedWithin time.Duration
+	// hostKnown indicates that the list names the hosts of the workers.
+	hostKnown bool
 }
 
 var restartCases = []restartCase{
-	{"the worker keeps its name", false, fakes.CrashDowntime + 40*time.Millisecond},
-	{"another worker takes its address", true, fakes.CrashDowntime + time.Second},
+	{"the worker keeps its name", false, false},
+	{"another worker takes its address", true, false},
+	{"a later worker runs on its host", true, true},
 }
 
 // runCrashTest runs a test with workers that parts may crash, for each way in which they come back.
-func runCrashTest(t *testing.T, workers int, test func(*harness, restartCase)) {
+func runCrashTest(t *testing.T, workers int, test func(*harness)) {
 	for _, c := range restartCases {
 		t.Run(c.name, func(t *testing.T) {
 			runTest(t, workers, func(r *harness) {
 				r.disturbed.Store(true)
 				r.fleet.OnRestart = r.relistRenamed
-				r.fleet.ForEachWorker(func(w *fakes.Worker) { w.RenamedByCrashes = c.renamed })
-				test(r, c)
+				r.fleet.ForEachWorker(func(w *fakes.Worker) {
+					w.RenamedByCrashes = c.renamed
+					if c.hostKnown {
+						w.Entry.Host = ident.Host(w.Entry.WorkerProcess.Worker)
+					}
+				})
+				for i := range workers {
+					r.listWorker(r.fleet.Worker(workerName(i)))
+				}
+				test(r)
 			})
 		})
 	}
@@ -53,7 +63,7 @@
 	}
 	for _, s := range steps {
 		t.Run(s.name, func(t *testing.T) {
-			runCrashTest(t, 4, func(r *harness, _ restartCase) {
+			runCrashTest(t, 4, func(r *harness) {
 				r.crashingParts["wj1"] = map[int]bool{0: true}
 				r.startInstance("i1")
 				r.sleep(2 * time.Second)
@@ -68,14 +78,13 @@
 // TestCrashesCountAcrossLeaseHolders guards against counts of crashes that are lost with the lease holder that has made
 // them.
 func TestCrashesCountAcrossLeaseHolders(t *testing.T) {
-	runCrashTest(t, 4, func(r *harness, c restartCase) {
+	runCrashTest(t, 4, func(r *harness) {
 		r.crashingParts["j1"] = map[int]bool{0: true}
 		kill := r.startInstance("i0")
 		r.sleep(2 * time.Second)
 		r.submit("j1", 2*time.Second, work.Step{Parts: 1})
 		for crashes := 1; crashes <= 2; crashes++ {
-			r.waitFor(time.Minute, func() bool { return r.fleet.CrashCount("j1") >= crashes })
-			r.sleep(c.countedWithin)
+			r.waitFor(time.Minute, func() bool { return r.recordedCrashes("j1") == crashes })
 			kill()
 			kill = r.startInstance(fmt.Sprintf("i%d", crashes))
 		}
@@ -87,7 +96,7 @@
 // TestBystandersOfCrashesAreNotGivenUp guards against parts that are given up because they started again and again beside
 // parts that crash their workers.
 func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
-	runCrashTest(t, 4, func(r *harness, _ restartCase) {
+	runCrashTest(t, 4, func(r *harness) {
 		r.startInstance("i1")
 		r.sleep(2 * time.Second)
 		var crashing, others []ident.Job
@@ -128,6 +137,21 @@
 	})
 }
 
+// recordedCrashes returns the number of crashes that the progress record of a job with one part counts.
+func (r *harness) recordedCrashes(id ident.Job) int {
+	r.t.Helper()
+	listing, err := r.store.List(r.ctx, store.KeyRange(work.ProgressKey(id)))
+	assert.NilError(r.t, err)
+	for _, row := range listing.Rows {
+		var progress work.Progress
+		assert.NilError(r.t, work.Decode(row.Value, &progress))
+		for _, crashes := range progress.Crashes {
+			return crashes.Count
+		}
+	}
+	return 0
+}
+
 // waitFor waits until a condition holds.
 func (r *harness) waitFor(timeout time.Duration, condition func() bool) {
 	r.t.Helper()
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -23,6 +23,9 @@
 			s.engine.DropWorker(w.id())
 		}
 		ended := w.ended()
+		if ended {
+			s.countCrash(w, nil)
+		}
 		if w.lost || !ended && !w.expired(now) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
 			continue
 		}
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -136,15 +136,23 @@
 	assert.NilError(r.t, err)
 }
 
-// relistRenamed lists a worker that a part has crashed again, maybe under a new name.
+// relistRenamed lists a worker that a part has crashed again, maybe under a new name. The former one is dropped, later if
+// the list names hosts.
 func (r *harness) relistRenamed(w *fakes.Worker, former ident.Worker) {
-	var renamed bool
-	r.updateFleet(func() { renamed = w.Entry.WorkerProcess.Worker != former })
-	if renamed {
-		_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{{Table: workerTable, Name: string(former)}}})
-		assert.Check(r.t, err)
-	}
+	var renamed, hostKnown bool
+	r.updateFleet(func() { renamed, hostKnown = w.Entry.WorkerProcess.Worker != former, w.Entry.Host != "" })
 	r.listWorker(w)
+	if !renamed {
+		return
+	}
+	delay := time.Duration(0)
+	if hostKnown {
+		delay = time.Second
+	}
+	time.AfterFunc(delay, func() {
+		// The test may have ended.
+		_, _ = r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{{Table: workerTable, Name: string(former)}}})
+	})
 }
 
 // unlistWorker removes a worker from the worker list in the store.
