--- a/sard/fakes/fakes_test.go
+++ b/sard/fakes/fakes_test.go
@@ -46,8 +46,10 @@
 
 // start sends a start request for a part, after applying modify to it if it is not nil.
 func (s *fixture) start(worker *fakes.Worker, part work.Part, attempt ident.Attempt, modify func(*sched.StartRequest)) {
+	var process work.WorkerProcess
+	s.fleet.Update(func() { process = worker.Entry.WorkerProcess })
 	req := sched.StartRequest{
-		Worker: worker.Entry.WorkerProcess, Attempt: work.Attempt{Part: part, Number: attempt}, Payload: s.job.Spec.Payload, Epoch: 1,
+		Worker: process, Attempt: work.Attempt{Part: part, Number: attempt}, Payload: s.job.Spec.Payload, Epoch: 1,
 	}
 	if modify != nil {
 		modify(&req)
@@ -56,6 +58,15 @@
 	_, _ = worker.Start(context.Background(), req)
 }
 
+// startCrashing starts a part that crashes its worker a number of times.
+func (s *fixture) startCrashing(times int) {
+	s.job.CrashingParts = map[int]bool{0: true}
+	for attempt := range times {
+		s.start(s.worker1, work.Part{Job: "j"}, ident.Attempt(attempt+1), nil)
+		time.Sleep(fakes.CrashDowntime + time.Second)
+	}
+}
+
 func (s *fixture) renewLease(w *fakes.Worker, ackedEnd sched.EndSequence) sched.WorkerReport {
 	report, err := w.RenewLease(context.Background(), sched.RenewLeaseRequest{Worker: w.Entry.WorkerProcess, Epoch: 1, AckedEnd: ackedEnd})
 	if err != nil {
@@ -166,6 +177,8 @@
 			s.renewLease(s.worker1, 0)
 			s.start(s.worker2, first, 2, nil)
 		}, ""},
+		{"too many starts after crashes", func(s *fixture) { s.startCrashing(6) }, "the start 3 after 5 crashes"},
+		{"starts after crashes", func(s *fixture) { s.startCrashing(5) }, ""},
 		{"too many failures", func(s *fixture) {
 			s.job.AlwaysFails = true
 			s.start(s.worker1, first, 1, nil)
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -142,6 +142,8 @@
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
 	w.lastReport = clock.Now()
+	w.otherAnswered = false
+	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
 	s.handleEnded(w, ev.report)
 	s.handleRunning(w, ev.report)
 	s.handleMissing(w, ev, first)
@@ -189,7 +191,8 @@
 	if startedMs != 0 && startedMs != w.entry.StartedMs {
 		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs})
 	} else {
-		w.unanswered = true
+		w.unanswered, w.otherAnswered = true, true
+		s.countCrashIfReplaced(w)
 	}
 	s.engine.SetWorker(s.engineView(w))
 }
@@ -227,6 +230,7 @@
 				s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
 			}
 		}
+		s.recordSurvival(w, r.Attempt)
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
 			continue
