End adopted parts that are being stopped and that their worker does not report

What callers would see: accepted jobs stay queued for good, as capacity that nobody uses stays allocated.

Cause: a takeover decides stops, for example of a cancelled job, when it restores the jobs. If the worker isn't listed at that moment, the stop has no session and is dropped. When the worker is listed again and its first report lacks the attempt, resolveMissing handled only attempts that are meant to run, so that the part stayed stopping and its room taken.

Change: an attempt of an earlier holder that the first report lacks, and that is not meant to run, has ended. Start requests of the earlier holder that are executed late have a lower epoch, which the worker refuses from that report on. If the worker does run it, handleRunning stops it, as before. Class of fault: a decision is dropped because its addressee is unknown, and the state that waits for its result is kept.

TestCancelledPartOfUnlistedWorker failed before ("job w1 is Queued, want Succeeded, after 30s") and passes now.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -408,10 +408,19 @@
 	case state.processReplaced:
 		s.resolveReplaced(w, a, state)
 	case first && state.startsSent == 0:
-		if start, pending := s.engine.PendingStart(a); pending {
-			s.queueStart(w, state, start)
-		}
+		s.resolveAdopted(w, a, state)
+	}
+}
+
+// resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
+// worker refuses the start requests of that holder from now on.
+func (s *Scheduler) resolveAdopted(w *session, a work.Attempt, state *attemptState) {
+	if start, pending := s.engine.PendingStart(a); pending {
+		s.queueStart(w, state, start)
+		return
 	}
+	delete(w.attempts, a)
+	s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
 }
 
 // resolveReplaced ends an attempt that the later process of a worker does not report. If this instance sent its start
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -67,6 +67,28 @@
 	return reply, err
 }
 
+// TestCancelledPartOfUnlistedWorker guards against capacity that stays allocated for good, because the stop of a part was
+// decided at a takeover, before its restarted worker was listed again.
+func TestCancelledPartOfUnlistedWorker(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		wa := r.fleet.Worker("wa")
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("j1", 30*time.Second, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		kill()
+		r.unlistWorker(wa)
+		r.updateFleet(wa.Crash)
+		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j1"))
+		r.startInstance("i2")
+		r.sleep(5 * time.Second)
+		r.listWorker(wa)
+		r.submit("w1", time.Second, work.Step{Parts: 1})
+		r.waitForState("w1", ident.Succeeded, 30*time.Second)
+	})
+}
+
 // TestDoneGangStartsNoMember guards against members of a gang that run again after the gang is done, because the response
 // to their start was lost and their worker has started again.
 func TestDoneGangStartsNoMember(t *testing.T) {
