Count crashes under a part only if they follow its confirmed start at once

Callers would see jobs shown as failed without cause (LOST): the limit on crashes counted starts without a response, which may never have been executed, crashes up to a second after the start, and crashes of the workers of different members of a gang.

Change: a crash counts against a part if the worker process had confirmed its start and stopped responding within 0.5 s after that. Each part has a count of its own, as it is one part that crashes its workers.

--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -12,32 +12,35 @@
 const (
 	// Probation is how long an attempt must have run before it is taken not to crash its worker by its start.
 	Probation = time.Second
-	// crashLimit is the number of counted crashes at which a group is given up. From the second one on, the group was
+	// crashLimit is the number of counted crashes of a part at which its job fails. From the second one on, the part was
 	// started in isolation.
 	crashLimit = 3
 )
 
 // CrashCount is the result of counting a crash.
 type CrashCount struct {
-	// Crashes is the number of counted crashes of the group, or 0 if this one was not counted.
+	// Crashes is the number of counted crashes of the part, or 0 if this one was not counted.
 	Crashes int
-	// SincePlaced is the time since the group was placed.
+	// SincePlaced is the time since the part was placed.
 	SincePlaced time.Duration
 	// GivenUp is set if the job has failed by this crash.
 	GivenUp bool
 }
 
-// suspected reports whether the group may be the cause of a crash.
+// suspected reports whether a part of the group may be the cause of a crash.
 func (g *group) suspected() bool {
 	return g.crashes > 0
 }
 
-// survived reports whether all parts of the group's current attempt have survived their probation.
-func (g *group) survived() bool {
-	return !slices.ContainsFunc(g.parts, func(p part) bool { return !p.survived })
+// countCrashes updates the highest number of counted crashes of the group's parts.
+func (g *group) countCrashes() {
+	g.crashes = 0
+	for i := range g.parts {
+		g.crashes = max(g.crashes, g.parts[i].crashes)
+	}
 }
 
-// CountCrash counts the crash of a worker process against the group of an attempt that was on probation there. Each
+// CountCrash counts the crash of a worker process against the part of an attempt that was on probation there. Each
 // attempt counts once, unless it was started again in a later process of the worker. At crashLimit the job fails.
 func (e *Engine) CountCrash(a work.Attempt, process work.WorkerProcess, now time.Time) CrashCount {
 	j := e.jobs[a.Part.Job]
@@ -49,21 +52,22 @@
 		return CrashCount{}
 	}
 	g, crash := p.group, work.Crash{Attempt: a.Number, Process: process}
-	if g.phase == done || a.Number > g.attempt || !follows(crash, g.lastCrash) || a.Number < g.attempt && g.survived() {
+	if g.phase == done || a.Number > g.attempt || !follows(crash, p.lastCrash) || a.Number < g.attempt && p.survived {
 		return CrashCount{}
 	}
-	g.crashes++
-	g.lastCrash = crash
+	p.crashes++
+	p.lastCrash = crash
+	g.countCrashes()
 	e.suspects[g] = true
 	e.markDirty(j)
-	count := CrashCount{Crashes: g.crashes, SincePlaced: now.Sub(g.startedAt), GivenUp: g.crashes >= crashLimit}
+	count := CrashCount{Crashes: p.crashes, SincePlaced: now.Sub(g.startedAt), GivenUp: p.crashes >= crashLimit}
 	if count.GivenUp {
 		e.endJob(j, ident.Failed, ReasonCrashes)
 	}
 	return count
 }
 
-// follows reports whether a crash of a group is another one than the latest that was counted.
+// follows reports whether a crash is another one than the latest that was counted for the part.
 func follows(crash, last work.Crash) bool {
 	if crash.Attempt != last.Attempt {
 		return crash.Attempt > last.Attempt
@@ -71,36 +75,51 @@
 	return crash.Process.Worker == last.Process.Worker && crash.Process.StartedMs > last.Process.StartedMs
 }
 
-// AttemptSurvived records that an attempt has run for Probation. A group of which all parts have is no suspect any more.
+// AttemptSurvived records that an attempt has run for Probation, so that its part is no suspect any more.
 func (e *Engine) AttemptSurvived(a work.Attempt) {
 	p := e.currentPart(a)
 	if p == nil || p.survived {
 		return
 	}
 	p.survived = true
-	g := p.group
-	if !g.suspected() || !g.survived() {
+	if p.crashes == 0 {
 		return
 	}
-	g.crashes, g.lastCrash = 0, work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}
-	delete(e.suspects, g)
+	g := p.group
+	p.crashes, p.lastCrash = 0, work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}
+	g.countCrashes()
+	if !g.suspected() {
+		delete(e.suspects, g)
+	}
 	e.markDirty(g.job)
 }
 
-// restoreCrashes loads the recorded crashes of a job's groups.
+// appendCrashes adds the counted crashes of the group's parts to the record p, in which the group has the given index.
+func (g *group) appendCrashes(p *work.Progress, index int) {
+	if !g.suspected() || g.phase == done {
+		return
+	}
+	for i := range g.parts {
+		if part := &g.parts[i]; part.crashes > 0 {
+			p.Crashes = append(p.Crashes, work.PartCrashes{Group: index, Part: part.index, Count: part.crashes, Last: part.lastCrash})
+		}
+	}
+}
+
+// restoreCrashes loads the recorded crashes of a job's parts.
 func (e *Engine) restoreCrashes(j *job, p *work.Progress) {
 	for _, recorded := range p.Crashes {
 		if recorded.Group >= len(p.Groups) {
 			continue
 		}
-		first := p.Groups[recorded.Group]
-		found := j.findPart(work.Part{Occurrence: first.Occurrence, Step: first.Step, Index: first.First})
+		group := p.Groups[recorded.Group]
+		found := j.findPart(work.Part{Occurrence: group.Occurrence, Step: group.Step, Index: recorded.Part})
 		if found == nil || found.group.phase == done {
 			continue
 		}
-		g := found.group
-		g.crashes, g.lastCrash = recorded.Count, recorded.Last
-		e.suspects[g] = true
+		found.crashes, found.lastCrash = recorded.Count, recorded.Last
+		found.group.countCrashes()
+		e.suspects[found.group] = true
 	}
 }
 
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -58,6 +58,10 @@
 	stopping bool
 	// survived is set when the current attempt is known to have run for Probation.
 	survived bool
+	// crashes counts the crashes of workers soon after the start of an attempt, since one has survived its probation;
+	// lastCrash is the latest of them.
+	crashes   int
+	lastCrash work.Crash
 }
 
 // group is a set of parts that are started and retried together: a gang, or a single part.
@@ -74,10 +78,8 @@
 	attempt    ident.Attempt
 	failures   int
 	checkpoint work.Checkpoint
-	// crashes counts the crashes of workers soon after the start of an attempt of the group, since one has survived its
-	// probation; lastCrash is the latest of them.
-	crashes   int
-	lastCrash work.Crash
+	// crashes is the highest number of counted crashes of a part.
+	crashes int
 	// attemptFailed is set when a part of the current attempt has failed.
 	attemptFailed bool
 	// retryAt is the earliest time at which the group may be placed again.
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -74,9 +74,7 @@
 				if g.attemptFailed {
 					p.Failing = append(p.Failing, len(p.Groups))
 				}
-				if g.suspected() && g.phase != done {
-					p.Crashes = append(p.Crashes, work.GroupCrashes{Group: len(p.Groups), Count: g.crashes, Last: g.lastCrash})
-				}
+				g.appendCrashes(p, len(p.Groups))
 				p.Groups = append(p.Groups, g.groupRecord(p, processes))
 			}
 		}
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -33,8 +33,6 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
-	// undelivered is the number of them that certainly did not arrive.
-	undelivered int
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
 	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
@@ -277,9 +275,6 @@
 	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
-	if ev.undelivered() {
-		state.undelivered++
-	}
 	start, pending := s.engine.PendingStart(ev.attempt)
 	limit := maxStartSends
 	if state.firstSentAt.Before(w.lastAnswer) {
--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -5,10 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
+// crashDelay is the time from the confirmed start of a part that crashes its worker until a request to the worker fails.
+const crashDelay = 500 * time.Millisecond
+
 // countCrashIfReplaced counts the crash of a worker process once another process responds at the worker's address and the
 // list has dropped the worker. A worker that is only silent has not crashed.
 func (s *Scheduler) countCrashIfReplaced(w *session) {
@@ -17,7 +21,7 @@
 	}
 }
 
-// countCrash counts the crash of a worker process against the parts on probation there, except the attempts that the
+// countCrash counts the crash of a worker process against the parts that it had just started, except the attempts that the
 // next process has reported. The end of a process whose worker was leaving is no crash.
 func (s *Scheduler) countCrash(w *session, reported []work.Attempt) {
 	if w.crashCounted || w.entry.Leaving {
@@ -26,7 +30,7 @@
 	w.crashCounted = true
 	var suspects []work.Attempt
 	for a, state := range w.attempts {
-		if state.mayRun() && !w.survived(state) && !slices.Contains(reported, a) {
+		if w.crashedUnder(state) && !slices.Contains(reported, a) {
 			suspects = append(suspects, a)
 		}
 	}
@@ -36,7 +40,7 @@
 	}
 }
 
-// countSuspect counts a crash of a worker process against one of the parts on probation there.
+// countSuspect counts a crash of a worker process against one of the parts that it had just started.
 func (s *Scheduler) countSuspect(w *session, a work.Attempt, suspects int) {
 	count := s.engine.CountCrash(a, w.entry.WorkerProcess, time.Now())
 	if count.Crashes == 0 {
@@ -62,17 +66,17 @@
 	)
 }
 
-// mayRun reports whether the attempt may have been started in the current process of the worker: by this instance or by
-// an earlier holder of the scheduler lease.
-func (state *attemptState) mayRun() bool {
-	switch {
-	case state.processReplaced:
-		return state.runningAt != 0
-	case state.startsSent == 0:
-		return !state.unrecorded && !state.startQueued
-	default:
-		return state.startsSent > state.undelivered
+// crashedUnder reports whether the worker process, which has crashed, stopped responding within crashDelay after it had
+// confirmed the start of an attempt. Starts without a response don't count, as they may never have been executed.
+func (w *session) crashedUnder(state *attemptState) bool {
+	if state.startConfirmed == clock.Never || state.runningAt == 0 || w.survived(state) {
+		return false
+	}
+	failedAt := w.failedAt
+	if failedAt.Before(state.firstSentAt) {
+		failedAt = clock.Now()
 	}
+	return failedAt.Sub(state.startConfirmed) <= crashDelay
 }
 
 // recordAlive records that a worker process has responded at a time on its clock.
--- a/sard/sched/crash_test.go
+++ b/sard/sched/crash_test.go
@@ -198,3 +198,45 @@
 		r.waitForState("j1", ident.Succeeded, 30*time.Second)
 	})
 }
+
+// TestRandomCrashesGiveUpNoPart guards against a job that is shown as failed because workers on which it was just started
+// crashed by themselves, though no crash followed from the start.
+func TestRandomCrashesGiveUpNoPart(t *testing.T) {
+	tests := []struct {
+		name string
+		// lost indicates that the worker crashes before it starts the part, and after the request was sent.
+		lost bool
+		// delay is the time from the start of the part until its worker crashes.
+		delay time.Duration
+	}{
+		{name: "before the start", lost: true, delay: 10 * time.Millisecond},
+		{name: "some time after the start", delay: 700 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				r.disturbed.Store(true)
+				c := r.crashClients()
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				wa := r.fleet.Worker("wa")
+				if test.lost {
+					c.lostStarts.Store(1000)
+				}
+				r.submit("j1", 2*time.Second, work.Step{Parts: 1})
+				for starts := int64(0); starts < 8; {
+					for deadline := time.Now().Add(10 * time.Second); c.starts.Load() == starts; {
+						assert.Assert(t, time.Now().Before(deadline), "not started again")
+						r.sleep(5 * time.Millisecond)
+					}
+					starts = c.starts.Load()
+					r.sleep(test.delay)
+					r.updateFleet(wa.Crash)
+					r.listWorker(wa)
+				}
+				c.lostStarts.Store(0)
+				r.waitForState("j1", ident.Succeeded, 20*time.Second)
+			})
+		})
+	}
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -141,7 +141,7 @@
 	first := !w.fenced
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
-	w.lastReport = clock.Now()
+	w.lastReport, w.failedAt = clock.Now(), clock.Never
 	w.otherAnswered = false
 	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
 	s.handleEnded(w, ev.report)
@@ -168,7 +168,7 @@
 	if !w.unanswered {
 		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.lastAnswer).Milliseconds(), "error", err)
 	}
-	w.unanswered = true
+	w.recordFailure()
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 	s.engine.SetWorker(s.engineView(w))
 }
@@ -191,7 +191,8 @@
 	if startedMs != 0 && startedMs != w.entry.StartedMs {
 		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs})
 	} else {
-		w.unanswered, w.otherAnswered = true, true
+		w.recordFailure()
+		w.otherAnswered = true
 		s.countCrashIfReplaced(w)
 	}
 	s.engine.SetWorker(s.engineView(w))
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -48,6 +48,8 @@
 	// there.
 	ackedEnd EndSequence
 	lost     bool
+	// failedAt is when the first lease renewal after lastReport failed, or Never.
+	failedAt clock.Instant
 	// aliveAt is the latest time on the worker's clock in a report or in the response to a start.
 	aliveAt WorkerClock
 	// otherAnswered indicates that another process has refused the last lease renewal, and crashCounted that the crash of
@@ -115,6 +117,14 @@
 	w.unanswered = false
 }
 
+// recordFailure records that a lease renewal got no response of the worker.
+func (w *session) recordFailure() {
+	w.unanswered = true
+	if w.failedAt == clock.Never {
+		w.failedAt = clock.Now()
+	}
+}
+
 // handleListed creates or updates the session with a worker from the worker's entry in the platform's list of workers,
 // and passes the worker to the engine. If the entry names a later process of the worker, the session is reset for it.
 func (s *Scheduler) handleListed(entry ListedWorker) {
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -75,8 +75,8 @@
 	// Failing holds the indexes in Groups of groups whose current attempt has failed while some of its parts may still
 	// run. Their Failures include that attempt.
 	Failing []int `cbor:",omitempty"`
-	// Crashes holds the groups of which the last attempts coincided with crashes of their workers.
-	Crashes []GroupCrashes `cbor:",omitempty"`
+	// Crashes holds the parts of which the last attempts coincided with crashes of their workers.
+	Crashes []PartCrashes `cbor:",omitempty"`
 	// EndedMs is the Unix time in milliseconds at which the job ended, from which its retention is counted; 0 while it
 	// is open.
 	EndedMs int64 `cbor:",omitempty"`
@@ -110,10 +110,10 @@
 	Workers []int
 }
 
-// GroupCrashes counts the crashes of workers that may be due to a group.
-type GroupCrashes struct {
-	// Group is the index of the group in Progress.Groups.
-	Group int
+// PartCrashes counts the crashes of workers that may be due to a part.
+type PartCrashes struct {
+	// Group is the index of the part's group in Progress.Groups, and Part that of the part in its step.
+	Group, Part int
 	// Count is the number of counted crashes, and Last the latest of them.
 	Count int
 	Last  Crash
