Place no parts on a worker that was counted as lost

Jobs stayed running for good: a worker that had crashed was counted as lost as soon as a later worker ran on its host, and parts were placed on it again, because a worker without a response counts as silent only after 1.5 s. It was never counted as lost a second time, so these parts were never started elsewhere. Before the later worker counted, a worker was lost only after the expiry of its lease, when it had been silent for long.

A lost worker now accepts no parts until it responds, and is counted as lost again whenever it may have parts.

TestEndedWorkerGetsNoParts fails before in each run: "job w1 is Running, want Succeeded, after 6s".

--- a/sard/sched/departed_test.go
+++ b/sard/sched/departed_test.go
@@ -235,3 +235,29 @@
 		})
 	}
 }
+
+// TestEndedWorkerGetsNoParts guards against parts that stay placed for good on a worker that has ended and that a later worker
+// on its host follows so soon that it does not count as silent yet.
+func TestEndedWorkerGetsNoParts(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() { wa.Entry.Host = "h1" })
+		r.listWorker(wa)
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("w1", 2*time.Second, work.Step{Parts: 1})
+		r.sleep(300 * time.Millisecond)
+		r.updateFleet(func() {
+			wa.Crash()
+			wa.Unreachable = true
+		})
+		r.sleep(300 * time.Millisecond)
+		later := newListedWorker("wb", "r0")
+		later.Host = "h1"
+		r.listWorker(r.fleet.AddWorker(later))
+		r.submit("w2", 2*time.Second, work.Step{Parts: 1})
+		r.waitForState("w1", ident.Succeeded, 6*time.Second)
+		r.waitForState("w2", ident.Succeeded, 6*time.Second)
+	})
+}
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -26,10 +26,11 @@
 		if ended {
 			s.countCrash(w, nil)
 		}
-		if w.lost || !ended && !w.expired(now) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
+		if !ended && !w.expired(now) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
 			continue
 		}
 		w.lost = true
+		s.engine.DropWorker(w.id())
 		s.config.Metrics.workersLost.Inc()
 		message := "worker lost, its lease has expired"
 		if ended {
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -64,12 +64,43 @@
 	}
 }
 
+// replacementRegressionSeeds are seeds of TestRandomReplacements that failed before, as parts were placed on a worker that
+// was counted as lost before it counted as silent.
+var replacementRegressionSeeds = []uint64{38, 122, 186, 200, 254, 266}
+
+// TestRandomReplacements is like TestRandomFaults, but workers also end for good, and later ones run on their hosts.
+func TestRandomReplacements(t *testing.T) {
+	seeds := replacementRegressionSeeds
+	for seed := range uint64(10) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runTest(t, 8, func(r *harness) {
+				s := newScenario(r, seed)
+				s.replacements = rand.New(rand.NewPCG(seed, 8))
+				for i, name := range s.workers {
+					w := s.fleet.Worker(name)
+					s.updateFleet(func() { w.Entry.Host = ident.Host(fmt.Sprintf("h%d", i)) })
+					s.relist(name)
+				}
+				s.run()
+			})
+		})
+	}
+}
+
 // scenario is a random sequence of events derived from a seed.
 type scenario struct {
 	*harness
 	rng *rand.Rand
 	// shrinking, if not nil, makes the capacity of random workers shrink and grow.
-	shrinking     *rand.Rand
+	shrinking *rand.Rand
+	// replacements, if not nil, chooses the workers that are replaced.
+	replacements *rand.Rand
+	// workers holds the names of the workers that have not been replaced, and replaced the workers that have.
+	workers       []ident.Worker
+	replaced      []*fakes.Worker
 	submitted     []ident.Job
 	cancelled     map[ident.Job]bool
 	killInstances []context.CancelFunc
@@ -78,7 +109,11 @@
 
 // newScenario returns a scenario for a seed.
 func newScenario(r *harness, seed uint64) *scenario {
-	return &scenario{harness: r, rng: rand.New(rand.NewPCG(seed, 7)), cancelled: map[ident.Job]bool{}}
+	s := &scenario{harness: r, rng: rand.New(rand.NewPCG(seed, 7)), cancelled: map[ident.Job]bool{}}
+	for i := range 8 {
+		s.workers = append(s.workers, workerName(i))
+	}
+	return s
 }
 
 // run starts three instances, performs random actions, clears all faults and waits for all jobs to end.
@@ -90,6 +125,7 @@
 	for range 120 {
 		s.step()
 		s.resizeRandom()
+		s.replaceRandom()
 		s.sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -156,7 +192,7 @@
 
 // injectFault injects a random fault into a random worker, or clears the faults of the worker.
 func (s *scenario) injectFault() {
-	name := workerName(s.rng.IntN(8))
+	name := s.workers[s.rng.IntN(8)]
 	kind := s.rng.IntN(8)
 	w := s.fleet.Worker(name)
 	s.updateFleet(func() {
@@ -187,7 +223,7 @@
 	if s.shrinking == nil || s.shrinking.IntN(3) > 0 || s.storeDown.Load() || s.dropStoreReplies.Load() {
 		return
 	}
-	s.setAccelerators(workerName(s.shrinking.IntN(8)), ident.Accelerators(s.shrinking.IntN(9)))
+	s.setAccelerators(s.workers[s.shrinking.IntN(8)], ident.Accelerators(s.shrinking.IntN(9)))
 }
 
 // relist writes the current entry of a worker to the worker list if the store is available.
@@ -203,11 +239,40 @@
 	s.storeDown.Store(false)
 	s.dropStoreReplies.Store(false)
 	s.fleet.ForEachWorker((*fakes.Worker).ClearFaults)
-	for i := range 8 {
+	s.updateFleet(func() {
+		for _, w := range s.replaced {
+			w.Unreachable = true
+		}
+	})
+	for _, name := range s.workers {
 		if s.shrinking != nil {
-			s.setAccelerators(workerName(i), 8)
+			s.setAccelerators(name, 8)
 		}
-		s.relist(workerName(i))
+		s.relist(name)
+	}
+}
+
+// replaceRandom may end a random worker for good, and starts another one on its host. The list may still name the former
+// worker.
+func (s *scenario) replaceRandom() {
+	if s.replacements == nil || s.replacements.IntN(5) != 0 {
+		return
+	}
+	i := s.replacements.IntN(len(s.workers))
+	former := s.fleet.Worker(s.workers[i])
+	s.updateFleet(func() {
+		former.Crash()
+		former.Unreachable = true
+	})
+	s.replaced = append(s.replaced, former)
+	s.sleep(time.Duration(s.replacements.IntN(600)) * time.Millisecond)
+	later := newListedWorker(ident.Worker(fmt.Sprintf("w%d", len(s.replaced))), former.Entry.Rack)
+	later.Host = former.Entry.Host
+	s.workers[i] = later.WorkerProcess.Worker
+	s.fleet.AddWorker(later)
+	s.relist(s.workers[i])
+	if s.replacements.IntN(2) == 0 && !s.storeDown.Load() && !s.dropStoreReplies.Load() {
+		s.unlistWorker(former)
 	}
 }
 
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -47,7 +47,8 @@
 	// ackedEnd is the last end whose acknowledgement the worker has received. It has discarded the ends up to
 	// there.
 	ackedEnd EndSequence
-	lost     bool
+	// lost indicates that the attempts on the worker were counted as lost, and that it has not responded since.
+	lost bool
 	// aliveAt is the latest time on the worker's clock in a report or in the response to a start.
 	aliveAt WorkerClock
 	// otherAnswered indicates that another process has refused the last lease renewal, and crashCounted that the crash of
@@ -205,10 +206,10 @@
 }
 
 // engineView returns the worker as it is passed to the engine. It accepts new parts only while it is listed and
-// responds, runs no unexpected attempts, and its data centre is not being evacuated.
+// responds, is not lost, runs no unexpected attempts, and its data centre is not being evacuated.
 func (s *Scheduler) engineView(w *session) pool.Worker {
 	view := w.entry.Worker
-	view.Accepting = view.Accepting && w.listed && w.fenced && w.unexpected == 0 && !w.silent() && !s.evacuated(w)
+	view.Accepting = view.Accepting && w.listed && w.fenced && !w.lost && w.unexpected == 0 && !w.silent() && !s.evacuated(w)
 	return view
 }
 
