List late requests to a worker's next process as known faults, with their tests

Each of the five tests fails on this code.

A fix was written and tried: the epoch of requests rises with each one that got no response. It is left out: epochs of an earlier version of the program would be lower, so that after a rollback workers would refuse all its requests. Raising the lease's own version in the store would not have that effect.

--- a/sard/sched/capacity_test.go
+++ b/sard/sched/capacity_test.go
@@ -208,7 +208,7 @@
 		r.startInstance("i1")
 		r.sleep(2 * time.Second)
 		wa := r.fleet.Worker("wa")
-		_, err := r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(wa), Value: []byte(`{"Capacity":7}`)}}})
+		_, err := r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(wa.Entry), Value: []byte(`{"Capacity":7}`)}}})
 		assert.NilError(t, err)
 		r.sleep(listedGrace)
 		r.submit("j1", time.Second, work.Step{Parts: 1})
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -124,15 +124,17 @@
 // listWorker writes the current entry of a worker to the worker list in the store.
 func (r *harness) listWorker(w *fakes.Worker) {
 	r.t.Helper()
-	var key store.Key
-	var value []byte
-	var err error
-	r.updateFleet(func() {
-		key = listKey(w)
-		value, err = json.Marshal(w.Entry)
-	})
+	var entry sched.ListedWorker
+	r.updateFleet(func() { entry = w.Entry })
+	r.listEntry(entry)
+}
+
+// listEntry writes an entry of a worker, which may be a former one, to the worker list in the store.
+func (r *harness) listEntry(entry sched.ListedWorker) {
+	r.t.Helper()
+	value, err := json.Marshal(entry)
 	assert.NilError(r.t, err)
-	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: key, Value: value}}})
+	_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: listKey(entry), Value: value}}})
 	assert.NilError(r.t, err)
 }
 
@@ -159,14 +161,14 @@
 func (r *harness) unlistWorker(w *fakes.Worker) {
 	r.t.Helper()
 	var key store.Key
-	r.updateFleet(func() { key = listKey(w) })
+	r.updateFleet(func() { key = listKey(w.Entry) })
 	_, err := r.store.Apply(r.ctx, store.Tx{Delete: []store.Key{key}})
 	assert.NilError(r.t, err)
 }
 
 // listKey returns the key of a worker's row in the worker list.
-func listKey(w *fakes.Worker) store.Key {
-	return store.Key{Table: workerTable, Name: string(w.Entry.WorkerProcess.Worker)}
+func listKey(entry sched.ListedWorker) store.Key {
+	return store.Key{Table: workerTable, Name: string(entry.WorkerProcess.Worker)}
 }
 
 // startInstance starts an instance and returns a function that kills it.
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -28,6 +28,11 @@
 	// startDelay is how long starts take to arrive; their responses are lost if it is set. responseDelay is how long the
 	// responses to starts take.
 	startDelay, responseDelay atomic.Int64
+	// startLateness and ackLateness are how late the next start and the next acknowledgement of ends are executed, without a
+	// response.
+	startLateness, ackLateness atomic.Int64
+	// ackDelay is how long acknowledgements of ends take to arrive.
+	ackDelay atomic.Int64
 	// lostIndex is the index of the part whose starts are lost, or 0.
 	lostIndex atomic.Int64
 }
@@ -45,6 +50,12 @@
 	if o.Worker.Worker == "wa" && c.renewalsFail.Load() {
 		return sched.WorkerReport{}, fault.New(fault.Unavailable, "renew", "wa", "refused")
 	}
+	if o.Worker.Worker == "wa" && o.AckedEnd > 0 {
+		time.Sleep(time.Duration(c.ackDelay.Load()))
+		if late := c.ackLateness.Swap(0); late > 0 {
+			return sched.WorkerReport{}, executeLate(ctx, late, func() { _, _ = c.WorkerClient.RenewLease(context.Background(), o) })
+		}
+	}
 	return c.WorkerClient.RenewLease(ctx, o)
 }
 
@@ -57,6 +68,9 @@
 		time.Sleep(600 * time.Millisecond)
 		return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "lost")
 	}
+	if late := c.startLateness.Swap(0); late > 0 {
+		return sched.Reply{}, executeLate(ctx, late, func() { _, _ = c.WorkerClient.Start(context.Background(), o) })
+	}
 	if delay := c.startDelay.Load(); delay > 0 {
 		time.Sleep(time.Duration(delay))
 		_, _ = c.WorkerClient.Start(ctx, o)
@@ -67,6 +81,136 @@
 	return reply, err
 }
 
+// executeLate schedules the execution of a request, and returns the error of its sender, which gets no response.
+func executeLate(ctx context.Context, late int64, request func()) error {
+	time.AfterFunc(time.Duration(late), request)
+	<-ctx.Done()
+	return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", "wa")
+}
+
+// TestLateStartAfterRestart guards against parts that run twice, because the first of two start requests is executed late, by
+// a later process of the worker, when the part has been started elsewhere.
+func TestLateStartAfterRestart(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		d.startLateness.Store(int64(3 * time.Second))
+		r.submit("j1", 10*time.Second, work.Step{Parts: 1})
+		r.sleep(1500 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.listWorker(wa)
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
+
+// TestLateAcknowledgementAfterRestart guards against parts that run again after they are done, because an acknowledgement is
+// executed late, by a later process of the worker, and discards an end that no report has listed.
+func TestLateAcknowledgementAfterRestart(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		d.ackLateness.Store(int64(3 * time.Second))
+		r.submit("j1", 100*time.Millisecond, work.Step{Parts: 1})
+		r.sleep(500 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.listWorker(wa)
+		r.sleep(2 * time.Second)
+		d.renewalsFail.Store(true)
+		r.submit("j2", 200*time.Millisecond, work.Step{Parts: 1})
+		r.sleep(time.Second)
+		d.renewalsFail.Store(false)
+		r.waitForState("j2", ident.Succeeded, 30*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+	})
+}
+
+// TestLateAcknowledgementInFlightAtRestart is like TestLateAcknowledgementAfterRestart, but the acknowledgement is in flight
+// when the list names the later process, and its sender is killed before it learns that there is no response.
+func TestLateAcknowledgementInFlightAtRestart(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		d.ackLateness.Store(int64(1500 * time.Millisecond))
+		r.submit("j1", 100*time.Millisecond, work.Step{Parts: 1})
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		r.sleep(20 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.listWorker(wa)
+		r.sleep(200 * time.Millisecond)
+		r.submit("j2", time.Second, work.Step{Parts: 1})
+		r.sleep(100 * time.Millisecond)
+		kill()
+		r.startInstance("i2")
+		r.waitForState("j2", ident.Succeeded, 30*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+	})
+}
+
+// TestAcknowledgementHoldsBackStarts guards against parts that run again after they are done, because a start overtakes an
+// acknowledgement to a worker that has just started again, and which then discards the end of that part.
+func TestAcknowledgementHoldsBackStarts(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		d.ackDelay.Store(int64(400 * time.Millisecond))
+		r.submit("j1", 100*time.Millisecond, work.Step{Parts: 1})
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		r.sleep(20 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.submit("j2", 30*time.Millisecond, work.Step{Parts: 1})
+		r.waitForState("j2", ident.Succeeded, 30*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+	})
+}
+
+// TestStartTimeGoesBack guards against parts that run twice, because the time of day was set back while a worker started
+// again, so that the list and the worker's reports name its former and its later process by turns.
+func TestStartTimeGoesBack(t *testing.T) {
+	tests := []struct {
+		name     string
+		takeover bool
+	}{
+		{"the list is stale", false},
+		{"the records name the former process", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				r.disturbed.Store(true)
+				wa := r.fleet.Worker("wa")
+				kill := r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("j1", 20*time.Second, work.Step{Parts: 1})
+				r.sleep(time.Second)
+				var listed sched.ListedWorker
+				r.updateFleet(func() { listed = wa.Entry })
+				if test.takeover {
+					kill()
+					r.startInstance("i2")
+				}
+				r.updateFleet(func() {
+					wa.Crash()
+					wa.Entry.StartedMs = listed.StartedMs - time.Minute.Milliseconds()
+				})
+				r.sleep(10 * time.Second)
+				r.listEntry(listed)
+				r.sleep(5 * time.Second)
+				r.listWorker(wa)
+				r.waitForState("j1", ident.Succeeded, time.Minute)
+				assert.Equal(t, r.fleet.StartCount(), 2)
+			})
+		})
+	}
+}
+
 // TestCancelledPartOfUnlistedWorker guards against capacity that stays allocated for good, because the stop of a part was
 // decided at a takeover, before its restarted worker was listed again.
 func TestCancelledPartOfUnlistedWorker(t *testing.T) {
