--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -64,12 +64,28 @@
 	}
 }
 
+// TestRandomFaultsWhileListIsUnread is like TestRandomFaultsWhileWorkersShrink, and at times the store answers no reads. The
+// seeds are those that fail if starts are sent all the same, and some others.
+func TestRandomFaultsWhileListIsUnread(t *testing.T) {
+	for _, seed := range []uint64{115, 132, 187, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runTest(t, 8, func(r *harness) {
+				s := newScenario(r, seed)
+				s.shrinking, s.reading = rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
+				s.run()
+			})
+		})
+	}
+}
+
 // scenario is a random sequence of events derived from a seed.
 type scenario struct {
 	*harness
 	rng *rand.Rand
 	// shrinking, if not nil, makes the capacity of random workers shrink and grow.
-	shrinking     *rand.Rand
+	shrinking *rand.Rand
+	// reading, if not nil, makes the reads of the store fail at times.
+	reading       *rand.Rand
 	submitted     []ident.Job
 	cancelled     map[ident.Job]bool
 	killInstances []context.CancelFunc
@@ -90,6 +106,9 @@
 	for range 120 {
 		s.step()
 		s.resizeRandom()
+		if s.reading != nil && s.reading.IntN(12) == 0 {
+			s.readsFail.Store(!s.readsFail.Load())
+		}
 		s.sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -136,7 +155,7 @@
 	step := work.Step{
 		Parts: 1 + s.rng.IntN(4), Gang: s.rng.IntN(2) == 0, Checkpoints: s.rng.IntN(2) == 0, SameRack: s.rng.IntN(2) == 0,
 	}
-	if s.storeDown.Load() || s.dropStoreReplies.Load() {
+	if s.storeDown.Load() || s.readsFail.Load() || s.dropStoreReplies.Load() {
 		return
 	}
 	s.failingJobs[id] = s.rng.IntN(12) == 0
@@ -146,7 +165,7 @@
 
 // cancelRandom cancels a random job if the store is available.
 func (s *scenario) cancelRandom() {
-	if len(s.submitted) == 0 || s.storeDown.Load() || s.dropStoreReplies.Load() {
+	if len(s.submitted) == 0 || s.storeDown.Load() || s.readsFail.Load() || s.dropStoreReplies.Load() {
 		return
 	}
 	id := s.submitted[s.rng.IntN(len(s.submitted))]
@@ -201,6 +220,7 @@
 // clearFaults clears all faults of the store and the workers.
 func (s *scenario) clearFaults() {
 	s.storeDown.Store(false)
+	s.readsFail.Store(false)
 	s.dropStoreReplies.Store(false)
 	s.fleet.ForEachWorker((*fakes.Worker).ClearFaults)
 	for i := range 8 {
