Send no start to a worker that is draining or not listed any more

Workers that were leaving got starts seconds after they had said so (DRAIN), decided before and sent in a bunch when a slow record was written.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -103,7 +103,7 @@
 	if state.startConfirmed != clock.Never {
 		return
 	}
-	if s.evacuated(w) || !s.hasCapacity(w, start.Attempt) {
+	if !s.acceptsStart(w, start.Attempt) {
 		s.cancelStart(w, state, start.Attempt)
 		return
 	}
@@ -134,6 +134,11 @@
 	})
 }
 
+// acceptsStart reports whether a queued start may still be sent to a worker, which may have changed since it was decided.
+func (s *Scheduler) acceptsStart(w *session, a work.Attempt) bool {
+	return w.listed && w.entry.Accepting && !s.evacuated(w) && s.hasCapacity(w, a)
+}
+
 // hasCapacity reports whether a worker has the capacity for an attempt that is about to be started there, which it may have
 // lost since that was decided. Attempts of which no start request can have reached the worker do not count.
 func (s *Scheduler) hasCapacity(w *session, a work.Attempt) bool {
