Count crashes that break the connection of a start request

A start request whose connection breaks now counts like a confirmed one, if the worker's crash follows. One that times out still does not. TestCrashBreaksStartRequest fails before in all three cases ("job wj1 is Running, want Failed"). In TestRandomCrashesGiveUpNoPart, the case of a crash before the start is one of requests that time out, as the former case, a broken connection at each of eight starts, can't be told from a part that crashes its workers.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -42,6 +42,8 @@
 	processReplaced bool
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
+	// startBroken is when the connection of a start request broke before its response, or Never.
+	startBroken clock.Instant
 	// runningAt is the first time on the worker process's clock at which the attempt is known to run there, or 0.
 	runningAt WorkerClock
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
@@ -280,6 +282,9 @@
 	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
+	if !ev.timedOut && !ev.undelivered() {
+		state.startBroken = clock.Now()
+	}
 	start, pending := s.engine.PendingStart(ev.attempt)
 	limit := maxStartSends
 	if state.firstSentAt.Before(w.lastAnswer) {
--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -67,16 +67,21 @@
 }
 
 // crashedUnder reports whether the worker process, which has crashed, stopped responding within crashDelay after it had
-// confirmed the start of an attempt. Starts without a response don't count, as they may never have been executed.
+// confirmed the start of an attempt, or after the connection of the start request broke. Starts that timed out don't count,
+// as they may never have been executed.
 func (w *session) crashedUnder(state *attemptState) bool {
-	if state.startConfirmed == clock.Never || state.runningAt == 0 || w.survived(state) {
+	startedAt := state.startBroken
+	if state.runningAt != 0 {
+		startedAt = state.startConfirmed
+	}
+	if startedAt == clock.Never || w.survived(state) {
 		return false
 	}
 	failedAt := w.failedAt
 	if failedAt.Before(state.firstSentAt) {
 		failedAt = clock.Now()
 	}
-	return failedAt.Sub(state.startConfirmed) <= crashDelay
+	return failedAt.Sub(startedAt) <= crashDelay
 }
 
 // recordAlive records that a worker process has responded at a time on its clock.
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -186,7 +186,8 @@
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
 		if state.startInFlight || state.processUnknown || slices.Contains(reported, a) {
-			state.startQueued, state.processReplaced, state.stopConfirmed, state.runningAt = false, true, clock.Never, 0
+			state.startQueued, state.processReplaced = false, true
+			state.stopConfirmed, state.startBroken, state.runningAt = clock.Never, clock.Never, 0
 			kept[a] = state
 		}
 	}
