--- a/sard/sched/crash_test.go
+++ b/sard/sched/crash_test.go
@@ -28,7 +28,8 @@
 }
 
 // runCrashTest runs a test with workers that parts may crash, for each way in which they come back.
-func runCrashTest(t *testing.T, workers int, test func(*harness)) {
+func runCrashTest(t *testing.T, test func(*harness)) {
+	const workers = 4
 	for _, c := range restartCases {
 		t.Run(c.name, func(t *testing.T) {
 			runTest(t, workers, func(r *harness) {
@@ -63,7 +64,7 @@
 	}
 	for _, s := range steps {
 		t.Run(s.name, func(t *testing.T) {
-			runCrashTest(t, 4, func(r *harness) {
+			runCrashTest(t, func(r *harness) {
 				r.crashingParts["wj1"] = map[int]bool{0: true}
 				r.startInstance("i1")
 				r.sleep(2 * time.Second)
@@ -78,7 +79,7 @@
 // TestCrashesCountAcrossLeaseHolders guards against counts of crashes that are lost with the lease holder that has made
 // them.
 func TestCrashesCountAcrossLeaseHolders(t *testing.T) {
-	runCrashTest(t, 4, func(r *harness) {
+	runCrashTest(t, func(r *harness) {
 		r.crashingParts["j1"] = map[int]bool{0: true}
 		kill := r.startInstance("i0")
 		r.sleep(2 * time.Second)
@@ -96,7 +97,7 @@
 // TestBystandersOfCrashesAreNotGivenUp guards against parts that are given up because they started again and again beside
 // parts that crash their workers.
 func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
-	runCrashTest(t, 4, func(r *harness) {
+	runCrashTest(t, func(r *harness) {
 		r.startInstance("i1")
 		r.sleep(2 * time.Second)
 		var crashing, others []ident.Job
@@ -242,7 +243,7 @@
 // TestCrashBreaksStartRequest guards against a part that crashes worker after worker and is never given up, because the
 // responses to its starts are lost with the worker's connections.
 func TestCrashBreaksStartRequest(t *testing.T) {
-	runCrashTest(t, 4, func(r *harness) {
+	runCrashTest(t, func(r *harness) {
 		c := r.crashClients()
 		c.broken.Store(true)
 		r.crashingParts["wj1"] = map[int]bool{0: true}
