Renew the lease of a lost worker until it reports

Found by the review. TestLostWorkerIsUsedAgain, with 40 moments at which a frozen worker goes on, fails before for several of them ("job j2 is Queued, want Succeeded"); all pass now.

--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -64,7 +64,7 @@
 	if !busy && w.departed(now) {
 		return
 	}
-	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered {
+	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered && !w.lost {
 		return
 	}
 	s.sendRenewal(ctx, w, busy)
