Count a crash only if it follows a start within the time in which a renewal shows it

The 0.5 s had no reason; 0.25 s is the pause before the next renewal, the longest time until a crash at the start is noticed.

--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -10,8 +10,9 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// crashDelay is the time from the confirmed start of a part that crashes its worker until a request to the worker fails.
-const crashDelay = 500 * time.Millisecond
+// crashDelay is the time from the confirmed start of a part that crashes its worker at once until a lease renewal fails. An
+// open renewal fails with the worker's connections, and the next one after renewalRetryPause at the latest.
+const crashDelay = renewalRetryPause
 
 // countCrashIfReplaced counts the crash of a worker process once another process responds at the worker's address and the
 // list has dropped the worker. A worker that is only silent has not crashed.
