--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// TestRandomFaultsWithCrashingParts is like TestRandomFaults, and some jobs have a part that crashes its workers. No job may be
+// shown as failed only because it shared workers with them or with a fault. The store stays available, since crashes that
+// can't be recorded while the lease holder changes are not counted.
+func TestRandomFaultsWithCrashingParts(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runTest(t, 8, func(r *harness) {
+				s := newScenario(r, seed)
+				s.crashing = rand.New(rand.NewPCG(seed, 9))
+				r.fleet.OnRestart = s.relistCrashed
+				r.fleet.ForEachWorker(func(w *fakes.Worker) { w.RenamedByCrashes = s.crashing.IntN(2) == 0 })
+				s.run()
+			})
+		})
+	}
+}
+
 // scenario is a random sequence of events derived from a seed.
 type scenario struct {
 	*harness
@@ -116,7 +133,9 @@
 	workers  []ident.Worker
 	replaced []*fakes.Worker
 	// reading, if not nil, makes the reads of the store fail at times.
-	reading       *rand.Rand
+	reading *rand.Rand
+	// crashing, if not nil, makes random parts crash their workers.
+	crashing      *rand.Rand
 	submitted     []ident.Job
 	cancelled     map[ident.Job]bool
 	killInstances []context.CancelFunc
@@ -161,7 +180,11 @@
 
 // step performs a random action.
 func (s *scenario) step() {
-	switch s.rng.IntN(12) {
+	action := s.rng.IntN(12)
+	if s.crashing != nil && (action == 7 || action == 8) {
+		action = 9
+	}
+	switch action {
 	case 0, 1, 2, 3, 4:
 		s.submitRandom()
 	case 5:
@@ -195,6 +218,9 @@
 		return
 	}
 	s.failingJobs[id] = s.rng.IntN(12) == 0
+	if s.crashing != nil && s.crashing.IntN(8) == 0 {
+		s.crashingParts[id] = map[int]bool{s.crashing.IntN(step.Parts): true}
+	}
 	s.submit(id, time.Duration(100+s.rng.IntN(4000))*time.Millisecond, step)
 	s.submitted = append(s.submitted, id)
 }
@@ -253,6 +279,15 @@
 	s.listWorker(s.fleet.Worker(name))
 }
 
+// relistCrashed lists a worker that a part has crashed again, once the store is available.
+func (s *scenario) relistCrashed(w *fakes.Worker, former ident.Worker) {
+	if s.storeDown.Load() || s.dropStoreReplies.Load() {
+		time.AfterFunc(time.Second, func() { s.relistCrashed(w, former) })
+		return
+	}
+	s.relistRenamed(w, former)
+}
+
 // clearFaults clears all faults of the store and the workers.
 func (s *scenario) clearFaults() {
 	s.storeDown.Store(false)
@@ -305,6 +340,9 @@
 		if state == ident.Cancelled {
 			assert.Assert(s.t, s.cancelled[id], "job %s is cancelled", id)
 		}
+		if state == ident.Failed {
+			assert.Assert(s.t, s.fleet.MayBeGivenUp(id), "job %s has failed without cause", id)
+		}
 		if state.Terminal() {
 			return
 		}
