--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -42,6 +42,8 @@
 	processReplaced bool
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
+	// startBroken is when the connection of a start request broke before its response, or Never.
+	startBroken clock.Instant
 	// runningAt is the first time on the worker process's clock at which the attempt is known to run there, or 0.
 	runningAt WorkerClock
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
@@ -103,7 +105,7 @@
 	if state.startConfirmed != clock.Never {
 		return
 	}
-	if s.evacuated(w) || !s.hasCapacity(w, start.Attempt) {
+	if !s.acceptsStart(w, start.Attempt) {
 		s.cancelStart(w, state, start.Attempt)
 		return
 	}
@@ -134,6 +136,11 @@
 	})
 }
 
+// acceptsStart reports whether a queued start may still be sent to a worker, which may have changed since it was decided.
+func (s *Scheduler) acceptsStart(w *session, a work.Attempt) bool {
+	return w.listed && w.entry.Accepting && !s.evacuated(w) && s.hasCapacity(w, a)
+}
+
 // hasCapacity reports whether a worker has the capacity for an attempt that is about to be started there, which it may have
 // lost since that was decided. Attempts of which no start request can have reached the worker do not count.
 func (s *Scheduler) hasCapacity(w *session, a work.Attempt) bool {
@@ -275,6 +282,9 @@
 	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
 		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
+	if !ev.timedOut && !ev.undelivered() {
+		state.startBroken = clock.Now()
+	}
 	start, pending := s.engine.PendingStart(ev.attempt)
 	limit := maxStartSends
 	if state.firstSentAt.Before(w.lastAnswer) {
--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -10,8 +10,9 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// crashDelay is the time from the confirmed start of a part that crashes its worker until a request to the worker fails.
-const crashDelay = 500 * time.Millisecond
+// crashDelay is the time from the confirmed start of a part that crashes its worker at once until a lease renewal fails. An
+// open renewal fails with the worker's connections, and the next one after renewalRetryPause at the latest.
+const crashDelay = renewalRetryPause
 
 // countCrashIfReplaced counts the crash of a worker process once another process responds at the worker's address and the
 // list has dropped the worker. A worker that is only silent has not crashed.
@@ -67,16 +68,21 @@
 }
 
 // crashedUnder reports whether the worker process, which has crashed, stopped responding within crashDelay after it had
-// confirmed the start of an attempt. Starts without a response don't count, as they may never have been executed.
+// confirmed the start of an attempt, or after the connection of the start request broke. Starts that timed out don't count,
+// as they may never have been executed.
 func (w *session) crashedUnder(state *attemptState) bool {
-	if state.startConfirmed == clock.Never || state.runningAt == 0 || w.survived(state) {
+	startedAt := state.startBroken
+	if state.runningAt != 0 {
+		startedAt = state.startConfirmed
+	}
+	if startedAt == clock.Never || w.survived(state) {
 		return false
 	}
 	failedAt := w.failedAt
 	if failedAt.Before(state.firstSentAt) {
 		failedAt = clock.Now()
 	}
-	return failedAt.Sub(state.startConfirmed) <= crashDelay
+	return failedAt.Sub(startedAt) <= crashDelay
 }
 
 // recordAlive records that a worker process has responded at a time on its clock.
