--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -32,8 +32,8 @@
 	return g.crashes > 0
 }
 
-// countCrashes updates the highest number of counted crashes of the group's parts.
-func (g *group) countCrashes() {
+// updateCrashes updates the highest number of counted crashes of the group's parts.
+func (g *group) updateCrashes() {
 	g.crashes = 0
 	for i := range g.parts {
 		g.crashes = max(g.crashes, g.parts[i].crashes)
@@ -57,7 +57,7 @@
 	}
 	p.crashes++
 	p.lastCrash = crash
-	g.countCrashes()
+	g.updateCrashes()
 	e.suspects[g] = true
 	e.markDirty(j)
 	count := CrashCount{Crashes: p.crashes, SincePlaced: now.Sub(g.startedAt), GivenUp: p.crashes >= crashLimit}
@@ -87,7 +87,7 @@
 	}
 	g := p.group
 	p.crashes, p.lastCrash = 0, work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}
-	g.countCrashes()
+	g.updateCrashes()
 	if !g.suspected() {
 		delete(e.suspects, g)
 	}
@@ -118,7 +118,7 @@
 			continue
 		}
 		found.crashes, found.lastCrash = recorded.Count, recorded.Last
-		found.group.countCrashes()
+		found.group.updateCrashes()
 		e.suspects[found.group] = true
 	}
 }
