--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -20,7 +20,7 @@
 	rows  []store.Row
 	// snapshot indicates that rows holds all rows of the table.
 	snapshot bool
-	// readAt is a time at which the table had no changes that the scheduler loop was not told of.
+	// readAt is the time as of which the rows, with those of earlier events, show the whole table.
 	readAt clock.Instant
 }
 
