One check of the list entry for new parts and for starts that were decided before

acceptsStart repeated what engineView asks of a worker's list entry: listed, accepting, not evacuated.

--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -220,10 +220,15 @@
 // responds, is not lost, runs no unexpected attempts, and its data centre is not being evacuated.
 func (s *Scheduler) engineView(w *session) pool.Worker {
 	view := w.entry.Worker
-	view.Accepting = view.Accepting && w.listed && w.fenced && !w.lost && w.unexpected == 0 && !w.silent() && !s.evacuated(w)
+	view.Accepting = s.listedForStarts(w) && w.fenced && !w.lost && w.unexpected == 0 && !w.silent()
 	return view
 }
 
+// listedForStarts reports whether the worker is listed as accepting new parts, in a data centre that is not being evacuated.
+func (s *Scheduler) listedForStarts(w *session) bool {
+	return w.listed && w.entry.Accepting && !s.evacuated(w)
+}
+
 // silent reports whether the worker has left requests without a response for longer than silentLimit.
 func (w *session) silent() bool {
 	return w.unanswered && clock.Since(w.lastAnswer) > silentLimit
