Flags of optional pool features: run times, worker speeds, admission, store check

Cause: the parts for the two new customers are to be switched on by settings, and several are built at the same time. Change: four flags of sardined platform reach the scheduler and the engine; nothing reads them yet. Measured: builds; no behaviour changes.

--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -31,6 +31,11 @@
 	QueueSettings func(*work.Job) work.QueueSettings
 	// Guarantee returns the accelerators guaranteed to an account.
 	Guarantee func(ident.Account) ident.Accelerators
+	// RunTimes switches on forecasts of run times from work that has ended. Without it, the submitters' estimates are used
+	// as they are.
+	RunTimes bool
+	// WorkerSpeeds switches on placement by the learned speeds of workers.
+	WorkerSpeeds bool
 }
 
 // Engine tracks jobs and workers and decides which parts run where. It is not safe for concurrent use.
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -80,9 +80,15 @@
 	// JobRetention is how long the records of an ended job are kept.
 	JobRetention time.Duration
 	// Cores is the processor time that the instance has, in cores.
-	Cores   float64
-	Metrics *Metrics
-	Logger  hclog.Logger
+	Cores float64
+	// RunTimes switches on forecasts of run times from work that has ended.
+	RunTimes bool
+	// WorkerSpeeds switches on placement by the learned speeds of workers.
+	WorkerSpeeds bool
+	// Admission switches on the summary of the pool's load by which instances refuse submissions.
+	Admission bool
+	Metrics   *Metrics
+	Logger    hclog.Logger
 }
 
 const (
@@ -173,7 +179,9 @@
 	}
 	s.config.Metrics.setHolding(true)
 	defer s.config.Metrics.setHolding(false)
-	s.engine = pool.New(pool.Config{QueueSettings: s.queueSettings, Guarantee: s.guarantee})
+	s.engine = pool.New(pool.Config{
+		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds,
+	})
 	group.Go(func() error { return s.stalls.Run(ctx) })
 	group.Go(func() error {
 		defer cancel()
--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -24,9 +24,23 @@
 type platformSettings struct {
 	Settings string          `long:"settings" description:"path of the platform's settings file; SARDINELINE_NODE_FILE is used when it is not given"`
 	Check    bool            `long:"check" description:"check the settings and exit"`
+	Pool     poolSettings    `group:"Pool" namespace:"pool" env-namespace:"SARDINED_POOL"`
 	Log      loggingSettings `group:"Logging" namespace:"log" env-namespace:"SARDINED_LOG"`
 }
 
+// poolSettings are the flags that switch on optional features of the pool.
+type poolSettings struct {
+	RunTimes     bool `long:"run-times" env:"RUN_TIMES" description:"forecast run times from work that has ended; without it, the submitters' estimates are used as they are"`
+	WorkerSpeeds bool `long:"worker-speeds" env:"WORKER_SPEEDS" description:"place work by the learned speeds of workers"`
+	Admission    bool `long:"admission" env:"ADMISSION" description:"while there is too little room, refuse the submissions whose refusal costs callers least"`
+	StoreCheck   bool `long:"store-check" env:"STORE_CHECK" description:"refuse submissions at once while the store is known not to answer"`
+}
+
+// features converts the flags.
+func (s poolSettings) features() platform.Features {
+	return platform.Features(s)
+}
+
 // runPlatform runs the subcommand platform, an entry instance on the users' platform, and returns the exit code.
 func runPlatform(args []string) int {
 	var s platformSettings
@@ -61,7 +75,7 @@
 	})
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
-	instance, err := platform.New(s.Settings, reloadSignals, log)
+	instance, err := platform.New(s.Settings, s.Pool.features(), reloadSignals, log)
 	if err != nil {
 		log.Error("invalid settings", "error", err)
 		return exitBadSettings
