Check of a configuration before it is sent, without a connection

Cause: sardctl check needed a running instance, and nothing checked the configuration of a pool at all. Instances refuse a version with errors by the same code and keep the one in force.

--- a/sard/policy/policy.go
+++ b/sard/policy/policy.go
@@ -15,8 +15,10 @@
 
 // Policy is one version of a pool's configuration. It must not be modified after BuildIndex was called.
 type Policy struct {
-	Version  ident.Version
-	Queues   []Queue
+	Version ident.Version
+	Queues  []Queue
+	// Services lists the services that queues may name; empty if they are not known.
+	Services []work.Service
 	Accounts []Account
 	Limits   Limits
 
--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -155,6 +155,10 @@
 		s.config.Logger.Error("can't decode the configuration, keeping the current one", "row_version", row.Version, "error", err)
 		return true
 	}
+	if problems := p.Check(); len(problems) > 0 {
+		s.config.Logger.Error("refused a configuration, keeping the current one", "version", p.Version, "row_version", row.Version, "problems", len(problems), "error", problems)
+		return true
+	}
 	if current := s.Current(); current != nil && p.Version < current.Version {
 		s.config.Logger.Error("ignored a configuration older than the one in force", "version", p.Version, "in_force", current.Version)
 		return true
--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -64,6 +64,29 @@
 	return &Policy{Version: ident.Version(n)}, nil
 }
 
+// TestInvalidConfigurationIsRefused checks that a configuration that can be decoded but not used leaves the former one in
+// force.
+func TestInvalidConfigurationIsRefused(t *testing.T) {
+	runWithSource(t, func(h *harness) {
+		decode := h.source.config.Decode
+		h.source.config.Decode = func(value []byte) (*Policy, error) {
+			p, err := decode(value)
+			if p != nil && p.Version == 2 {
+				p.Accounts = []Account{{Name: "north"}, {Name: "north"}}
+			}
+			return p, err
+		}
+		for _, step := range []struct {
+			put  string
+			want ident.Version
+		}{{"1", 1}, {"2", 1}, {"3", 3}} {
+			h.put(step.put)
+			time.Sleep(time.Second)
+			assert.Equal(t, h.version(), step.want)
+		}
+	})
+}
+
 // put stores a value in the configuration row.
 func (h *harness) put(value string) {
 	h.t.Helper()
--- a/sardctl/apply.go
+++ b/sardctl/apply.go
@@ -63,21 +63,6 @@
 	return c.session.printProposalResult(result)
 }
 
-// checkCommand implements "sardctl check".
-type checkCommand struct {
-	fileArg
-	session *session
-}
-
-// Execute has an instance validate a document and plan its guarantees, without accepting it.
-func (c *checkCommand) Execute([]string) error {
-	result, err := checkDocument(c.session, c.Args.File)
-	if err != nil {
-		return err
-	}
-	return c.session.printProposalResult(result)
-}
-
 // diffCommand implements "sardctl diff".
 type diffCommand struct {
 	fileArg
--- a/sardctl/options.go
+++ b/sardctl/options.go
@@ -28,7 +28,7 @@
 func commands(s *session) []command {
 	return []command{
 		{"apply", "Apply a document", "Submits a document (YAML or JSON) for acceptance and prints its changes. Safe to repeat: each call creates at most one version.", &applyCommand{session: s}},
-		{"check", "Check a document without accepting it", "Validates a document and its plan against the environment's topology.", &checkCommand{session: s}},
+		{"check", "Check a document or a pool's configuration before it is sent", "Reports errors, entries without effect and contradicting limits, and with --against the changes. Needs no connection without --running.", &checkCommand{session: s}},
 		{"diff", "Compare a document with the one in force", "Prints the changes that applying a document would make.", &diffCommand{session: s}},
 		{"document", "Print the document in force or an accepted version", "Prints a document in the format that apply reads.", &documentCommand{session: s}},
 		{"history", "List the accepted versions", "Lists accepted versions, newest first.", &historyCommand{session: s}},
