Moves of slow work need evidence of a slow worker (--pool.run-times)

Change: with the flag on, a move needs that the attempt held a much higher rate before, or that other work on its worker slowed down or lags behind the rest of its steps, over two measurements in a row; what a restart takes follows from those rates. The stall timeout follows the attempt's own rate. Without the flag nothing changes.

--- a/sard/pool/decision.go
+++ b/sard/pool/decision.go
@@ -38,6 +38,8 @@
 	ReasonUnconfirmed   StopReason = "start not confirmed"
 	ReasonWorkerLeaving StopReason = "worker leaves before the end"
 	ReasonSlow          StopReason = "much slower than estimated"
+	ReasonSlowedDown    StopReason = "slower than its own past rate"
+	ReasonSlowWorker    StopReason = "worker slows its work down"
 	ReasonStalled       StopReason = "no progress"
 	ReasonNotCurrent    StopReason = "not a current attempt"
 )
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -83,7 +83,7 @@
 	}
 	e.endLostAttempts(n, keep, now)
 	n.WorkerProcess = process
-	n.health, n.recentRates = health{}, rateHistory{}
+	n.health, n.recentRates, n.slowness = health{}, rateHistory{}, nodeSlowness{}
 }
 
 // ProcessLost records that no attempt runs in a worker process any more.
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -65,7 +65,7 @@
 	g := p.group
 	e.saveCheckpoint(g, checkpoint, now)
 	g.progress.report(percent, now)
-	p.node.recentRates.record(g, now)
+	e.recordRate(p.node, g, now)
 }
 
 // StopUnconfirmed stops the group of an attempt because it is unknown whether the attempt was started.
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -36,6 +36,8 @@
 	groups []*group
 	// unfinished is the number of groups of the step that are not done.
 	unfinished int
+	// siblings caches the usual rate of the step's groups.
+	siblings siblingRate
 }
 
 // newOccurrence returns an occurrence of which no group has been placed.
--- a/sard/pool/progress.go
+++ b/sard/pool/progress.go
@@ -41,6 +41,8 @@
 	slowSince time.Time
 	// rate is the latest measured rate in percent per second and bestRate the highest; 0 if unknown.
 	rate, bestRate float64
+	// steady tracks the rates that were held over consecutive measurements.
+	steady steadyRate
 }
 
 // report records that a worker reported an attempt as done to the given percentage.
@@ -54,6 +56,7 @@
 	}
 	if elapsed := now.Sub(p.windowStart); elapsed >= minRateWindow && percent > p.windowPercent {
 		p.rate = float64(percent-p.windowPercent) / elapsed.Seconds()
+		p.steady.add(p.rate, p.windowStart, now)
 		p.windowPercent, p.windowStart = percent, now
 		p.bestRate = max(p.bestRate, p.rate)
 		switch {
@@ -132,11 +135,8 @@
 			if p.index != g.first || g.phase != placed || g.spec().Lasting {
 				continue
 			}
-			switch {
-			case g.progress.stalled(g.spec().Estimate):
-				reasons[g] = ReasonStalled
-			case g.fasterElsewhere(now):
-				reasons[g] = ReasonSlow
+			if reason := e.moveReason(g, now); reason != "" {
+				reasons[g] = reason
 			}
 		}
 	}
@@ -145,6 +145,19 @@
 	}
 }
 
+// moveReason returns why a group should be moved, or an empty reason if it should not.
+func (e *Engine) moveReason(g *group, now time.Time) StopReason {
+	switch {
+	case g.progress.stalled(e.stallBasis(g)):
+		return ReasonStalled
+	case e.config.RunTimes:
+		return e.slowReason(g, now)
+	case g.fasterElsewhere(now):
+		return ReasonSlow
+	}
+	return ""
+}
+
 // moveGroup stops a group so that it is placed on other nodes. If a single part stalled, its node is suspended for a
 // while. For a gang it is unknown which node is at fault, so only the gang itself avoids its nodes.
 func (e *Engine) moveGroup(g *group, reason StopReason, now time.Time) {
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -131,7 +131,7 @@
 	}
 	r.speeds, r.slow = make([]speedClass, len(e.nodes)), make([]bool, len(e.nodes))
 	for i, n := range e.nodes {
-		r.speeds[i], r.slow[i] = n.classifySpeed(), n.recentRates.isSlow(now)
+		r.speeds[i], r.slow[i] = n.classifySpeed(), e.slowNow(n, now)
 	}
 	r.headroom = e.headroomNodes(now)
 	r.isolated = e.isolatedNodes(now)
