Speeds of workers learned by a model that knows how far they differ

Samples come from the paces of running parts against their step's other parts, each attempt once, and of gangs against the forecast; what runs spread over racks or far from its data teaches nothing. The gang classes are unchanged. "part started" tells the known speed; "learned worker speeds" and the metric sardine_sched_worker_speeds count the groups. Measured: go test -race ./sard/speed ./sard/pool passes. Four tests of sard/sched fail on without this change as well: TestLateStartAfterRestart, TestLateAcknowledgementAfterRestart, TestLateAcknowledgementInFlightAtRestart, TestAcknowledgementHoldsBackStarts.

--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -55,11 +56,19 @@
 	suspects map[*group]bool
 	// guaranteedDemand tracks the recent peak demand of guaranteed jobs.
 	guaranteedDemand demandPeak
+	// speeds holds the learned speeds of workers; nil if Config.WorkerSpeeds is not set.
+	speeds *speed.Model
+	// speedsRefreshedAt is when the distribution of the speeds was last computed.
+	speedsRefreshedAt time.Time
 }
 
 // New returns an Engine without jobs or workers.
 func New(config Config) *Engine {
-	return &Engine{config: config, jobs: map[ident.Job]*job{}, suspects: map[*group]bool{}, nodesByID: map[ident.Worker]*node{}, estimateErrors: map[work.QueueName]*estimateErrors{}}
+	e := &Engine{config: config, jobs: map[ident.Job]*job{}, suspects: map[*group]bool{}, nodesByID: map[ident.Worker]*node{}, estimateErrors: map[work.QueueName]*estimateErrors{}}
+	if config.WorkerSpeeds {
+		e.speeds = speed.New()
+	}
+	return e
 }
 
 // SetWorker adds a worker or updates its properties. When the worker's process has been replaced, WorkerRestarted
@@ -84,6 +93,9 @@
 	e.endLostAttempts(n, keep, now)
 	n.WorkerProcess = process
 	n.health, n.recentRates = health{}, rateHistory{}
+	if e.speeds != nil {
+		e.speeds.Restarted(process.Worker)
+	}
 }
 
 // ProcessLost records that no attempt runs in a worker process any more.
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -66,6 +66,7 @@
 	e.saveCheckpoint(g, checkpoint, now)
 	g.progress.report(percent, now)
 	p.node.recentRates.record(g, now)
+	e.learnFromProgress(g, percent, now)
 }
 
 // StopUnconfirmed stops the group of an attempt because it is unknown whether the attempt was started.
@@ -132,7 +133,7 @@
 	j := g.job
 	step := g.stepState()
 	step.unfinished--
-	if step.unfinished == 0 {
+	if step.unfinished == 0 && e.speeds == nil {
 		step.compareRunTimes()
 	}
 	if j.complete() {
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -94,6 +94,8 @@
 	// checkpoint and so did only part of the work.
 	runTime time.Duration
 	ranOn   []*node
+	// paceSample is what the group's current attempt has shown of its workers' speed.
+	paceSample paceSample
 	// reserved holds the nodes whose capacity is reserved for the group while it waits for stops to complete, or for the
 	// probation of the attempts that were started there.
 	reserved []*node
--- a/sard/pool/harness_test.go
+++ b/sard/pool/harness_test.go
@@ -46,13 +46,11 @@
 }
 
 // addWorker adds a worker to the engine.
-func (h *harness) addWorker(i int) Worker {
-	w := Worker{
+func (h *harness) addWorker(i int) {
+	h.engine.SetWorker(Worker{
 		WorkerProcess: work.WorkerProcess{Worker: workerID(i), StartedMs: 1}, Service: "s",
 		Rack: ident.Rack(fmt.Sprintf("r%d", i/8)), Capacity: workerCapacity, Accepting: true,
-	}
-	h.engine.SetWorker(w)
-	return w
+	})
 }
 
 // workerID returns the ID of a worker by its number.
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -16,6 +16,7 @@
 			e.createDueOccurrences(j, now, nowMs)
 		}
 	}
+	e.refreshSpeeds(now)
 	e.moveStalledAndSlow(now)
 	e.moveOffLeavingWorkers()
 	queue := e.placementQueue(now)
@@ -218,6 +219,7 @@
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
 	g.progress = attemptProgress{fromStart: g.checkpoint == ""}
+	g.paceSample = paceSample{}
 	j := g.job
 	j.started = true
 	j.state = ident.Running
--- a/sard/pool/speed.go
+++ b/sard/pool/speed.go
@@ -66,6 +66,9 @@
 
 // classifySpeed returns the worker's speed class relative to other workers.
 func (n *node) classifySpeed() speedClass {
+	if n.known.Deviation > 0 && !n.known.Known() {
+		return normalSpeed
+	}
 	switch factor := math.Exp(n.logSpeed.value()); {
 	case factor >= fastThreshold:
 		return fastSpeed
@@ -79,6 +82,10 @@
 // learnSpeed records the run time of a successful group as a sample of its workers' speed. Attempts that resumed from a
 // checkpoint are ignored. Steps with enough parts are left to compareRunTimes.
 func (e *Engine) learnSpeed(g *group, now time.Time) {
+	if e.speeds != nil {
+		e.learnFromEnd(g, now)
+		return
+	}
 	if !g.progress.fromStart || g.phase != placed || g.spec().Estimate <= 0 || !now.After(g.startedAt) {
 		return
 	}
@@ -112,7 +119,7 @@
 }
 
 // compareRunTimes derives speed samples from the run times of a step's parts once all have ended. The parts share one
-// estimate, so its error cancels out.
+// estimate, so its error cancels out. It is not used with Config.WorkerSpeeds.
 func (s *stepState) compareRunTimes() {
 	var logRunTimes []float64
 	for _, g := range s.groups {
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -38,6 +39,8 @@
 	// logSpeed is the mean logarithm of the worker's speed relative to the other workers, while no temporary problem
 	// slows it down.
 	logSpeed runningMean
+	// known is what has been learned of the worker's speed if Config.WorkerSpeeds is set; logSpeed then has the same value.
+	known speed.Estimate
 }
 
 // free returns the capacity that is not allocated.
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -223,8 +223,10 @@
 		return
 	}
 	state.startConfirmed = clock.Now()
-	s.config.Logger.Info("part started", "part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(),
-		"sent", state.startsSent, "born", startedMs)
+	fields := []any{
+		"part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(), "sent", state.startsSent, "born", startedMs,
+	}
+	s.config.Logger.Info("part started", append(fields, s.speedFields(w.id())...)...)
 }
 
 // startRefused handles a start request that the worker refused. The attempt ends as refused, unless an earlier request
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -22,6 +22,7 @@
 	recordSeconds   prometheus.Histogram
 	decideSeconds   prometheus.Histogram
 	pool            *prometheus.GaugeVec
+	speeds          *prometheus.GaugeVec
 }
 
 // NewMetrics creates the scheduler metrics and registers them if registerer is not nil.
@@ -59,9 +60,10 @@
 		pool: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "pool", Help: "What the pool holds; meaningful while holding.",
 		}, []string{"of"}),
+		speeds: newSpeedsGauge(),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool)
+		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.speeds)
 	}
 	return m
 }
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -325,4 +325,5 @@
 	s.lastSummary = summary
 	s.config.Logger.Info("pool", "jobs", summary.Jobs, "waiting_parts", summary.Waiting, "placed_parts", summary.Placed,
 		"workers", summary.Workers, "used", summary.Used, "accelerators", summary.Total)
+	s.reportSpeeds()
 }
