Stops by what they cost callers, and waits for groups that end soon

Cause: a guaranteed job that needed room had the youngest work stopped, without regard to whose objective that broke, what a stop saves, or what was about to end. With pool.Config.CostOrder (--pool.admission) a stop costs the work done again plus the value that its job loses by the delay; checkpoints are taken at the stop, so such work costs the restart only. Off by default.

--- a/sard/pool/claim.go
+++ b/sard/pool/claim.go
@@ -12,7 +12,7 @@
 type claim struct {
 	nodes   []*node
 	victims []*group
-	// cost is the sum of the victims' stopCost.
+	// cost is the sum of the victims' round.stopCost.
 	cost time.Duration
 }
 
@@ -25,7 +25,7 @@
 		f.add(v)
 	}
 	slices.SortStableFunc(f.victims, func(a, b *group) int {
-		return cmp.Or(cmp.Compare(b.stopCost(r.now), a.stopCost(r.now)), compareGroup(a, b))
+		return cmp.Or(cmp.Compare(r.stopCost(b), r.stopCost(a)), compareGroup(a, b))
 	})
 	c := &claim{}
 	for _, v := range slices.Clone(f.victims) {
@@ -33,7 +33,7 @@
 		if !r.canHoldAll(g, f.nodes, f.available) {
 			f.add(v)
 			c.victims = append(c.victims, v)
-			c.cost += v.stopCost(r.now)
+			c.cost += r.stopCost(v)
 		}
 	}
 	c.nodes = r.packTight(g, f.nodes, f.available)
--- /dev/null
+++ b/sard/pool/cost_test.go
@@ -0,0 +1,100 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// startLimit is the time limit on the start of guaranteed jobs in tests with cost order.
+const startLimit = 2700 * time.Millisecond
+
+// newCostHarness returns a harness whose engine delays and stops the work whose delay costs callers least.
+func newCostHarness(t *testing.T, workers int) *harness {
+	h := newHarness(t, workers)
+	h.engine.config.CostOrder, h.engine.config.StartLimit = true, startLimit
+	return h
+}
+
+// fill lets a job with a large part start on each worker and run for the given time, which its estimate does not exceed.
+func (h *harness) fill(workers int, ran, estimate time.Duration) {
+	for i := range workers {
+		h.addJob(ident.Job(fmt.Sprintf("low%02d", i)), 1, work.Step{Parts: 1, Need: largePart, Estimate: estimate})
+	}
+	h.advance(ran)
+}
+
+// TestReclaimCases lets a guaranteed job need one of two full workers. Of the jobs there, the one must be stopped whose loss
+// costs its caller least.
+func TestReclaimCases(t *testing.T) {
+	large := func(estimate time.Duration) work.Step {
+		return work.Step{Parts: 1, Need: largePart, Estimate: estimate}
+	}
+	saving := large(20 * time.Second)
+	saving.Checkpoints = true
+	cases := []struct {
+		name       string
+		kept, lost work.Step
+		apart      time.Duration
+	}{
+		{name: "stop saves the progress", kept: large(20 * time.Second), lost: saving},
+		{name: "in time after a restart", kept: large(800 * time.Millisecond), lost: large(12 * time.Second)},
+		{name: "less work done", kept: large(20 * time.Second), lost: large(20 * time.Second), apart: time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newCostHarness(t, 2)
+			h.submit("a", "kept", 1, c.kept)
+			h.decide()
+			h.advance(c.apart)
+			h.submit("a", "lost", 1, c.lost)
+			h.decide()
+			h.advance(time.Second)
+			assert.Equal(t, len(h.starts), 2)
+			h.addJob("quote", work.Guaranteed, large(time.Second))
+			assert.DeepEqual(t, h.stopsByJob(), map[ident.Job]int{"lost": 1})
+		})
+	}
+}
+
+// TestReclaimWaitsForEnd lets a guaranteed job with slack need a worker on which a job is about to end. It must wait for that
+// and stop nothing.
+func TestReclaimWaitsForEnd(t *testing.T) {
+	h := newCostHarness(t, 2)
+	h.fill(2, time.Second, 4*time.Second)
+	h.reportProgress("low00", 30)
+	h.advance(time.Second)
+	h.reportProgress("low00", 60)
+	h.advance(time.Second)
+	h.reportProgress("low00", 90)
+	h.addJob("quote", work.Guaranteed, work.Step{Parts: 1, Need: largePart, Gang: true, Estimate: 5 * time.Second})
+	assert.Equal(t, len(h.stops), 0)
+	h.advance(300 * time.Millisecond)
+	h.endJob("low00", Done)
+	assert.Equal(t, len(h.workersOf("quote")), 1)
+	assert.Equal(t, len(h.stops), 0)
+}
+
+// TestReclaimWaitIsBounded guards against a guaranteed job that waits for an end that never comes. It must claim a worker
+// while there is still time for the stop.
+func TestReclaimWaitIsBounded(t *testing.T) {
+	h := newCostHarness(t, 1)
+	h.fill(1, time.Second, 4*time.Second)
+	for percent := 10; percent <= 80; percent += 10 {
+		h.reportProgress("low00", percent)
+		h.advance(700 * time.Millisecond)
+	}
+	h.addJob("quote", work.Guaranteed, work.Step{Parts: 1, Need: largePart, Gang: true, Estimate: 20 * time.Second})
+	for waited := time.Duration(0); waited <= startLimit/2; waited += 100 * time.Millisecond {
+		h.reportProgress("low00", 95)
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.stops), 1)
+	h.confirmStops()
+	assert.Equal(t, len(h.workersOf("quote")), 1)
+}
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -36,6 +36,10 @@
 	RunTimes bool
 	// WorkerSpeeds switches on placement by the learned speeds of workers.
 	WorkerSpeeds bool
+	// CostOrder makes the engine delay and stop the work whose delay costs callers least.
+	CostOrder bool
+	// StartLimit is the time limit on the start of a guaranteed job that its account's guarantee covers.
+	StartLimit time.Duration
 }
 
 // Engine tracks jobs and workers and decides which parts run where. It is not safe for concurrent use.
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -11,14 +11,15 @@
 // victim is a placed group that can be stopped to free capacity on a node.
 type victim struct {
 	group *group
-	// frees is the capacity that a stop frees on the node, and cost the result of stopCost.
+	// frees is the capacity that a stop frees on the node, and cost the result of round.stopCost.
 	frees work.Resources
 	cost  time.Duration
 }
 
 // reclaim stops groups that g may preempt so that g fits, and reserves their capacity for g. If there is nothing to stop,
 // it places g. A group that no rack can hold, although it should stay on one, gets nodes of several racks. If g would not
-// fit even then, reclaim stops nothing and returns false.
+// fit even then, reclaim stops nothing and returns false. With
+// CostOrder, it stops nothing either if it costs less to wait for running groups to end.
 func (r *round) reclaim(g *group) bool {
 	step := g.spec()
 	candidates := r.candidates(g)
@@ -33,6 +34,9 @@
 	if best == nil {
 		return false
 	}
+	if r.engine.config.CostOrder && len(best.victims) > 0 && r.waitForEnds(g, best.cost) {
+		return true
+	}
 	if r.placeOrReserve(g, best.nodes) {
 		return true
 	}
@@ -168,7 +172,7 @@
 	}
 	list := make([]victim, 0, len(found))
 	for other, frees := range found {
-		list = append(list, victim{group: other, frees: frees, cost: other.stopCost(r.now)})
+		list = append(list, victim{group: other, frees: frees, cost: r.stopCost(other)})
 	}
 	slices.SortFunc(list, func(a, b victim) int {
 		return cmp.Or(
@@ -202,5 +206,23 @@
 		}
 	}
 	g.phase = ending
+	clear(r.stopCosts)
 	r.engine.stopGroup(g, ReasonReclaimed)
 }
+
+// stopCost returns the cost of stopping a placed group, computed once per round until another group is stopped.
+func (r *round) stopCost(g *group) time.Duration {
+	if !r.engine.config.CostOrder {
+		return g.stopCost(r.now)
+	}
+	cost, known := r.stopCosts[g]
+	if known {
+		return cost
+	}
+	cost = r.engine.stopLoss(g, r.now)
+	if g.job.settings.Priority == work.Guaranteed {
+		cost += guaranteedStopPenalty
+	}
+	r.stopCosts[g] = cost
+	return cost
+}
--- a/sard/pool/reservation.go
+++ b/sard/pool/reservation.go
@@ -51,15 +51,24 @@
 // pending stops have completed; otherwise nil. A group that kept changing the nodes that it waits for would lose those
 // that have become free to less urgent groups, again and again.
 func (r *round) keptReservation(g *group) []*node {
-	if len(g.reserved) != len(g.parts) || !r.canHold(g, g.reserved, r.freeSoon) {
+	if !r.mayKeep(g, g.reserved, r.freeSoon) {
 		return nil
 	}
-	for _, n := range g.reserved {
+	return g.reserved
+}
+
+// mayKeep reports whether a group may still be placed on the nodes that were reserved for it, if it may use the available
+// capacity.
+func (r *round) mayKeep(g *group, nodes []*node, available capacityFunc) bool {
+	if len(nodes) != len(g.parts) || !r.canHold(g, nodes, available) {
+		return false
+	}
+	for _, n := range nodes {
 		if !n.Accepting || !n.health.healthy(r.now) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) {
-			return nil
+			return false
 		}
 	}
-	return g.reserved
+	return true
 }
 
 // canHold reports whether the available capacity of nodes suffices for the parts of a group, one part for each element.
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -67,6 +67,10 @@
 	held map[*group][]*node
 	// isolated holds the nodes on which only the given suspect may be placed.
 	isolated map[*node]*group
+	// stopCosts caches the cost of stopping placed groups, and endings the parts that are expected to end soon.
+	stopCosts    map[*group]time.Duration
+	endings      []expectedEnding
+	endingsKnown bool
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
@@ -124,6 +128,7 @@
 	r := &round{
 		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
 		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
+		stopCosts: map[*group]time.Duration{},
 	}
 	for i, n := range e.nodes {
 		free := n.free()
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -87,8 +87,10 @@
 	WorkerSpeeds bool
 	// Admission switches on the summary of the pool's load by which instances refuse submissions.
 	Admission bool
-	Metrics   *Metrics
-	Logger    hclog.Logger
+	// StartLimit is the time limit on the start of a guaranteed job that its account's guarantee covers; 0 for none.
+	StartLimit time.Duration
+	Metrics    *Metrics
+	Logger     hclog.Logger
 }
 
 const (
@@ -181,6 +183,7 @@
 	defer s.config.Metrics.setHolding(false)
 	s.engine = pool.New(pool.Config{
 		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds,
+		CostOrder: config.Admission, StartLimit: config.StartLimit,
 	})
 	group.Go(func() error { return s.stalls.Run(ctx) })
 	group.Go(func() error {
