Count crashes that only a later lease holder sees, or under starts that time out

A part that crashes its workers was started again and again if the lease holder changed before it saw the crash, or if the start timed out: only crashes right after a confirmed start counted. Such crashes now count as possible ones. At five of them, with the likely ones, the part is given up; it is isolated from the second on; surviving a probation clears them, as before. A part with three counts may start twice more, however these attempts end. At a takeover, an attempt that was recorded for a former process of its worker is placed anew, in isolation if need be, and not started again on the later process.

--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -9,40 +9,68 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
+//go:generate go tool stringer -type=CrashEvidence -output=crashevidence_string.go
+
+// CrashEvidence is how certain it is that the crash of a worker followed the start of an attempt there.
+type CrashEvidence int
+
+// Kinds of evidence.
+const (
+	// LikelyCrash means that the worker stopped responding right after the attempt had started.
+	LikelyCrash CrashEvidence = iota
+	// PossibleCrash means that it is not known whether the attempt had started, or when the worker crashed.
+	PossibleCrash
+)
+
 const (
 	// Probation is how long an attempt must have run before it is taken not to crash its worker by its start.
 	Probation = time.Second
 	// crashLimit is the number of counted crashes of a part at which its job fails. From the second one on, the part was
 	// started in isolation.
 	crashLimit = 3
+	// crashLimitPossible is the same for likely and possible crashes together.
+	crashLimitPossible = 5
+	// isolationPossible is the number of possible crashes from which a part is started in isolation.
+	isolationPossible = 2
 )
 
 // CrashCount is the result of counting a crash.
 type CrashCount struct {
-	// Crashes is the number of counted crashes of the part, or 0 if this one was not counted.
-	Crashes int
+	// Crashes is the number of counted crashes of the part, or 0 if this one was not counted. Possible is the number of
+	// those that are only possible.
+	Crashes, Possible int
 	// SincePlaced is the time since the part was placed.
 	SincePlaced time.Duration
 	// GivenUp is set if the job has failed by this crash.
 	GivenUp bool
 }
 
-// suspected reports whether a part of the group may be the cause of a crash.
+// suspected reports whether a part of the group is likely to be the cause of a crash, so that it is started in isolation.
 func (g *group) suspected() bool {
-	return g.crashes > 0
+	return slices.ContainsFunc(g.parts, func(p part) bool {
+		return p.likelyCrashes > 0 || p.possibleCrashes >= isolationPossible
+	})
 }
 
-// updateCrashes updates the highest number of counted crashes of the group's parts.
-func (g *group) updateCrashes() {
-	g.crashes = 0
-	for i := range g.parts {
-		g.crashes = max(g.crashes, g.parts[i].crashes)
-	}
+// crashesTooOften reports whether a part of the group has crashed so many workers that its job fails.
+func (g *group) crashesTooOften() bool {
+	return slices.ContainsFunc(g.parts, part.crashesTooOften)
+}
+
+// crashes returns the number of counted crashes of the part.
+func (p part) crashes() int {
+	return p.likelyCrashes + p.possibleCrashes
+}
+
+// crashesTooOften reports whether the part has crashed so many workers that its job fails.
+func (p part) crashesTooOften() bool {
+	return p.likelyCrashes >= crashLimit || p.crashes() >= crashLimitPossible
 }
 
 // CountCrash counts the crash of a worker process against the part of an attempt that was on probation there. Each
-// attempt counts once, unless it was started again in a later process of the worker. At crashLimit the job fails.
-func (e *Engine) CountCrash(a work.Attempt, process work.WorkerProcess, now time.Time) CrashCount {
+// attempt counts once, unless it was started again in a later process of the worker. At crashLimit or crashLimitPossible
+// the job fails.
+func (e *Engine) CountCrash(a work.Attempt, process work.WorkerProcess, evidence CrashEvidence, now time.Time) CrashCount {
 	j := e.jobs[a.Part.Job]
 	if j == nil || j.state.Terminal() {
 		return CrashCount{}
@@ -55,18 +83,41 @@
 	if g.phase == done || a.Number > g.attempt || !follows(crash, p.lastCrash) || a.Number < g.attempt && p.survived {
 		return CrashCount{}
 	}
-	p.crashes++
+	if evidence == LikelyCrash {
+		p.likelyCrashes++
+	} else {
+		p.possibleCrashes++
+	}
 	p.lastCrash = crash
-	g.updateCrashes()
-	e.suspects[g] = true
+	if g.suspected() {
+		e.suspects[g] = true
+	}
 	e.markDirty(j)
-	count := CrashCount{Crashes: p.crashes, SincePlaced: now.Sub(g.startedAt), GivenUp: p.crashes >= crashLimit}
+	count := CrashCount{
+		Crashes: p.crashes(), Possible: p.possibleCrashes, SincePlaced: now.Sub(g.startedAt), GivenUp: p.crashesTooOften(),
+	}
 	if count.GivenUp {
 		e.endJob(j, ident.Failed, ReasonCrashes)
 	}
 	return count
 }
 
+// countUnprovenStart counts the end of an attempt against a part under which crashLimit workers may have crashed, unless the
+// attempt has survived its probation or has crashed its worker itself. Such a part may start a few times more at most,
+// however its attempts end.
+func (e *Engine) countUnprovenStart(p *part, n *node, end End) {
+	g := p.group
+	if p.crashes() < crashLimit || p.survived || end == Done || end == Refused || p.lastCrash.Attempt == g.attempt {
+		return
+	}
+	p.possibleCrashes++
+	p.lastCrash = work.Crash{Attempt: g.attempt, Process: n.WorkerProcess}
+	e.markDirty(g.job)
+	if p.crashesTooOften() {
+		e.endJob(g.job, ident.Failed, ReasonCrashes)
+	}
+}
+
 // follows reports whether a crash is another one than the latest that was counted for the part.
 func follows(crash, last work.Crash) bool {
 	if crash.Attempt != last.Attempt {
@@ -82,12 +133,12 @@
 		return
 	}
 	p.survived = true
-	if p.crashes == 0 {
+	if p.crashes() == 0 {
 		return
 	}
 	g := p.group
-	p.crashes, p.lastCrash = 0, work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}
-	g.updateCrashes()
+	p.likelyCrashes, p.possibleCrashes = 0, 0
+	p.lastCrash = work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}
 	if !g.suspected() {
 		delete(e.suspects, g)
 	}
@@ -96,12 +147,14 @@
 
 // appendCrashes adds the counted crashes of the group's parts to the record p, in which the group has the given index.
 func (g *group) appendCrashes(p *work.Progress, index int) {
-	if !g.suspected() || g.phase == done {
+	if g.phase == done {
 		return
 	}
 	for i := range g.parts {
-		if part := &g.parts[i]; part.crashes > 0 {
-			p.Crashes = append(p.Crashes, work.PartCrashes{Group: index, Part: part.index, Count: part.crashes, Last: part.lastCrash})
+		if part := &g.parts[i]; part.crashes() > 0 {
+			p.Crashes = append(p.Crashes, work.PartCrashes{
+				Group: index, Part: part.index, Count: part.likelyCrashes, Possible: part.possibleCrashes, Last: part.lastCrash,
+			})
 		}
 	}
 }
@@ -117,9 +170,10 @@
 		if found == nil || found.group.phase == done {
 			continue
 		}
-		found.crashes, found.lastCrash = recorded.Count, recorded.Last
-		found.group.updateCrashes()
-		e.suspects[found.group] = true
+		found.likelyCrashes, found.possibleCrashes, found.lastCrash = recorded.Count, recorded.Possible, recorded.Last
+		if found.group.suspected() {
+			e.suspects[found.group] = true
+		}
 	}
 }
 
--- a/sard/pool/crash_test.go
+++ b/sard/pool/crash_test.go
@@ -15,7 +15,7 @@
 	h.t.Helper()
 	h.engine.ForEachAttempt(func(a work.Attempt, process work.WorkerProcess) {
 		if a.Part.Job == id {
-			h.engine.CountCrash(a, process, h.now)
+			h.engine.CountCrash(a, process, LikelyCrash, h.now)
 			h.engine.ProcessLost(process, h.now)
 		}
 	})
@@ -45,12 +45,32 @@
 	h := newHarness(t, 4)
 	h.addJob("gang", 1, work.Step{Parts: 2, Need: largePart, Gang: true})
 	first, second := h.starts[0], h.starts[1]
-	assert.Equal(t, h.engine.CountCrash(first.Attempt, first.Worker, h.now).Crashes, 1)
-	assert.Equal(t, h.engine.CountCrash(second.Attempt, second.Worker, h.now).Crashes, 1)
-	assert.Equal(t, h.engine.CountCrash(first.Attempt, first.Worker, h.now).Crashes, 0)
+	assert.Equal(t, h.engine.CountCrash(first.Attempt, first.Worker, LikelyCrash, h.now).Crashes, 1)
+	assert.Equal(t, h.engine.CountCrash(second.Attempt, second.Worker, LikelyCrash, h.now).Crashes, 1)
+	assert.Equal(t, h.engine.CountCrash(first.Attempt, first.Worker, LikelyCrash, h.now).Crashes, 0)
 	later := first.Worker
 	later.StartedMs++
-	assert.Equal(t, h.engine.CountCrash(first.Attempt, later, h.now).Crashes, 2)
+	assert.Equal(t, h.engine.CountCrash(first.Attempt, later, LikelyCrash, h.now).Crashes, 2)
+}
+
+// TestStartsAfterPossibleCrashes guards against parts that start again and again after several workers may have crashed under
+// them, because their attempts end otherwise before they have survived the probation.
+func TestStartsAfterPossibleCrashes(t *testing.T) {
+	h := newHarness(t, 4)
+	h.addJob("job", 1, work.Step{Parts: 1, Need: smallPart})
+	ends := 0
+	for ; h.engine.HasOpenJob("job") && ends < 10; ends++ {
+		h.engine.ForEachAttempt(func(a work.Attempt, process work.WorkerProcess) {
+			end := Stopped
+			if ends < crashLimit {
+				h.engine.CountCrash(a, process, PossibleCrash, h.now)
+				end = Lost
+			}
+			h.engine.AttemptEnded(a, end, "", h.now)
+		})
+		h.advance(retryDelay)
+	}
+	assert.Equal(t, ends, crashLimitPossible)
 }
 
 // TestSurvivedProbationClearsCrashes checks that a part which has run for its probation is no suspect any more.
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -105,6 +105,9 @@
 	n.detach(p)
 	e.saveCheckpoint(g, checkpoint, now)
 	e.recordOutcome(n, g, end, now)
+	if g.phase != done && !g.job.state.Terminal() {
+		e.countUnprovenStart(p, n, end)
+	}
 	if g.phase == done || g.job.state.Terminal() {
 		// The group is done or its job has ended, which is already recorded.
 		e.forgetIfEnded(g.job)
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -58,10 +58,13 @@
 	stopping bool
 	// survived is set when the current attempt is known to have run for Probation.
 	survived bool
-	// crashes counts the crashes of workers soon after the start of an attempt, since one has survived its probation;
-	// lastCrash is the latest of them.
-	crashes   int
-	lastCrash work.Crash
+	// likelyCrashes and possibleCrashes count the crashes of workers after the start of an attempt, since one has survived
+	// its probation; lastCrash is the latest of them.
+	likelyCrashes, possibleCrashes int
+	lastCrash                      work.Crash
+	// recordedProcess is the worker process for which an earlier holder of the scheduler lease recorded the current
+	// attempt; zero if this one placed it.
+	recordedProcess work.WorkerProcess
 }
 
 // group is a set of parts that are started and retried together: a gang, or a single part.
@@ -78,8 +81,6 @@
 	attempt    ident.Attempt
 	failures   int
 	checkpoint work.Checkpoint
-	// crashes is the highest number of counted crashes of a part.
-	crashes int
 	// attemptFailed is set when a part of the current attempt has failed.
 	attemptFailed bool
 	// retryAt is the earliest time at which the group may be placed again.
--- a/sard/pool/invariants.go
+++ b/sard/pool/invariants.go
@@ -37,7 +37,7 @@
 		return invariantSingleAttempt
 	case !g.stepReady():
 		return invariantStepOrder
-	case g.attemptsExhausted() || g.crashes >= crashLimit:
+	case g.attemptsExhausted() || g.crashesTooOften():
 		return invariantFailureLimit
 	}
 	needs := map[*node]work.Resources{}
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -178,6 +178,7 @@
 	g.startedAt, g.savedAt = now, now
 	for i, index := range recorded.Workers {
 		if index != work.NoWorkerIndex {
+			g.parts[i].recordedProcess = processes[index]
 			e.nodeForProcess(processes[index]).attach(&g.parts[i])
 		}
 	}
@@ -200,6 +201,15 @@
 	return n
 }
 
+// RecordedProcess returns the worker process for which an earlier holder of the scheduler lease recorded an attempt; zero if
+// this one placed it.
+func (e *Engine) RecordedProcess(a work.Attempt) work.WorkerProcess {
+	if p := e.currentPart(a); p != nil {
+		return p.recordedProcess
+	}
+	return work.WorkerProcess{}
+}
+
 // ForEachAttempt calls visit for every attempt that may be running, with its worker process.
 func (e *Engine) ForEachAttempt(visit func(a work.Attempt, worker work.WorkerProcess)) {
 	for _, n := range e.nodes {
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -60,6 +60,7 @@
 	n.allocated = n.allocated.Minus(p.group.demand())
 	delete(n.parts, p)
 	p.node = nil
+	p.recordedProcess = work.WorkerProcess{}
 	p.stopping = false
 }
 
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -420,6 +420,11 @@
 // resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
 // worker refuses the start requests of that holder from now on.
 func (s *Scheduler) resolveAdopted(w *session, a work.Attempt, state *attemptState) {
+	if s.placedOnFormerProcess(w, a) {
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+		return
+	}
 	if start, pending := s.engine.PendingStart(a); pending {
 		s.queueStart(w, state, start)
 		return
--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,27 +30,62 @@
 		return
 	}
 	w.crashCounted = true
-	var suspects []work.Attempt
+	evidence := map[work.Attempt]pool.CrashEvidence{}
 	for a, state := range w.attempts {
-		if w.crashedUnder(state) && !slices.Contains(reported, a) {
+		if found, suspected := w.crashEvidence(state); suspected && !slices.Contains(reported, a) {
+			evidence[a] = found
+		}
+	}
+	for _, a := range slices.SortedFunc(maps.Keys(evidence), compareAttempt) {
+		s.countSuspect(a, w.entry.WorkerProcess, evidence[a], len(evidence))
+	}
+}
+
+// countUnseenCrashes counts a possible crash against the parts whose attempts an earlier holder of the scheduler lease recorded
+// for a former process of the worker, except those that the worker reports.
+func (s *Scheduler) countUnseenCrashes(w *session, reported []work.Attempt) {
+	var suspects []work.Attempt
+	for a := range w.attempts {
+		if s.placedOnFormerProcess(w, a) && !slices.Contains(reported, a) {
 			suspects = append(suspects, a)
 		}
 	}
 	slices.SortFunc(suspects, compareAttempt)
 	for _, a := range suspects {
-		s.countSuspect(w, a, len(suspects))
+		s.countSuspect(a, s.engine.RecordedProcess(a), pool.PossibleCrash, len(suspects))
+	}
+}
+
+// placedOnFormerProcess reports whether an earlier holder of the scheduler lease recorded an attempt for a former process of
+// the worker.
+func (s *Scheduler) placedOnFormerProcess(w *session, a work.Attempt) bool {
+	recorded := s.engine.RecordedProcess(a)
+	return recorded.StartedMs != 0 && recorded.StartedMs < w.entry.StartedMs
+}
+
+// countUnlistedCrash counts a possible crash against the parts that an earlier holder of the scheduler lease recorded for a
+// worker that is not listed any more.
+func (s *Scheduler) countUnlistedCrash(process work.WorkerProcess) {
+	var suspects []work.Attempt
+	s.engine.ForEachAttempt(func(a work.Attempt, worker work.WorkerProcess) {
+		if worker == process {
+			suspects = append(suspects, a)
+		}
+	})
+	for _, a := range suspects {
+		s.countSuspect(a, process, pool.PossibleCrash, len(suspects))
 	}
 }
 
 // countSuspect counts a crash of a worker process against one of the parts that it had just started.
-func (s *Scheduler) countSuspect(w *session, a work.Attempt, suspects int) {
-	count := s.engine.CountCrash(a, w.entry.WorkerProcess, time.Now())
+func (s *Scheduler) countSuspect(a work.Attempt, process work.WorkerProcess, evidence pool.CrashEvidence, suspects int) {
+	count := s.engine.CountCrash(a, process, evidence, time.Now())
 	if count.Crashes == 0 {
 		return
 	}
 	s.config.Metrics.crashesCounted.Inc()
-	s.config.Logger.Warn("worker crashed under a part", "part", a.Part, "attempt", a.Number, "worker", w.id(),
-		"born", w.entry.StartedMs, "crashes", count.Crashes, "suspects", suspects, "placed_ago_ms", count.SincePlaced.Milliseconds())
+	s.config.Logger.Warn("worker crashed under a part", "part", a.Part, "attempt", a.Number, "worker", process.Worker,
+		"born", process.StartedMs, "evidence", evidence.String(), "crashes", count.Crashes, "possible", count.Possible, "suspects", suspects, "placed_ago_ms", count.SincePlaced.Milliseconds())
 	if count.GivenUp {
 		s.config.Metrics.partsGivenUp.Inc()
 		s.config.Logger.Error("part given up, its workers crash", "part", a.Part, "attempt", a.Number, "crashes", count.Crashes)
@@ -67,22 +103,30 @@
 	)
 }
 
-// crashedUnder reports whether the worker process, which has crashed, stopped responding within crashDelay after it had
-// confirmed the start of an attempt, or after the connection of the start request broke. Starts that timed out don't count,
-// as they may never have been executed.
-func (w *session) crashedUnder(state *attemptState) bool {
+// crashEvidence returns whether the crash of the worker process may have followed the start of an attempt, and how certain
+// that is. It is likely if the process stopped responding within crashDelay after it had confirmed the start, or after the
+// connection of the start request broke. It is possible if no request showed when it stopped.
+func (w *session) crashEvidence(state *attemptState) (evidence pool.CrashEvidence, suspected bool) {
+	if w.survived(state) {
+		return 0, false
+	}
 	startedAt := state.startBroken
 	if state.runningAt != 0 {
 		startedAt = state.startConfirmed
 	}
-	if startedAt == clock.Never || w.survived(state) {
-		return false
-	}
 	failedAt := w.failedAt
 	if failedAt.Before(state.firstSentAt) {
 		failedAt = clock.Now()
 	}
-	return failedAt.Sub(startedAt) <= crashDelay
+	if startedAt != clock.Never && failedAt.Sub(startedAt) <= crashDelay {
+		return pool.LikelyCrash, true
+	}
+	return pool.PossibleCrash, state.startsSent > 0 && w.failureUndated || state.adopted()
+}
+
+// adopted reports whether an earlier holder of the scheduler lease has placed the attempt, and no response told more.
+func (state *attemptState) adopted() bool {
+	return state.startsSent == 0 && state.processUnknown
 }
 
 // recordAlive records that a worker process has responded at a time on its clock.
--- a/sard/sched/crash_test.go
+++ b/sard/sched/crash_test.go
@@ -94,6 +94,25 @@
 	})
 }
 
+// TestCrashesSeenByLaterHoldersCount guards against a part that crashes worker after worker and is never given up, because
+// each lease holder ends before it learns of the crash.
+func TestCrashesSeenByLaterHoldersCount(t *testing.T) {
+	runCrashTest(t, func(r *harness) {
+		r.crashingParts["j1"] = map[int]bool{0: true}
+		kill := r.startInstance("i0")
+		r.sleep(2 * time.Second)
+		r.submit("j1", 2*time.Second, work.Step{Parts: 1})
+		for crashes := 1; crashes <= 4; crashes++ {
+			r.waitFor(time.Minute, func() bool { return r.fleet.CrashCount("j1") == crashes })
+			kill()
+			r.sleep(fakes.CrashDowntime + 2*time.Second)
+			kill = r.startInstance(fmt.Sprintf("i%d", crashes))
+		}
+		r.waitForState("j1", ident.Failed, time.Minute)
+		assert.Check(r.t, r.fleet.CrashCount("j1") <= 5)
+	})
+}
+
 // TestBystandersOfCrashesAreNotGivenUp guards against parts that are given up because they started again and again beside
 // parts that crash their workers.
 func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -61,6 +61,8 @@
 	sentAt   clock.Instant
 	ackedEnd EndSequence
 	report   WorkerReport
+	// timedOut indicates that the renewal was given up.
+	timedOut bool
 	err      error
 }
 
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		s.config.Logger.Warn("recorded worker process lost, its lease has expired", "worker", process.Worker, "born", process.StartedMs)
+		s.countUnlistedCrash(process)
 		s.engine.ProcessLost(process, time.Now())
 	}
 }
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -113,7 +114,7 @@
 		ctx, cancel := s.stalls.WithTimeout(ctx, req.MaxWait+renewalMargin)
 		defer cancel()
 		report, err := client.RenewLease(ctx, req)
-		return renewalResult{process: process, sentAt: sentAt, ackedEnd: req.AckedEnd, report: report, err: err}
+		return renewalResult{process: process, sentAt: sentAt, ackedEnd: req.AckedEnd, report: report, timedOut: ctx.Err() != nil, err: err}
 	})
 }
 
@@ -131,7 +132,7 @@
 	}
 	w.renewing = false
 	if ev.err != nil {
-		s.renewalFailed(w, ev.err)
+		s.renewalFailed(w, ev)
 		return
 	}
 	w.ackedEnd = max(w.ackedEnd, ev.ackedEnd)
@@ -141,9 +142,12 @@
 	first := !w.fenced
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
-	w.lastReport, w.failedAt = clock.Now(), clock.Never
+	w.lastReport, w.failedAt, w.failureUndated = clock.Now(), clock.Never, false
 	w.otherAnswered = false
 	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
+	if first {
+		s.countUnseenCrashes(w, ev.report.attempts())
+	}
 	s.handleEnded(w, ev.report)
 	s.handleRunning(w, ev.report)
 	s.handleMissing(w, ev, first)
@@ -159,16 +163,16 @@
 }
 
 // renewalFailed handles a renewal that was refused or got no response.
-func (s *Scheduler) renewalFailed(w *session, err error) {
+func (s *Scheduler) renewalFailed(w *session, ev renewalResult) {
 	var refusal *RefusalError
-	if errors.As(err, &refusal) {
+	if errors.As(ev.err, &refusal) {
 		s.renewalRefused(w, refusal)
 		return
 	}
 	if !w.unanswered {
-		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.lastAnswer).Milliseconds(), "error", err)
+		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.lastAnswer).Milliseconds(), "error", ev.err)
 	}
-	w.recordFailure()
+	w.recordFailure(ev.timedOut || fault.Is(ev.err, fault.Unavailable))
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 	s.engine.SetWorker(s.engineView(w))
 }
@@ -191,7 +195,7 @@
 	if startedMs != 0 && startedMs != w.entry.StartedMs {
 		s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs})
 	} else {
-		w.recordFailure()
+		w.recordFailure(true)
 		w.otherAnswered = true
 		s.countCrashIfReplaced(w)
 	}
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -51,6 +51,9 @@
 	lost bool
 	// failedAt is when the first lease renewal after lastReport failed, or Never.
 	failedAt clock.Instant
+	// failureUndated indicates that this renewal timed out or found no process, so that it does not show when the worker
+	// stopped responding.
+	failureUndated bool
 	// aliveAt is the latest time on the worker's clock in a report or in the response to a start.
 	aliveAt WorkerClock
 	// otherAnswered indicates that another process has refused the last lease renewal, and crashCounted that the crash of
@@ -119,10 +122,10 @@
 }
 
 // recordFailure records that a lease renewal got no response of the worker.
-func (w *session) recordFailure() {
+func (w *session) recordFailure(undated bool) {
 	w.unanswered = true
 	if w.failedAt == clock.Never {
-		w.failedAt = clock.Now()
+		w.failedAt, w.failureUndated = clock.Now(), undated
 	}
 }
 
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -114,9 +114,11 @@
 type PartCrashes struct {
 	// Group is the index of the part's group in Progress.Groups, and Part that of the part in its step.
 	Group, Part int
-	// Count is the number of counted crashes, and Last the latest of them.
-	Count int
-	Last  Crash
+	// Count is the number of crashes that are likely to be due to the part, and Possible that of others that may be. Last is
+	// the latest of them.
+	Count    int
+	Possible int `cbor:",omitempty"`
+	Last     Crash
 }
 
 // Crash identifies the crash of a worker process soon after the start of an attempt.
