Tell a worker's former processes from later ones without its clock

If the time of day of a worker was set back while it started again, its list entry and its reports named the former and the later process by turns, and each change counted the running attempts as lost. A start time that the worker has left never comes back but by a stale list entry, so it is kept and not followed.

--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -17,6 +17,8 @@
 type session struct {
 	entry  ListedWorker
 	client WorkerClient
+	// formerStartsMs holds the start times of the worker's former processes.
+	formerStartsMs []int64
 	// listed indicates that the platform's list contains the worker.
 	listed bool
 	// successor is the session with a later worker on the same host, or nil.
@@ -137,7 +139,7 @@
 	// The list may be stale: the progress records or the worker itself may have named a later process.
 	entry.StartedMs = max(entry.StartedMs, s.latestStartedMs[id])
 	if w != nil {
-		entry.StartedMs = max(entry.StartedMs, w.entry.StartedMs)
+		entry.StartedMs = w.latestStart(entry.StartedMs)
 	}
 	if w == nil {
 		w = s.newSession(entry)
@@ -159,6 +161,15 @@
 	s.engine.SetWorker(s.engineView(w))
 }
 
+// latestStart returns the later of the start times of the worker's current process and of one that the list names. The list
+// never names a former process again but by a stale entry, even if the worker's clock was set back between their starts.
+func (w *session) latestStart(listedMs int64) int64 {
+	if slices.Contains(w.formerStartsMs, listedMs) {
+		return w.entry.StartedMs
+	}
+	return max(w.entry.StartedMs, listedMs)
+}
+
 // newSession returns a session with a worker process of which nothing but its list entry is known. It assumes the
 // latest possible expiry of a lease that the process may hold.
 func (s *Scheduler) newSession(entry ListedWorker) *session {
@@ -202,6 +213,7 @@
 	next := s.newSession(entry)
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
+	next.formerStartsMs = append(w.formerStartsMs, w.entry.StartedMs)
 	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
 }
