Submissions that surely come too late are refused at the door

Cause: every job was accepted at any backlog, and Retry-After was always 1. Change: the lease holder sums up what runs and waits once a second and, while work has to wait, announces it with a renewal of the lease, under its fence (no calls of its own). Each instance refuses, before anything is stored, what surely can't end within three times its objective; Retry-After is when room is expected, spread and longer for low priorities, the same on all instances. Guaranteed jobs, lasting jobs and jobs that are due later are never refused; a stale, missing or unreadable summary, or one of a former holder, accepts.

--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -1,5 +1,6 @@
 // Package elect elects the instance that schedules a pool. It grants the scheduler lease to one instance at a time,
-// using two rows of a store.
+// using two rows of a store. A third row holds a notice of the holder to the candidates, which is written with a renewal and
+// read with it, so that it takes no calls of its own.
 //
 // The owner row names the holder and is written only when the holder changes; its version is the epoch. The heartbeat
 // row is written by each renewal. A candidate is a process of an instance that competes for the lease. Candidates take
@@ -28,6 +29,7 @@
 	TableName     = "lease"
 	ownerName     = "owner"
 	heartbeatName = "beat"
+	noticeName    = "notice"
 )
 
 // processSeparator separates the instance's name from its process ID in the owner row.
@@ -68,6 +70,8 @@
 	// WatchPause is the pause between two reads of the lease's changes while it is being renewed. A takeover may come
 	// later by this time.
 	WatchPause time.Duration
+	// Noticed is called with each notice that the candidate reads, and when the holder changes; nil for no calls.
+	Noticed func(Notice)
 	// Logger logs acquisitions, losses and releases of the lease.
 	Logger hclog.Logger
 }
@@ -90,12 +94,25 @@
 	return &Candidate{config: config, holder: string(config.Instance) + processSeparator + config.ProcessID}
 }
 
+// Notice is what a holder tells the candidates.
+type Notice struct {
+	// Value is the value of the row; empty if there is none.
+	Value []byte
+	// Holder is the epoch of the current holder, which need not be the one that wrote the notice.
+	Holder ident.Epoch
+	// Fresh is set if the notice was written just now, and not at an unknown time.
+	Fresh bool
+}
+
 // leaseView is a candidate's current knowledge of the lease.
 type leaseView struct {
 	// owner and heartbeat are the versions of the two rows.
 	owner, heartbeat store.Version
 	// holder is the value of the owner row; empty if the lease is free.
 	holder string
+	// notice is the last notice, and noticed the version of its row.
+	notice  []byte
+	noticed store.Version
 	// changedAt is when a change of owner or heartbeat was last observed.
 	changedAt clock.Instant
 	// feedVersion is the store version after which the change feed of the lease's rows continues.
@@ -186,6 +203,7 @@
 		view.apply(row)
 	}
 	view.changedAt = clock.Now()
+	c.passNotice(view, false)
 	return view, nil
 }
 
@@ -196,6 +214,9 @@
 		v.owner, v.holder = row.Version, string(row.Value)
 	case heartbeatName:
 		v.heartbeat = row.Version
+	case noticeName:
+		v.notice, v.noticed = row.Value, row.Version
+		return
 	}
 	v.changedAt = clock.Now()
 }
@@ -209,9 +230,13 @@
 	if err != nil {
 		return c.reread(ctx, view, fault.Is(err, fault.NotFound))
 	}
+	before := view
 	for _, row := range changes.Rows {
 		view.apply(row)
 	}
+	if fresh := view.noticed > before.noticed; fresh || view.owner != before.owner {
+		c.passNotice(view, fresh)
+	}
 	view.feedVersion = changes.Version
 	if len(changes.Rows) > 0 && !c.isFree(view) {
 		clock.Sleep(ctx, c.config.WatchPause)
@@ -223,6 +248,13 @@
 	return view
 }
 
+// passNotice passes the notice in a view on.
+func (c *Candidate) passNotice(view leaseView, fresh bool) {
+	if c.config.Noticed != nil {
+		c.config.Noticed(Notice{Value: view.notice, Holder: ident.Epoch(view.owner), Fresh: fresh})
+	}
+}
+
 // reread reads the lease again, until that succeeds. It keeps the time of the last change if the lease hasn't changed and
 // the store has served since the last read, as far as the candidate knows. Otherwise, the holder may have been unable to
 // renew the lease, so the term starts again.
--- a/sard/elect/candidate_test.go
+++ b/sard/elect/candidate_test.go
@@ -36,6 +36,8 @@
 	store *faultyStore
 	stop  context.CancelFunc
 	lease atomic.Pointer[Lease]
+	// notice is the last notice that the process has read.
+	notice atomic.Pointer[Notice]
 }
 
 // faultyStore is a process's connection to the store, which can fail or lose responses.
@@ -96,7 +98,8 @@
 	breaker := store.NewBreaker(p.store)
 	runner := New(Config{
 		Store: breaker, Watched: breaker.Background(), Instance: instance, ProcessID: processID,
-		WatchPause: f.watchPause, TakeoverDelay: f.takeoverDelay, Logger: hclog.NewNullLogger(),
+		WatchPause: f.watchPause, TakeoverDelay: f.takeoverDelay,
+		Noticed: func(n Notice) { p.notice.Store(&n) }, Logger: hclog.NewNullLogger(),
 	})
 	for range f.otherReaders {
 		f.group.Go(func() error {
@@ -335,3 +338,26 @@
 		})
 	}
 }
+
+// TestNoticesReachCandidates checks that a notice reaches other candidates with a renewal, that one which starts later does
+// not take it for fresh, and that after a takeover it is known to be of a former holder.
+func TestNoticesReachCandidates(t *testing.T) {
+	runWithFixture(t, func(f *fixture) {
+		first := f.start("a", "1")
+		time.Sleep(time.Second)
+		second := f.start("b", "1")
+		time.Sleep(time.Second)
+		lease := first.lease.Load()
+		lease.Announce([]byte("load"))
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, *second.notice.Load(), Notice{Value: []byte("load"), Holder: lease.Epoch(), Fresh: true})
+		third := f.start("c", "1")
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, *third.notice.Load(), Notice{Value: []byte("load"), Holder: lease.Epoch()})
+		first.stop()
+		time.Sleep(time.Second)
+		for _, p := range []*process{second, third} {
+			assert.Assert(t, p.mayAct() || p.notice.Load().Holder > lease.Epoch())
+		}
+	})
+}
--- a/sard/elect/lease.go
+++ b/sard/elect/lease.go
@@ -21,6 +21,8 @@
 	renewedAt clock.Instant
 	// heartbeats counts the attempted renewals.
 	heartbeats uint64
+	// notice is to be written with the next renewal; nil for none.
+	notice []byte
 	// lost is set when the lease was released or another instance acquired it.
 	lost bool
 }
@@ -62,6 +64,14 @@
 	return l.candidate.config.Term * safePercent / 100
 }
 
+// Announce writes a notice to the candidates with the next renewal. A later notice replaces one that is not written yet. A
+// notice whose renewal fails is lost.
+func (l *Lease) Announce(value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notice = value
+}
+
 // MarkLost marks the lease as lost. Callers use it when they learn that another instance holds the lease.
 func (l *Lease) MarkLost() {
 	l.mu.Lock()
@@ -90,7 +100,8 @@
 	l.mu.Lock()
 	lost := l.lost
 	l.heartbeats++
-	heartbeats := l.heartbeats
+	heartbeats, notice := l.heartbeats, l.notice
+	l.notice = nil
 	l.mu.Unlock()
 	if lost {
 		return fault.New(fault.Fenced, "renew lease", "", "epoch %d is superseded", l.owner)
@@ -98,10 +109,14 @@
 	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := l.candidate.config.Store.Apply(ctx, store.Tx{
+	tx := store.Tx{
 		Preconditions: []store.Precondition{l.Fence()},
 		Put:           []store.Put{{Key: rowKey(heartbeatName), Value: heartbeatValue(heartbeats)}},
-	})
+	}
+	if notice != nil {
+		tx.Put = append(tx.Put, store.Put{Key: rowKey(noticeName), Value: notice})
+	}
+	_, err := l.candidate.config.Store.Apply(ctx, tx)
 	if fault.Is(err, fault.Conflict) {
 		l.MarkLost()
 	}
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sardineline/sardineline/sard/admit"
 	"github.com/sardineline/sardineline/sard/pool"
 )
 
@@ -22,6 +23,7 @@
 	recordSeconds   prometheus.Histogram
 	decideSeconds   prometheus.Histogram
 	pool            *prometheus.GaugeVec
+	expectedWait    *prometheus.GaugeVec
 }
 
 // NewMetrics creates the scheduler metrics and registers them if registerer is not nil.
@@ -59,9 +61,12 @@
 		pool: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "pool", Help: "What the pool holds; meaningful while holding.",
 		}, []string{"of"}),
+		expectedWait: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "sardine", Subsystem: "sched", Name: "expected_wait_seconds", Help: "Least wait of work without a deadline; meaningful while holding.",
+		}, []string{"service"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool)
+		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.expectedWait)
 	}
 	return m
 }
@@ -100,3 +105,10 @@
 	m.pool.WithLabelValues("accelerators").Set(float64(s.Total))
 	m.pool.WithLabelValues("accelerators_used").Set(float64(s.Used))
 }
+
+// setLoad sets the expected waits from a summary of the pool's load.
+func (m *Metrics) setLoad(s admit.Summary) {
+	for i := range s.Services {
+		m.expectedWait.WithLabelValues(string(s.Services[i].Service)).Set(s.Services[i].LongestWait().Seconds())
+	}
+}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -87,6 +87,8 @@
 	WorkerSpeeds bool
 	// Admission switches on the summary of the pool's load by which instances refuse submissions.
 	Admission bool
+	// Announce tells all instances of the pool's load; nil announces nothing.
+	Announce func(summary []byte)
 	// StartLimit is the time limit on the start of a guaranteed job that its account's guarantee covers; 0 for none.
 	StartLimit time.Duration
 	Metrics    *Metrics
@@ -129,6 +131,7 @@
 	// workersReadAt is when the worker list was last read.
 	workersReadAt clock.Instant
 	journal       journal
+	pressure      pressure
 	commands      commandQueue
 	// evacuations is the set of evacuated data centres of which the engine knows.
 	evacuations *policy.Evacuations
@@ -243,6 +246,7 @@
 	}
 	s.sendCommands(ctx)
 	s.reportSummary()
+	s.announceLoad()
 	return nil
 }
 
--- a/sard/work/job.go
+++ b/sard/work/job.go
@@ -157,6 +157,22 @@
 	Cancelled bool `cbor:",omitempty"`
 }
 
+// CriticalPath returns the estimated run time of one occurrence with unlimited resources: the sum of the step estimates
+// along the longest chain of dependent steps.
+func (j *Job) CriticalPath() time.Duration {
+	length := time.Duration(0)
+	ends := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		start := time.Duration(0)
+		for _, before := range j.Steps[i].After {
+			start = max(start, ends[before])
+		}
+		ends[i] = start + j.Steps[i].Estimate
+		length = max(length, ends[i])
+	}
+	return length
+}
+
 // Part identifies a part of a job by its occurrence, its step and its index in that step, which all count from 0.
 type Part struct {
 	Job        ident.Job
