Waiting work is ordered by what its wait costs callers

Cause: work that is not guaranteed was placed by slack alone, so that a low priority came before a high one, and nearly done work before none. Change: with pool.Config.CostOrder, jobs that lose value by waiting for 3 s more come first, by that value for each unit of work that they still need, less for accounts with more than an equal share; the others follow by slack as before. What is expected of an occurrence is computed once a round for stops too.

--- a/sard/admit/admit_test.go
+++ b/sard/admit/admit_test.go
@@ -122,3 +122,36 @@
 	first.Priority = 1
 	assert.Assert(t, first.DelayCost(2*time.Second) > at(time.Second).DelayCost(2*time.Second))
 }
+
+// TestStake names loads in which two jobs wait, and checks which one has the higher stake.
+func TestStake(t *testing.T) {
+	base := Waiting{
+		Standing: Standing{Priority: 2, Objective: 10 * time.Second, Slack: time.Second, Work: CoreTime(time.Minute)},
+		Left:     CoreTime(time.Minute), Accounts: 2,
+	}
+	cases := []struct {
+		name string
+		// change makes the first job out of an equal one.
+		change func(*Waiting)
+		more   bool
+	}{
+		{"burst of two kinds", func(w *Waiting) { w.Priority = 1 }, true},
+		{"one job is patient", func(w *Waiting) { w.Slack = 9 * time.Second }, false},
+		{"one job is late anyway", func(w *Waiting) { w.Slack = -9 * time.Second }, false},
+		{"one job is about to lose its use", func(w *Waiting) { w.Slack = -19 * time.Second }, false},
+		{"one job is hopeless", func(w *Waiting) { w.Slack = -30 * time.Second }, false},
+		{"one job is nearly done", func(w *Waiting) { w.Left /= 4 }, true},
+		{"burst of one account", func(w *Waiting) { w.AccountShare = 0.9 }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			changed := base
+			c.change(&changed)
+			assert.Equal(t, changed.Stake() > base.Stake(), c.more)
+			assert.Assert(t, changed.Stake() != base.Stake())
+		})
+	}
+	large := base
+	large.Work, large.Left = 10*large.Work, 10*large.Left
+	assert.Equal(t, large.Stake(), base.Stake(), "large jobs are not left behind")
+}
--- a/sard/pool/cost_test.go
+++ b/sard/pool/cost_test.go
@@ -98,3 +98,39 @@
 	h.confirmStops()
 	assert.Equal(t, len(h.workersOf("quote")), 1)
 }
+
+// TestWaitingWorkIsOrderedByStake lets jobs wait for a single worker, of which each needs the whole. The one that will just be
+// in time must start first, although another one, which is late anyway, has waited for longer.
+func TestWaitingWorkIsOrderedByStake(t *testing.T) {
+	h := newCostHarness(t, 1)
+	h.addJob("runs", 1, work.Step{Parts: 1, Need: largePart, Estimate: 20 * time.Second})
+	h.addJob("late", 2, work.Step{Parts: 1, Need: largePart, Estimate: 4 * time.Second})
+	h.advance(11 * time.Second)
+	h.addJob("patient", 2, work.Step{Parts: 1, Need: largePart, Estimate: 10 * time.Second})
+	h.addJob("urgent", 1, work.Step{Parts: 1, Need: largePart, Estimate: time.Second})
+	h.advance(2 * time.Second)
+	var order []ident.Job
+	for _, id := range []ident.Job{"runs", "urgent", "patient"} {
+		order = append(order, h.starts[len(h.starts)-1].Attempt.Part.Job)
+		h.endJob(id, Done)
+	}
+	order = append(order, h.starts[len(h.starts)-1].Attempt.Part.Job)
+	assert.DeepEqual(t, order, []ident.Job{"runs", "urgent", "patient", "late"})
+}
+
+// TestLoadOfBurst checks that a burst makes the load summary tell of a wait, and that it is gone when the backlog has drained.
+func TestLoadOfBurst(t *testing.T) {
+	h := newCostHarness(t, 1)
+	for i := range 10 {
+		h.addJob(ident.Job(fmt.Sprint(i)), 1, work.Step{Parts: 1, Need: largePart, Estimate: 5 * time.Second})
+	}
+	burst := h.engine.Load(h.now)
+	assert.Assert(t, burst.Pressure())
+	assert.Equal(t, burst.Services[0].LongestWait(), 45*time.Second)
+	for i := range 10 {
+		h.engine.CancelJob(ident.Job(fmt.Sprint(i)))
+	}
+	h.confirmStops()
+	drained := h.engine.Load(h.now)
+	assert.Assert(t, !drained.Pressure())
+}
--- a/sard/pool/endings.go
+++ b/sard/pool/endings.go
@@ -57,8 +57,8 @@
 // waitCost returns what callers lose if a group starts later by the given time.
 func (r *round) waitCost(g *group, wait time.Duration) time.Duration {
 	e, o := r.engine, g.job.occurrences[g.occurrence]
-	rest := e.forecast(g).Typical + e.timeAfter(o, g.step)
-	return time.Duration(e.standing(g, rest, r.now).DelayCost(wait))
+	expected := e.outlook(o, r.now)
+	return time.Duration(e.standing(g, expected.rest, expected.work, r.now).DelayCost(wait))
 }
 
 // freeWithin returns the capacity of nodes once all pending stops have completed and the groups have ended that are
--- a/sard/pool/load.go
+++ b/sard/pool/load.go
@@ -71,9 +71,9 @@
 		case g.spec().Lasting:
 			l.Capacity = l.Capacity.Minus(held)
 		case g.phase == placed:
-			l.Running = l.Running.Plus(admit.NewAmount(held, e.remainingTime(g, now)))
+			l.Running = l.Running.Plus(admit.NewAmount(held, g.remainingTime(e.forecast(g).Typical, now)))
 		default:
-			run := e.restartTime(g)
+			run := g.restartTime(e.forecast(g).Typical)
 			l.waitingGroups++
 			l.runTimes += run
 			l.Add(j.Account, j.settings.Priority, slack, len(g.parts), admit.NewAmount(held, run))
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -207,6 +207,7 @@
 	}
 	g.phase = ending
 	clear(r.stopCosts)
+	delete(r.outlooks, g.job.occurrences[g.occurrence])
 	r.engine.stopGroup(g, ReasonReclaimed)
 }
 
@@ -219,7 +220,7 @@
 	if known {
 		return cost
 	}
-	cost = r.engine.stopLoss(g, r.now)
+	cost = r.stopLoss(g)
 	if g.job.settings.Priority == work.Guaranteed {
 		cost += guaranteedStopPenalty
 	}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -67,8 +67,9 @@
 	held map[*group][]*node
 	// isolated holds the nodes on which only the given suspect may be placed.
 	isolated map[*node]*group
-	// stopCosts caches the cost of stopping placed groups, and endings the parts that are expected to end soon.
+	// stopCosts caches the cost of stopping placed groups, outlooks what is expected of occurrences, and endings the parts that are expected to end soon.
 	stopCosts    map[*group]time.Duration
+	outlooks     map[*occurrence]outlook
 	endings      []expectedEnding
 	endingsKnown bool
 }
@@ -128,7 +129,7 @@
 	r := &round{
 		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
 		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
-		stopCosts: map[*group]time.Duration{},
+		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{},
 	}
 	for i, n := range e.nodes {
 		free := n.free()
@@ -247,6 +248,7 @@
 			urgencies = append(urgencies, jobUrgency{job: j, urgency: j.urgency(now)})
 		}
 	}
+	e.weighUrgencies(urgencies, now)
 	slices.SortFunc(urgencies, func(a, b jobUrgency) int { return a.urgency.compare(b.urgency) })
 	var placeable []*group
 	for _, u := range urgencies {
--- a/sard/pool/standing.go
+++ b/sard/pool/standing.go
@@ -14,49 +14,69 @@
 	unknownRestPercent = 10
 )
 
-// remainingTime returns how much longer the current attempt of a placed group is expected to run.
-func (e *Engine) remainingTime(g *group, now time.Time) time.Duration {
+// remainingTime returns how much longer the current attempt of a placed group is expected to run. The forecast is that of a
+// whole run.
+func (g *group) remainingTime(whole time.Duration, now time.Time) time.Duration {
 	if remaining, known := g.progress.remaining(); known {
 		return max(0, remaining-now.Sub(g.progress.lastReport))
 	}
 	ran := now.Sub(g.startedAt)
-	return max(e.restartTime(g)-ran, ran*unknownRestPercent/100)
+	return max(g.restartTime(whole)-ran, ran*unknownRestPercent/100)
 }
 
-// restartTime returns how long a new attempt of a group is expected to run.
-func (e *Engine) restartTime(g *group) time.Duration {
-	whole := e.forecast(g).Typical
-	if g.spec().Checkpoints {
+// restartTime returns how long a new attempt of a group is expected to run. The forecast is that of a whole run.
+func (g *group) restartTime(whole time.Duration) time.Duration {
+	if g.progress.percent > 0 && g.spec().Checkpoints {
 		return whole * time.Duration(100-g.progress.percent) / 100
 	}
 	return whole
 }
 
-// expectedRest returns the time until an occurrence of a job is expected to be complete if its waiting groups start after
-// restartWait.
-func (e *Engine) expectedRest(o *occurrence, now time.Time) time.Duration {
-	rest := time.Duration(0)
+// outlook is what is expected of an occurrence of a job.
+type outlook struct {
+	// rest is the time until it is complete if its waiting groups start now, and restIfDelayed if they start after
+	// restartWait.
+	rest, restIfDelayed time.Duration
+	// work is its whole work, and left the part of it that is not done.
+	work, left admit.CoreTime
+}
+
+// outlook returns what is expected of an occurrence of a job.
+func (e *Engine) outlook(o *occurrence, now time.Time) outlook {
+	var sum outlook
 	for s := range o.steps {
-		if o.steps[s].unfinished == 0 {
-			continue
-		}
-		after := e.timeAfter(o, s)
-		for _, g := range o.steps[s].groups {
-			switch g.phase {
-			case done:
-			case placed:
-				rest = max(rest, e.remainingTime(g, now)+after)
-			default:
-				rest = max(rest, e.restTimeAfterStop(g)+after)
-			}
+		if len(o.steps[s].groups) > 0 {
+			e.addStep(&sum, o, s, now)
 		}
 	}
-	return rest
+	return sum
 }
 
-// restTimeAfterStop returns the time until a group is expected to end if it is stopped now.
-func (e *Engine) restTimeAfterStop(g *group) time.Duration {
-	return restartWait + e.restartTime(g)
+// addStep adds what is expected of a step. Its groups have equal forecasts and equal work.
+func (e *Engine) addStep(sum *outlook, o *occurrence, step int, now time.Time) {
+	state := &o.steps[step]
+	whole := e.forecast(state.groups[0]).Typical
+	cores := state.groups[0].coreEquivalents()
+	sum.work += admit.CoreTime(whole * cores * time.Duration(len(state.groups)))
+	if state.unfinished == 0 {
+		return
+	}
+	after := e.timeAfter(o, step)
+	for _, g := range state.groups {
+		switch g.phase {
+		case done:
+		case placed:
+			remaining := g.remainingTime(whole, now)
+			sum.left += admit.CoreTime(remaining * cores)
+			sum.rest = max(sum.rest, remaining+after)
+			sum.restIfDelayed = max(sum.restIfDelayed, remaining+after)
+		default:
+			remaining := g.restartTime(whole)
+			sum.left += admit.CoreTime(remaining * cores)
+			sum.rest = max(sum.rest, remaining+after)
+			sum.restIfDelayed = max(sum.restIfDelayed, restartWait+remaining+after)
+		}
+	}
 }
 
 // timeAfter returns the forecast run time of the longest chain of steps that depend on a step.
@@ -82,36 +102,30 @@
 	return false
 }
 
-// coreTime returns the forecast work of one occurrence of a job.
-func (e *Engine) coreTime(o *occurrence) admit.CoreTime {
-	sum := time.Duration(0)
-	for s := range o.steps {
-		for _, g := range o.steps[s].groups {
-			sum += e.forecast(g).Typical * time.Duration(coreEquivalents(g.demand())) * time.Duration(len(g.parts))
-		}
-	}
-	return admit.CoreTime(sum)
-}
-
-// standing returns how an occurrence stands if it takes the given time until it is complete. The group is one of its
-// groups.
-func (e *Engine) standing(g *group, rest time.Duration, now time.Time) admit.Standing {
+// standing returns how an occurrence of a job stands if it takes the given time until it is complete. The group is one of
+// its groups.
+func (e *Engine) standing(g *group, rest time.Duration, total admit.CoreTime, now time.Time) admit.Standing {
 	j, o := g.job, g.job.occurrences[g.occurrence]
 	forecast := e.forecast(g)
+	objective := j.objective()
 	return admit.Standing{
-		Priority: j.settings.Priority, Objective: j.objective(), Slack: j.objective() - now.Sub(o.dueAt) - rest,
-		Spread: forecast.High - forecast.Typical, Work: e.coreTime(o),
+		Priority: j.settings.Priority, Objective: objective, Slack: objective - now.Sub(o.dueAt) - rest,
+		Spread: forecast.High - forecast.Typical, Work: total,
 	}
 }
 
 // stopLoss returns what callers lose if a placed group is stopped now: the work that is done again, and the value of its
 // job that comes later than without the stop.
-func (e *Engine) stopLoss(g *group, now time.Time) time.Duration {
-	o := g.job.occurrences[g.occurrence]
-	rest := e.expectedRest(o, now)
-	after := e.restTimeAfterStop(g) + e.timeAfter(o, g.step)
-	delay := max(0, after-rest)
-	return g.wastedWork(now) + time.Duration(e.standing(g, rest, now).DelayCost(delay))
+func (r *round) stopLoss(g *group) time.Duration {
+	e, now, o := r.engine, r.now, g.job.occurrences[g.occurrence]
+	expected, known := r.outlooks[o]
+	if !known {
+		expected = e.outlook(o, now)
+		r.outlooks[o] = expected
+	}
+	after := restartWait + g.restartTime(e.forecast(g).Typical) + e.timeAfter(o, g.step)
+	delay := max(0, after-expected.restIfDelayed)
+	return g.wastedWork(now) + time.Duration(e.standing(g, expected.restIfDelayed, expected.work, now).DelayCost(delay))
 }
 
 // wastedWork returns the work that has to be done again if a placed group is stopped now. A stop saves the progress of an
@@ -121,5 +135,10 @@
 	if !g.spec().Checkpoints {
 		ran += now.Sub(g.startedAt)
 	}
-	return ran * time.Duration(coreEquivalents(g.demand())) * time.Duration(len(g.parts))
+	return ran * g.coreEquivalents()
+}
+
+// coreEquivalents returns the coreEquivalents of all parts of the group, as a factor of a time.
+func (g *group) coreEquivalents() time.Duration {
+	return time.Duration(coreEquivalents(g.demand())) * time.Duration(len(g.parts))
 }
--- a/sard/pool/urgency.go
+++ b/sard/pool/urgency.go
@@ -31,14 +31,16 @@
 // urgency is the sort key by which jobs are scheduled.
 type urgency struct {
 	class urgencyClass
+	// stake is what callers lose if the job is not placed now, by weighUrgencies; 0 without CostOrder.
+	stake float64
 	// slack is how long the job can wait and still meet its objective.
 	slack time.Duration
 	id    ident.Job
 }
 
-// compare orders urgencies by class, slack and job ID, most urgent first.
+// compare orders urgencies by class, stake, slack and job ID, most urgent first.
 func (u urgency) compare(v urgency) int {
-	return cmp.Or(cmp.Compare(u.class, v.class), cmp.Compare(u.slack, v.slack), cmp.Compare(u.id, v.id))
+	return cmp.Or(cmp.Compare(u.class, v.class), cmp.Compare(v.stake, u.stake), cmp.Compare(u.slack, v.slack), cmp.Compare(u.id, v.id))
 }
 
 // compareAcceptance orders jobs by acceptance time, oldest first.
