Refuse submissions at once when their partition of the store can't be reached

Cause: an instance sends each submission to the store and waits, also when its earlier calls went unanswered. Submissions to a silent partition were held for up to 2,850 ms and then answered 504.

--- /dev/null
+++ b/sard/entry/check.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+const (
+	// reopenTime is how long a call of unknown outcome waits for a closed partition to serve again. After that, its caller
+	// is told, and has time left for another instance.
+	reopenTime = 400 * time.Millisecond
+	// maxUnsettled and unsettledTime limit how many submissions of unknown outcome are remembered, and for how long.
+	maxUnsettled  = 1000
+	unsettledTime = 30 * time.Second
+)
+
+// StoreCheck says whether a partition of the store can be reached.
+type StoreCheck interface {
+	// Admit returns nil if a call to the partition may be answered, as far as is known, and else an error of kind
+	// Unavailable.
+	Admit(partition string) error
+	// Await waits until a call to the partition may be answered. It returns false if ctx ends before.
+	Await(ctx context.Context, partition string) bool
+	// Closed reports whether Admit would fail.
+	Closed(partition string) bool
+}
+
+// admit returns an error if a call to a partition would not be answered.
+func (j *Jobs) admit(partition string) error {
+	if j.config.Check == nil {
+		return nil
+	}
+	return j.config.Check.Admit(partition)
+}
+
+// admitSubmission returns an error if a submission can't be stored. Its kind is OutcomeUnknown if an earlier submission
+// with the same ID may have been stored by this instance, as it would be wrong to say that the job never runs.
+func (j *Jobs) admitSubmission(id ident.Job) error {
+	err := j.admit(work.ShardOf(id))
+	if err != nil && j.unsettled.has(id) {
+		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
+	}
+	return err
+}
+
+// noteOutcome remembers a submission whose outcome is unknown.
+func (j *Jobs) noteOutcome(id ident.Job, err error) {
+	if j.config.Check != nil && fault.Is(err, fault.OutcomeUnknown) {
+		j.unsettled.add(id)
+	}
+}
+
+// isClosed reports whether a partition is known to be closed.
+func (j *Jobs) isClosed(partition string) bool {
+	return j.config.Check != nil && j.config.Check.Closed(partition)
+}
+
+// awaitStore waits for reopenTime at most while a partition is closed. It returns false if it is still closed.
+func (j *Jobs) awaitStore(ctx context.Context, partition string) bool {
+	if j.config.Check == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, reopenTime)
+	defer cancel()
+	return j.config.Check.Await(ctx, partition)
+}
+
+// unsettledIDs holds the IDs of submissions whose outcome is unknown, for unsettledTime each. Its zero value is ready for
+// use.
+type unsettledIDs struct {
+	mu    sync.Mutex
+	until map[ident.Job]clock.Instant
+	// order holds the IDs in the order in which they were added; an ID may be in it more than once.
+	order []ident.Job
+}
+
+// add adds an ID. If there are too many, the oldest ones are dropped.
+func (u *unsettledIDs) add(id ident.Job) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.until == nil {
+		u.until = map[ident.Job]clock.Instant{}
+	}
+	u.until[id] = clock.Now().Add(unsettledTime)
+	u.order = append(u.order, id)
+	for len(u.order) > maxUnsettled {
+		delete(u.until, u.order[0])
+		u.order = u.order[1:]
+	}
+}
+
+// has reports whether an ID was added within unsettledTime.
+func (u *unsettledIDs) has(id ident.Job) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return clock.Now().Before(u.until[id])
+}
--- /dev/null
+++ b/sard/entry/check_test.go
@@ -0,0 +1,129 @@
+package entry_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/entry"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+)
+
+// door is a StoreCheck whose state the test sets.
+type door struct{ closed atomic.Bool }
+
+// Admit fails while the door is closed.
+func (d *door) Admit(string) error {
+	if d.closed.Load() {
+		return fault.New(fault.Unavailable, "reach", "store", "closed").WithRetryAfter(2 * time.Second)
+	}
+	return nil
+}
+
+// Closed reports whether the door is closed.
+func (d *door) Closed(string) bool { return d.closed.Load() }
+
+// Await looks every 10 ms whether the door is open.
+func (d *door) Await(ctx context.Context, _ string) bool {
+	for d.closed.Load() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return true
+}
+
+// TestClosedStore checks what callers are told, and how soon, when the store is silent and the check closes the door.
+func TestClosedStore(t *testing.T) {
+	const soon, closesAfter = 100 * time.Millisecond, 750 * time.Millisecond
+	tests := []struct {
+		name string
+		// link is the state of the link to the store, and closed that of the door, when the call begins.
+		link   func(*link)
+		closed bool
+		// reopensAfter is when the link works again and the door opens; 0 means never.
+		reopensAfter time.Duration
+		call         func(*testing.T, *entry.Jobs) error
+		// want is the kind of the error; fault.Internal means none.
+		want   fault.Kind
+		within time.Duration
+		stored int
+	}{
+		{"submission at the closed door", func(l *link) { l.dropRequests = true }, true, 0, submit, fault.Unavailable, soon, 0},
+		{"submission under way when the door closes", func(l *link) { l.dropRequests = true }, false, 0, submit, fault.OutcomeUnknown, 1300 * time.Millisecond, 0},
+		{"submission under way, the answer is lost", func(l *link) { l.loseResponses = true }, false, 0, submit, fault.OutcomeUnknown, 1300 * time.Millisecond, 1},
+		{"the store is back in time", func(l *link) { l.dropRequests = true }, false, time.Second, submit, fault.Internal, 1100 * time.Millisecond, 1},
+		{"submitted again after an unknown outcome", func(l *link) { l.loseResponses = true }, false, 0, func(t *testing.T, jobs *entry.Jobs) error {
+			_ = submit(t, jobs)
+			return submit(t, jobs)
+		}, fault.OutcomeUnknown, 1300 * time.Millisecond, 1},
+		{"state at the closed door", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
+			_, err := jobs.State(t.Context(), "a", "00000000000000aa")
+			return err
+		}, fault.Unavailable, soon, 0},
+		{"cancellation at the closed door", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
+			return jobs.Cancel(t.Context(), "a", "00000000000000aa")
+		}, fault.Unavailable, soon, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory, d := &store.Memory{}, &door{}
+				l := &link{Store: memory}
+				test.link(l)
+				d.closed.Store(test.closed)
+				if !test.closed {
+					time.AfterFunc(closesAfter, func() { d.closed.Store(true) })
+				}
+				if test.reopensAfter > 0 {
+					time.AfterFunc(test.reopensAfter, func() {
+						l.mu.Lock()
+						l.dropRequests = false
+						l.mu.Unlock()
+						d.closed.Store(false)
+					})
+				}
+				started := time.Now()
+				err := test.call(t, entry.New(entry.Config{Store: l, Check: d}))
+				assert.Assert(t, time.Since(started) <= test.within, "took %v", time.Since(started))
+				assert.Equal(t, err != nil, test.want != fault.Internal, "%v", err)
+				assert.Assert(t, err == nil || fault.Is(err, test.want), "%v", err)
+				assert.Equal(t, storedJobs(t, memory), test.stored)
+			})
+		})
+	}
+}
+
+// silentWrites is a Store that loses the answers to writes and then closes the door.
+type silentWrites struct {
+	store.Store
+	door *door
+}
+
+// Apply runs a transaction; its answer is lost.
+func (s *silentWrites) Apply(ctx context.Context, tx store.Tx) (store.Result, error) {
+	_, _ = s.Store.Apply(ctx, tx)
+	s.door.closed.Store(true)
+	return store.Result{}, fault.New(fault.OutcomeUnknown, "apply", "store", "no response")
+}
+
+// TestCancellationMayHaveTakenEffect checks that a cancellation whose write was sent is not said to have done nothing.
+func TestCancellationMayHaveTakenEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory, d := &store.Memory{}, &door{}
+		assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
+		err := entry.New(entry.Config{Store: &silentWrites{memory, d}, Check: d}).Cancel(t.Context(), "a", "00000000000000aa")
+		assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
+		state, err := entry.New(entry.Config{Store: memory}).State(t.Context(), "a", "00000000000000aa")
+		assert.NilError(t, err)
+		assert.Equal(t, state, ident.Cancelled)
+	})
+}
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -32,11 +32,15 @@
 type Config struct {
 	// Store holds the rows of the pool's jobs.
 	Store store.Store
+	// Check says whether a partition of the store can be reached; nil means that this is not known.
+	Check StoreCheck
 }
 
 // Jobs submits and cancels jobs, and reads their state, for clients of the pool.
 type Jobs struct {
 	config Config
+	// unsettled holds the submissions that were answered without knowing their outcome. It is used only with a Check.
+	unsettled unsettledIDs
 }
 
 // New returns Jobs that use the configured store.
@@ -48,10 +52,20 @@
 // Unavailable or Throttled mean that this submission will never take effect, OutcomeUnknown that it may have taken
 // effect, and Conflict that the ID belongs to another account's job.
 func (j *Jobs) Submit(ctx context.Context, job *work.Job) error {
+	if err := j.admitSubmission(job.ID); err != nil {
+		return err
+	}
+	err := j.submit(ctx, job)
+	j.noteOutcome(job.ID, err)
+	return err
+}
+
+// submit stores a job, or a refusal if the outcome remains unknown.
+func (j *Jobs) submit(ctx context.Context, job *work.Job) error {
 	submitCtx, cancel := j.submitContext(ctx)
 	defer cancel()
 	attempts := 0
-	err := j.retryUntilKnown(submitCtx, func(ctx context.Context) error {
+	err := j.retryUntilKnown(submitCtx, work.ShardOf(job.ID), func(ctx context.Context) error {
 		attempts++
 		return j.create(ctx, job)
 	})
@@ -61,6 +75,10 @@
 	if err == nil || fault.Is(err, fault.Conflict) {
 		return err
 	}
+	if j.isClosed(work.ShardOf(job.ID)) {
+		// A refusal could not be stored either, and the caller has time left for another instance.
+		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
+	}
 	return j.storeRefusal(ctx, job)
 }
 
@@ -74,8 +92,9 @@
 	return context.WithTimeout(ctx, left*submitPercent/100)
 }
 
-// retryUntilKnown repeats a call until its outcome is known or ctx is cancelled.
-func (j *Jobs) retryUntilKnown(ctx context.Context, call func(context.Context) error) error {
+// retryUntilKnown repeats a call to a partition until its outcome is known, ctx is cancelled or the partition has been
+// closed for some time.
+func (j *Jobs) retryUntilKnown(ctx context.Context, partition string, call func(context.Context) error) error {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := call(callCtx)
@@ -83,7 +102,7 @@
 		if !fault.Is(err, fault.OutcomeUnknown) {
 			return err
 		}
-		if !clock.Sleep(ctx, retryDelay) {
+		if !clock.Sleep(ctx, retryDelay) || !j.awaitStore(ctx, partition) {
 			return err
 		}
 	}
@@ -170,7 +189,7 @@
 		Put:           []store.Put{{Key: work.JobKey(job.ID), Value: value}},
 	}
 	var result store.Result
-	err = j.retryUntilKnown(ctx, func(ctx context.Context) error {
+	err = j.retryUntilKnown(ctx, work.ShardOf(job.ID), func(ctx context.Context) error {
 		result, err = j.config.Store.Apply(ctx, tx)
 		return err
 	})
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -59,8 +59,13 @@
 // Cancel marks a job that has not ended as cancelled, so that the scheduler stops its parts and starts no others. It
 // fails with NotFound if the job does not exist.
 func (j *Jobs) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
-	return j.retryUntilKnown(ctx, func(ctx context.Context) error {
+	sent := false
+	return j.retryUntilKnown(ctx, work.ShardOf(id), func(ctx context.Context) error {
 		job, version, err := j.readOpenJob(ctx, id)
+		if err != nil && sent && j.config.Check != nil {
+			// An earlier write may have taken effect.
+			return fault.Wrap(err, fault.OutcomeUnknown, "cancel", "store")
+		}
 		if err != nil {
 			return err
 		}
@@ -72,6 +77,7 @@
 		if err := checkAccess(account, job.Account); err != nil || job.Cancelled {
 			return err
 		}
+		sent = true
 		return j.markCancelled(ctx, job, version)
 	})
 }
@@ -142,9 +148,13 @@
 	return decoded.Job, listing.Rows[0].Version, nil
 }
 
-// listWithRetry reads a range and retries until ctx is cancelled, which is safe because reads have no side effects.
+// listWithRetry reads a range and retries until ctx is cancelled, which is safe because reads have no side effects. It
+// fails at once while the partition is closed.
 func (j *Jobs) listWithRetry(ctx context.Context, r store.Range) (store.Listing, error) {
 	for {
+		if err := j.admit(r.Partition); err != nil {
+			return store.Listing{}, err
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		listing, err := j.config.Store.List(callCtx, r)
 		cancel()
--- a/sard/stall/meter.go
+++ b/sard/stall/meter.go
@@ -20,20 +20,28 @@
 // Meter adds up by how much the process's wake-ups were late. Its zero value is ready for use.
 type Meter struct {
 	total atomic.Int64
+	// sampled is when the sample under way began, in nanoseconds since origin; 0 while Run does not run.
+	sampled atomic.Int64
 }
 
+// origin is the time from which the times of samples are counted.
+var origin = time.Now()
+
 // Run measures until ctx ends.
 func (m *Meter) Run(ctx context.Context) error {
 	timer := time.NewTimer(samplePeriod)
 	defer timer.Stop()
+	defer m.sampled.Store(0)
 	started := time.Now()
 	for {
+		m.sampled.Store(int64(started.Sub(origin)))
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 		}
 		now := time.Now()
+		m.sampled.Store(int64(now.Sub(origin)))
 		m.record(now.Sub(started) - samplePeriod)
 		started = now
 		timer.Reset(samplePeriod)
@@ -47,9 +55,18 @@
 	}
 }
 
-// Total returns the sum of all measured lateness.
+// Total returns the sum of all measured lateness. It includes that of the sample under way, so that it is right at once
+// when the process runs again.
 func (m *Meter) Total() time.Duration {
-	return time.Duration(m.total.Load())
+	total := time.Duration(m.total.Load())
+	sampled := time.Duration(m.sampled.Load())
+	if sampled == 0 {
+		return total
+	}
+	if late := time.Since(origin) - sampled - samplePeriod; late > tolerance {
+		total += late
+	}
+	return total
 }
 
 // WithTimeout returns a copy of ctx that is cancelled after the process had a time of timeout in which it could run. The
--- a/sard/stall/meter_test.go
+++ b/sard/stall/meter_test.go
@@ -65,3 +65,13 @@
 		assert.Equal(t, m.Total(), time.Duration(0))
 	})
 }
+
+// TestTotalCountsTheSampleUnderWay checks that a pause counts as soon as the process runs again, before Run has run.
+func TestTotalCountsTheSampleUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m Meter
+		m.sampled.Store(int64(time.Since(origin)))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, m.Total(), 2*time.Second-samplePeriod)
+	})
+}
