Run times forecast from ended work, kept for the next holder (--pool.run-times)

Change: package fcast learns run times by queue, account, size and image and weighs estimates by how well they were; Engine.forecast and what reads run times use it. A gang is as far as its slowest part. Package sched keeps what was learned, with the worker speeds, in one row on condition of the lease, at most once in 2 s; a new holder reads it within 0.4 s or goes without. Log lines, metrics and pages. Without the flag nothing changes, but that the line "part is stopped" tells the percent.

--- a/sard/pool/decision.go
+++ b/sard/pool/decision.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -23,6 +25,22 @@
 	Attempt work.Attempt
 	Worker  work.WorkerProcess
 	Reason  StopReason
+	// Progress is how far and how fast the attempt got.
+	Progress ProgressState
+}
+
+// ProgressState is how far and how fast an attempt got by the reports of its worker. All but Percent are of its gang.
+type ProgressState struct {
+	Percent int
+	// Rate and BestRate are the latest and the highest steady rate in percent per second; 0 if unknown.
+	Rate, BestRate float64
+	// Unchanged is the time from the last change of the progress to the last report.
+	Unchanged time.Duration
+}
+
+// OfMove reports whether the reason is that the work is slow or stands still.
+func (r StopReason) OfMove() bool {
+	return r == ReasonSlow || r == ReasonSlowedDown || r == ReasonSlowWorker || r == ReasonStalled
 }
 
 // StopReason states why an attempt is stopped.
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -21,6 +21,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/fcast"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
@@ -58,6 +59,14 @@
 	estimateErrors map[work.QueueName]*estimateErrors
 	// suspects holds the groups with counted crashes.
 	suspects map[*group]bool
+	// runTimes forecasts run times; nil if Config.RunTimes is not set.
+	runTimes *fcast.Model
+	// ratios holds the accuracy of recent forecasts.
+	ratios []ForecastRatio
+	// learnedEnds counts the groups that have succeeded.
+	learnedEnds uint64
+	// now is the time of the latest round.
+	now time.Time
 	// guaranteedDemand tracks the recent peak demand of guaranteed jobs.
 	guaranteedDemand demandPeak
 	// speeds holds the learned speeds of workers; nil if Config.WorkerSpeeds is not set.
@@ -72,6 +81,9 @@
 	if config.WorkerSpeeds {
 		e.speeds = speed.New()
 	}
+	if config.RunTimes {
+		e.runTimes = fcast.New()
+	}
 	return e
 }
 
@@ -216,7 +228,7 @@
 			continue
 		}
 		p.node.markStopping(p)
-		e.decisions = append(e.decisions, Stop{Attempt: p.attemptID(), Worker: p.node.WorkerProcess, Reason: reason})
+		e.decisions = append(e.decisions, Stop{Attempt: p.attemptID(), Worker: p.node.WorkerProcess, Reason: reason, Progress: p.progressState()})
 	}
 }
 
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -64,11 +64,27 @@
 	}
 	g := p.group
 	e.saveCheckpoint(g, checkpoint, now)
+	p.percent, p.reported = percent, true
+	if e.config.RunTimes && !p.slowestOfGang() {
+		return
+	}
 	g.progress.report(percent, now)
 	e.recordRate(p.node, g, now)
 	e.learnFromProgress(g, percent, now)
 }
 
+// slowestOfGang reports whether no part of the group has got less far. The parts of a gang get on by themselves and end
+// together, so that the progress of the gang is that of its slowest part. It is unknown until all have reported.
+func (p *part) slowestOfGang() bool {
+	for i := range p.group.parts {
+		other := &p.group.parts[i]
+		if other.node != nil && (!other.reported || other.percent < p.percent) {
+			return false
+		}
+	}
+	return true
+}
+
 // StopUnconfirmed stops the group of an attempt because it is unknown whether the attempt was started.
 func (e *Engine) StopUnconfirmed(a work.Attempt) {
 	p := e.currentPart(a)
@@ -101,6 +117,8 @@
 func (e *Engine) endAttempt(p *part, end End, checkpoint work.Checkpoint, now time.Time) {
 	g, n := p.group, p.node
 	if end == Done {
+		e.learnedEnds++
+		e.learnRunTime(g, now)
 		e.learnSpeed(g, now)
 	}
 	n.detach(p)
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -56,6 +56,9 @@
 	node *node
 	// stopping is set while the current attempt is being stopped.
 	stopping bool
+	// percent is the progress of the current attempt of the part; valid if reported is set.
+	percent  int
+	reported bool
 	// survived is set when the current attempt is known to have run for Probation.
 	survived bool
 	// likelyCrashes and possibleCrashes count the crashes of workers after the start of an attempt, since one has survived
@@ -97,6 +100,8 @@
 	ranOn   []*node
 	// paceSample is what the group's current attempt has shown of its workers' speed.
 	paceSample paceSample
+	// length is how long the successful attempt would have taken on workers of normal speed; 0 if that is unknown.
+	length time.Duration
 	// reserved holds the nodes whose capacity is reserved for the group while it waits for stops to complete, or for the
 	// probation of the attempts that were started there.
 	reserved []*node
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -20,6 +20,9 @@
 	started bool
 	// withinGuarantee is set if the account's guarantee covers the job.
 	withinGuarantee bool
+	// lengths holds how long each step takes by the forecasts as of lengthsAt; nil if the estimates are used.
+	lengths   []time.Duration
+	lengthsAt time.Time
 	// dirty is set while the stored record is out of date.
 	dirty bool
 }
@@ -38,6 +41,10 @@
 	unfinished int
 	// siblings caches the usual rate of the step's groups.
 	siblings siblingRate
+	// learned is set once the run times of the step's groups have been recorded.
+	learned bool
+	// forecast caches the forecast run time of the step's groups.
+	forecast stepForecast
 }
 
 // newOccurrence returns an occurrence of which no group has been placed.
@@ -102,6 +109,16 @@
 	return true
 }
 
+// currentOccurrence returns the oldest incomplete occurrence, or the last one if all are complete. There must be one.
+func (j *job) currentOccurrence() *occurrence {
+	for _, o := range j.occurrences {
+		if !o.complete() {
+			return o
+		}
+	}
+	return j.occurrences[len(j.occurrences)-1]
+}
+
 // forEachGroup calls visit for every group in the occurrences that have been created so far.
 func (j *job) forEachGroup(visit func(*group)) {
 	for _, o := range j.occurrences {
@@ -151,9 +168,37 @@
 	return sum
 }
 
-// criticalPath returns the estimated run time of one occurrence with unlimited resources: the sum of the step estimates
-// along the longest chain of dependent steps.
+// criticalPath returns the expected run time of one occurrence with unlimited resources: the sum of the step lengths along
+// the longest chain of dependent steps.
 func (j *job) criticalPath() time.Duration {
+	return j.longestChain(j.stepLength)
+}
+
+// stepLength returns how long each group of a step is expected to run.
+func (j *job) stepLength(step int) time.Duration {
+	if j.lengths != nil {
+		return j.lengths[step]
+	}
+	return j.Steps[step].Estimate
+}
+
+// remainingPath returns the part of the critical path of the current occurrence that is not done. Without forecasts it is
+// the whole path.
+func (j *job) remainingPath() time.Duration {
+	if j.lengths == nil {
+		return j.criticalPath()
+	}
+	o := j.currentOccurrence()
+	return j.longestChain(func(step int) time.Duration {
+		if o.steps[step].unfinished == 0 {
+			return 0
+		}
+		return j.lengths[step]
+	})
+}
+
+// longestChain returns the longest sum of step lengths along a chain of dependent steps.
+func (j *job) longestChain(stepLength func(int) time.Duration) time.Duration {
 	length := time.Duration(0)
 	ends := make([]time.Duration, len(j.Steps))
 	for i := range j.Steps {
@@ -161,7 +206,7 @@
 		for _, before := range j.Steps[i].After {
 			start = max(start, ends[before])
 		}
-		ends[i] = start + j.Steps[i].Estimate
+		ends[i] = start + stepLength(i)
 		length = max(length, ends[i])
 	}
 	return length
--- a/sard/pool/leaving.go
+++ b/sard/pool/leaving.go
@@ -18,7 +18,7 @@
 			if g.phase != placed || g.spec().Lasting && g.spec().MayMiss > 0 {
 				continue
 			}
-			if g.expectedEnd().After(n.AvailableUntil.Add(departureMargin)) {
+			if e.expectedEnd(g).After(n.AvailableUntil.Add(departureMargin)) {
 				g.phase = ending
 				e.stopGroup(g, ReasonWorkerLeaving)
 			}
@@ -27,10 +27,10 @@
 }
 
 // expectedEnd returns when the group's current attempt is expected to end, based on its progress if known and otherwise
-// on its estimated run time.
-func (g *group) expectedEnd() time.Time {
+// on its forecast run time.
+func (e *Engine) expectedEnd(g *group) time.Time {
 	if remaining, known := g.progress.remaining(); known {
 		return g.progress.lastReport.Add(remaining)
 	}
-	return g.startedAt.Add(g.spec().Estimate)
+	return g.startedAt.Add(e.forecast(g).Typical)
 }
--- a/sard/pool/progress.go
+++ b/sard/pool/progress.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// progressState returns how far a part and how fast its group got.
+func (p *part) progressState() ProgressState {
+	progress := &p.group.progress
+	return ProgressState{
+		Percent: p.percent, Rate: progress.steady.current(), BestRate: progress.steady.best,
+		Unchanged: progress.lastReport.Sub(progress.lastAdvance),
+	}
+}
+
 // slowedDown reports whether the attempt runs much slower than at its best rate.
 func (p *attemptProgress) slowedDown() bool {
 	return p.rate > 0 && p.rate*slowdownFactor < p.bestRate
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -10,10 +10,12 @@
 
 // Decide returns the orders to workers that follow from all changes since the last call.
 func (e *Engine) Decide(now time.Time, nowMs int64) []Decision {
+	e.now = now
 	for _, j := range e.jobs {
 		j.settings = e.config.QueueSettings(j.Job)
 		if !j.state.Terminal() {
 			e.createDueOccurrences(j, now, nowMs)
+			e.refreshLengths(j, now)
 		}
 	}
 	e.refreshSpeeds(now)
@@ -232,7 +234,7 @@
 	r.engine.markDirty(j)
 	for i, n := range nodes {
 		p := &g.parts[i]
-		p.survived = false
+		p.survived, p.reported = false, false
 		n.attach(p)
 		n.lastStart = r.now
 		r.engine.decisions = append(r.engine.decisions, Start{
--- a/sard/pool/slowness_test.go
+++ b/sard/pool/slowness_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/fcast"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -15,7 +16,7 @@
 // newRunTimesHarness returns a harness with forecasts of run times switched on.
 func newRunTimesHarness(t *testing.T, workers int) *harness {
 	h := newHarness(t, workers)
-	h.engine.config.RunTimes = true
+	h.engine.config.RunTimes, h.engine.runTimes = true, fcast.New()
 	return h
 }
 
@@ -148,3 +149,35 @@
 		})
 	}
 }
+
+// TestGangIsAsFarAsItsSlowestPart checks that a gang is neither stalled nor slow when some of its parts have done their work
+// and wait for the others, and that it stalls when the slowest part does.
+func TestGangIsAsFarAsItsSlowestPart(t *testing.T) {
+	h := newRunTimesHarness(t, 2)
+	h.addJob("gang", 1, work.Step{Parts: 4, Need: smallPart, Gang: true, Estimate: 5 * time.Second})
+	report := func(slowest int) {
+		h.engine.ForEachAttempt(func(a work.Attempt, _ work.WorkerProcess) {
+			percent := 100
+			if a.Part.Index == 0 {
+				percent = slowest
+			}
+			if a.Part.Index != 0 || slowest >= 0 {
+				h.engine.AttemptRunning(a, percent, "", h.now)
+			}
+		})
+		h.advance(500 * time.Millisecond)
+	}
+	for i := range 16 {
+		report(i * 4)
+	}
+	assert.Equal(t, h.engine.jobs["gang"].occurrences[0].steps[0].groups[0].progress.percent, 60)
+	for range 10 {
+		report(-1) // The worker of the slowest part does not answer.
+	}
+	assert.Equal(t, len(h.stops), 0)
+	for range 10 {
+		report(64)
+	}
+	assert.Equal(t, len(h.stops), 4)
+	assert.Equal(t, h.stops[0].Reason, ReasonStalled)
+}
--- a/sard/pool/speed.go
+++ b/sard/pool/speed.go
@@ -94,7 +94,7 @@
 	if len(g.stepState().groups) >= minComparedParts {
 		return
 	}
-	observed := math.Log(g.spec().Estimate.Seconds() / g.runTime.Seconds())
+	observed := math.Log(e.forecast(g).Typical.Seconds() / g.runTime.Seconds())
 	errors := e.estimateErrorsOf(g.job.Queue)
 	expected := slowest(g.ranOn).logSpeed.value()
 	sample := observed - errors.bias.value()
--- a/sard/pool/urgency.go
+++ b/sard/pool/urgency.go
@@ -50,9 +50,9 @@
 
 // urgency returns the job's urgency at the given time.
 func (j *job) urgency(now time.Time) urgency {
-	objective, criticalPath := j.objective(), j.criticalPath()
+	objective := j.objective()
 	due := j.dueAt()
-	slack := objective - criticalPath - now.Sub(due)
+	slack := objective - j.remainingPath() - now.Sub(due)
 	u := urgency{slack: slack, id: j.ID}
 	switch {
 	case j.withinGuarantee:
--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -307,8 +307,8 @@
 	}
 	state := w.ensureAttempt(stop.Attempt)
 	s.config.Metrics.attemptsStopped.WithLabelValues(string(stop.Reason)).Inc()
-	s.config.Logger.Info("part is stopped", "part", stop.Attempt.Part, "attempt", stop.Attempt.Number, "worker", stop.Worker.Worker,
-		"reason", stop.Reason, "sent", state.startsSent)
+	s.config.Logger.Info("part is stopped", append(progressFields(stop), "part", stop.Attempt.Part, "attempt", stop.Attempt.Number,
+		"worker", stop.Worker.Worker, "reason", stop.Reason, "sent", state.startsSent)...)
 	if (state.unrecorded || state.startQueued) && state.startsSent == 0 {
 		delete(w.attempts, stop.Attempt)
 		s.engine.AttemptEnded(stop.Attempt, pool.Stopped, "", time.Now())
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -86,6 +86,8 @@
 		s.handleStop(ev)
 	case renewalResult:
 		s.handleRenewal(ev)
+	case learnedResult:
+		s.handleLearned(ev)
 	case cleanupResult:
 		s.handleCleanup(ev)
 	}
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -49,6 +49,10 @@
 	wrapClient func(c sched.WorkerClient) sched.WorkerClient
 	// slowStore is how long the instances' transactions take, and slowLists how long their listings take.
 	slowStore, slowLists time.Duration
+	// runTimes switches on forecasts of run times.
+	runTimes bool
+	// wrapStore, if not nil, returns the store that instances use in place of s.
+	wrapStore func(s store.Store) store.Store
 	// wrapLease, if not nil, returns the lease to use in place of l.
 	wrapLease func(l sched.Lease) sched.Lease
 	// failingJobs holds the jobs whose attempts all fail.
@@ -176,7 +180,11 @@
 	ctx, stop := context.WithCancel(r.ctx)
 	r.stopInstances = append(r.stopInstances, stop)
 	var killed atomic.Bool
-	rows := &killableStore{Store: &slowStore{Store: r.store, delay: r.slowStore, listDelay: r.slowLists}, killed: &killed}
+	var inner store.Store = &slowStore{Store: r.store, delay: r.slowStore, listDelay: r.slowLists}
+	if r.wrapStore != nil {
+		inner = r.wrapStore(inner)
+	}
+	rows := &killableStore{Store: inner, killed: &killed}
 	c := elect.New(elect.Config{Store: rows, Instance: ident.Instance(name), ProcessID: "1", Logger: r.logger.Named(name)})
 	r.group.Go(func() error {
 		return c.Run(ctx, func(ctx context.Context, held *elect.Lease) error {
@@ -225,7 +233,8 @@
 		Policy:      func() *policy.Policy { return r.policy },
 		Evacuations: r.evacuations.Load,
 		WorkerLease: 5 * time.Second, MaxWorkerLease: fakes.MaxLease, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
-		Logger: r.logger.Named(name),
+		RunTimes: r.runTimes,
+		Logger:   r.logger.Named(name),
 	}
 }
 
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -25,11 +25,13 @@
 	pool            *prometheus.GaugeVec
 	speeds          *prometheus.GaugeVec
 	expectedWait    *prometheus.GaugeVec
+	learned         learnedMetrics
 }
 
 // NewMetrics creates the scheduler metrics and registers them if registerer is not nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		learned: newLearnedMetrics(registerer),
 		holding: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "holding", Help: "1 while the instance holds the scheduler lease.",
 		}),
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -132,6 +132,7 @@
 	workersReadAt clock.Instant
 	journal       journal
 	pressure      pressure
+	learned       learnedState
 	commands      commandQueue
 	// evacuations is the set of evacuated data centres of which the engine knows.
 	evacuations *policy.Evacuations
@@ -243,6 +244,7 @@
 		s.decide()
 		s.commit(ctx)
 		s.cleanUp(ctx)
+		s.saveLearned(ctx)
 	}
 	s.sendCommands(ctx)
 	s.reportSummary()
@@ -326,6 +328,7 @@
 	s.nextSummary = clock.Now().Add(summaryPeriod)
 	summary := s.engine.Summary()
 	s.config.Metrics.setSummary(summary)
+	s.reportLearned()
 	if summary == s.lastSummary {
 		return
 	}
--- /dev/null
+++ b/sard/sched/takeover_test.go
@@ -0,0 +1,75 @@
+package sched_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// learnedVersionOf returns the version of the row of learned state in the store, or 0 if there is none.
+func (r *harness) learnedVersionOf() store.Version {
+	r.t.Helper()
+	listing, err := r.store.List(r.ctx, store.Range{Table: work.LearnedTable, Partition: work.MainPartition})
+	assert.NilError(r.t, err)
+	for _, row := range listing.Rows {
+		return row.Version
+	}
+	return 0
+}
+
+// TestLearnedStateIsKept checks that the holder keeps what it has learned in the store, at most once in two seconds, that the
+// next holder goes on from it, and that nothing is written while nothing ends.
+func TestLearnedStateIsKept(t *testing.T) {
+	runTest(t, 4, func(r *harness) {
+		r.runTimes = true
+		kill := r.startInstance("i1")
+		for i := range 12 {
+			r.submit(ident.Job("j"+strconv.Itoa(i)), time.Second, work.Step{Parts: 2})
+			r.waitForState(ident.Job("j"+strconv.Itoa(i)), ident.Succeeded, 5*time.Second)
+		}
+		r.sleep(15 * time.Second)
+		written := r.learnedVersionOf()
+		assert.Assert(t, written > 0)
+		r.sleep(30 * time.Second)
+		assert.Equal(t, r.learnedVersionOf(), written)
+		kill()
+		r.startInstance("i2")
+		r.submit("after", time.Second, work.Step{Parts: 2})
+		r.waitForState("after", ident.Succeeded, 20*time.Second)
+	})
+}
+
+// slowLearnedStore is a store of which the table of learned state does not answer.
+type slowLearnedStore struct{ store.Store }
+
+// List lists a range; that of the learned state takes forever.
+func (s slowLearnedStore) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	if r.Table == work.LearnedTable {
+		<-ctx.Done()
+		clock.Sleep(context.WithoutCancel(ctx), time.Minute)
+		return store.Listing{}, fault.Wrap(ctx.Err(), fault.Unavailable, "list", "store")
+	}
+	return s.Store.List(ctx, r)
+}
+
+// TestSlowLearnedStateIsNotAwaited checks that a new holder starts work in time when the learned state can't be read.
+func TestSlowLearnedStateIsNotAwaited(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.runTimes = true
+		r.wrapStore = func(s store.Store) store.Store { return slowLearnedStore{s} }
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		started := time.Now()
+		r.startInstance("i1")
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		assert.Assert(t, time.Since(started) < 3*time.Second, "%v", time.Since(started))
+	})
+}
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -30,6 +30,7 @@
 // load reads the progress records, the journal's version, the jobs and the worker list from the store, and starts to
 // watch jobs and workers.
 func (s *Scheduler) load(ctx context.Context) error {
+	learned := s.readLearned(ctx)
 	if err := s.loadProgress(ctx); err != nil {
 		return err
 	}
@@ -45,6 +46,7 @@
 		s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: readAt})
 		s.group.Go(func() error { return s.watchTable(ctx, table, listing.Version, readAt) })
 	}
+	s.takeLearned(ctx, learned)
 	s.loadedProgress = nil
 	s.adoptPlacements()
 	s.config.Logger.Info("pool taken over", "epoch", s.lease.Epoch(), "workers", len(s.sessions),
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -17,6 +17,7 @@
 	WaitTable     = "wait"
 	ProgressTable = "run"
 	JournalTable  = "journal"
+	LearnedTable  = "learned"
 	MainPartition = ""
 )
 
