Let acknowledgements of ends and starts exclude each other on a worker

An acknowledgement names no worker process. If a worker had started again since its last report, the later process discarded the ends of parts that it had started meanwhile, and these parts ran again. Acknowledgements were sent up to 0.5 s after a report, beside starts. Now one is sent only when a report has shown which process each start has reached, and starts wait for its response, so that a later process has no ends to discard. The age of the report doesn't matter then.

Failed before: TestAcknowledgementRightAfterRestart and TestAcknowledgementHoldsBackStarts, both "3 (int) != 2 (int)" starts.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -194,6 +194,9 @@
 		return
 	}
 	state.startInFlight = false
+	if w.ackDue() {
+		s.renewSoon(w)
+	}
 	var refusal *RefusalError
 	switch {
 	case ev.unsent:
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -78,7 +78,7 @@
 		for len(q.ready[class]) > 0 {
 			w := q.ready[class][0]
 			q.ready[class] = q.ready[class][1:]
-			if w.flight != nil || len(w.commands[class]) == 0 {
+			if w.flight != nil || len(w.commands[class]) == 0 || class != stopClass && w.holdsStarts() {
 				continue
 			}
 			c := w.commands[class][0]
@@ -120,6 +120,13 @@
 	}
 }
 
+// makeReadyIfIdle adds a session without an active command to the ready lists, after it may have held back starts.
+func (q *commandQueue) makeReadyIfIdle(w *session) {
+	if w.flight == nil {
+		q.makeReady(w)
+	}
+}
+
 // releaseSlow releases the commands that were sent more than flightTime ago.
 func (q *commandQueue) releaseSlow() {
 	for len(q.flights) > 0 {
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -244,6 +244,9 @@
 func (s *Scheduler) confirmEnds(ends map[work.WorkerProcess]EndSequence) {
 	for process, sequence := range ends {
 		if w := s.session(process); w != nil {
+			if w.confirmedEnd == w.ackedEnd {
+				w.ackDueSince = clock.Now()
+			}
 			w.confirmedEnd = max(w.confirmedEnd, sequence)
 			s.renewSoon(w)
 		}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -26,9 +26,6 @@
 	// unconfirmedPause is the pause between lease renewals of a worker while the consequences of reported ends of
 	// attempts are not recorded in the store yet.
 	unconfirmedPause = 500 * time.Millisecond
-	// maxReportAge is the age of a worker's last report up to which ends are acknowledged. A worker that starts again faster
-	// and ends an attempt may discard that end.
-	maxReportAge = 500 * time.Millisecond
 	// renewalScanPeriod is the time between checks whether the renewal of any worker's lease is due.
 	renewalScanPeriod = 20 * time.Millisecond
 	// unexpectedPause is the pause between lease renewals of a worker while it runs attempts that the engine does
@@ -68,6 +65,9 @@
 	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered && !w.lost {
 		return
 	}
+	if w.awaitsStartBeforeAck() {
+		return
+	}
 	s.sendRenewal(ctx, w, busy)
 }
 
@@ -96,8 +96,9 @@
 // contacted yet, unless the last renewal got no response.
 func (s *Scheduler) sendRenewal(ctx context.Context, w *session, busy bool) {
 	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: s.lease.Epoch()}
-	if w.confirmedEnd > w.ackedEnd && w.mayAcknowledge() {
+	if w.ackDue() && w.mayAcknowledge() {
 		req.AckedEnd = w.confirmedEnd
+		w.acknowledging = true
 	}
 	if (busy || !w.fenced) && !w.unanswered {
 		req.Deadline = s.extendLease(w)
@@ -118,19 +119,14 @@
 	})
 }
 
-// mayAcknowledge reports whether the worker process that sent the last report most likely still runs. A later process
-// would discard its own ends on an acknowledgement, before any report has listed them.
-func (w *session) mayAcknowledge() bool {
-	return !w.unanswered && clock.Since(w.lastReport) <= maxReportAge
-}
-
 // handleRenewal processes the result of a lease renewal, which normally is a report of the worker's attempts.
 func (s *Scheduler) handleRenewal(ev renewalResult) {
 	w := s.sessions[ev.process.Worker]
 	if w == nil || w.entry.WorkerProcess != ev.process {
 		return
 	}
-	w.renewing = false
+	w.renewing, w.acknowledging = false, false
+	defer s.commands.makeReadyIfIdle(w)
 	if ev.err != nil {
 		s.renewalFailed(w, ev)
 		return
@@ -156,6 +152,8 @@
 		w.nextRenewal = clock.Now().Add(unconfirmedPause)
 	case w.unexpected > 0:
 		w.nextRenewal = clock.Now().Add(unexpectedPause)
+	case w.ackDue() && !w.mayAcknowledge():
+		w.nextRenewal = clock.Now().Add(ackRetryPause)
 	default:
 		s.renewSoon(w)
 	}
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -38,6 +38,9 @@
 	// renewing indicates that a lease renewal is in flight; nextRenewal is when the next one may be sent.
 	renewing    bool
 	nextRenewal clock.Instant
+	// acknowledging indicates that an acknowledgement of ends is in flight, and ackDueSince is since when one is due.
+	acknowledging bool
+	ackDueSince   clock.Instant
 	// unanswered indicates that the last lease renewal got no response, and no other request got one since.
 	unanswered bool
 	lastAnswer clock.Instant
