Causes tell what stops have saved; tests of summaries and faults with cost order

Cause: sardctl causes counted the work of stopped attempts as lost although a stop saves the progress of those with checkpoints; the summaries of the scheduler had no test with a takeover.

--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -51,6 +51,10 @@
 	slowStore, slowLists time.Duration
 	// wrapLease, if not nil, returns the lease to use in place of l.
 	wrapLease func(l sched.Lease) sched.Lease
+	// costOrder makes instances delay and stop the work whose delay costs callers least. announced is called with each load
+	// summary, if it is not nil.
+	costOrder bool
+	announced func(summary []byte)
 	// failingJobs holds the jobs whose attempts all fail.
 	failingJobs map[ident.Job]bool
 	// crashingParts holds the indexes of the parts of jobs that crash each worker that starts them.
@@ -225,10 +229,14 @@
 		Policy:      func() *policy.Policy { return r.policy },
 		Evacuations: r.evacuations.Load,
 		WorkerLease: 5 * time.Second, MaxWorkerLease: fakes.MaxLease, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
+		Admission: r.costOrder, Announce: r.announced, StartLimit: startLimit,
 		Logger: r.logger.Named(name),
 	}
 }
 
+// startLimit is the time limit on the start of guaranteed jobs that their account's guarantee covers.
+const startLimit = 2700 * time.Millisecond
+
 // killableClient fails all start requests after its instance was killed.
 type killableClient struct {
 	sched.WorkerClient
--- a/sardctl/causes.go
+++ b/sardctl/causes.go
@@ -94,9 +94,9 @@
 			w.writeRow(r.Priority, r.Cause, r.Jobs, r.MeanWait, r.MeanOver)
 		}
 		w.startSection()
-		w.writeRow("LOST WORK", "CORE SECONDS", "PARTS", "EXAMPLE")
+		w.writeRow("LOST WORK", "CORE SECONDS", "PARTS", "EXAMPLE", "SAVED")
 		for _, r := range report.Lost {
-			w.writeRow(r.Reason, int64(r.CoreSeconds), r.Parts, r.Example)
+			w.writeRow(r.Reason, int64(r.CoreSeconds), r.Parts, r.Example, int64(r.Saved))
 		}
 	})
 }
@@ -115,6 +115,7 @@
 	TookMs      int64     `json:"took_ms"`
 	ObjectiveMs int64     `json:"objective_ms"`
 	Need        struct{ CPU, Accelerators int64 }
+	Checkpoints bool `json:"checkpoints"`
 }
 
 // attemptKey identifies an attempt by the part of a job and the number of the attempt.
@@ -128,7 +129,9 @@
 	admitted, firstStart time.Time
 	priority             int
 	coreEquivalents      float64
-	attemptStarts        map[attemptKey]time.Time
+	// checkpoints is set if a stop saves the progress of the parts of the job's first step.
+	checkpoints   bool
+	attemptStarts map[attemptKey]time.Time
 	// interruptions holds the number of interruptions of the job's parts, by the reason of a stop or the kind of a
 	// failed end.
 	interruptions map[string]int
@@ -153,6 +156,7 @@
 		j = &jobHistory{
 			admitted: e.Time, priority: e.Priority, attemptStarts: map[attemptKey]time.Time{}, interruptions: map[string]int{},
 			coreEquivalents: float64(e.Need.CPU)/milliCoresPerCore + float64(e.Need.Accelerators*coresPerAccelerator),
+			checkpoints:     e.Checkpoints,
 		}
 		h.jobs[id] = j
 	}
@@ -164,18 +168,19 @@
 		}
 		j.attemptStarts[key] = e.Time
 	case messagePartStopped:
-		h.recordLostWork(j, key, e.Reason, e.Time)
+		h.recordLostWork(j, key, e.Reason, e.Time, j.checkpoints)
 	case messagePartEnded:
 		if cause, ok := endCause(e.How); ok {
-			h.recordLostWork(j, key, cause, e.Time)
+			h.recordLostWork(j, key, cause, e.Time, false)
 		}
 	case messageJobEnded:
 		j.end = &e
 	}
 }
 
-// recordLostWork counts an interruption of a part, and adds the work since the start of the attempt to the lost work.
-func (h *logHistory) recordLostWork(j *jobHistory, key attemptKey, reason string, at time.Time) {
+// recordLostWork counts an interruption of a part, and adds the work since the start of the attempt to the lost work. The work
+// may be saved by a checkpoint.
+func (h *logHistory) recordLostWork(j *jobHistory, key attemptKey, reason string, at time.Time, saved bool) {
 	j.interruptions[reason]++
 	started, ok := j.attemptStarts[key]
 	if !ok {
@@ -187,7 +192,11 @@
 		row = &lostWorkRow{Reason: reason}
 		h.lostWork[reason] = row
 	}
-	row.add(key.part, at.Sub(started).Seconds()*j.coreEquivalents)
+	work := at.Sub(started).Seconds() * j.coreEquivalents
+	row.add(key.part, work)
+	if saved {
+		row.Saved += work
+	}
 }
 
 // cause returns why the job was late. That is the wait for its first start if it took longer than minStartDelay and
@@ -243,8 +252,10 @@
 type lostWorkRow struct {
 	Reason      string
 	CoreSeconds float64
-	Parts       int
-	Example     string
+	// Saved is the part of CoreSeconds that was done by parts whose progress their stop has saved.
+	Saved   float64
+	Parts   int
+	Example string
 	// mostLost is the work, in core-seconds, that the example lost.
 	mostLost float64
 }
