Store check: paced probes that may overlap, shorter Retry-After

Change: probes of closed partitions are sent every 250 ms at most, whether or not earlier ones were answered, and the time to try again is rounded down.

--- a/sard/reach/scope.go
+++ b/sard/reach/scope.go
@@ -15,7 +15,7 @@
 	since clock.Instant
 	// lastAnswer is when a call was last answered, and lastProbe when a probe was last sent.
 	lastAnswer, lastProbe clock.Instant
-	// probed is set while a probe is under way.
+	// probed is set while a probe is under way; suspect scopes have one at a time.
 	probed bool
 }
 
@@ -23,7 +23,8 @@
 func (s *scope) refusal(now clock.Instant) Verdict {
 	lasted := now.Sub(s.since)
 	// The longer a failure has lasted, the longer it may be expected to last.
-	return Verdict{Refuse: true, Reason: s.reason, Lasted: lasted, RetryAfter: min(max(lasted/2, minRetryAfter), maxRetryAfter)}
+	retryAfter := (lasted / 2).Truncate(time.Second)
+	return Verdict{Refuse: true, Reason: s.reason, Lasted: lasted, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
 }
 
 // firstClosed returns the scope that has been closed for longest, or nil.
@@ -86,8 +87,6 @@
 		j.change(now, s, Closed, failureReason(outcome, now.Sub(c.sent) >= confirmPatience), s.since)
 		j.suspectOthers(now, s)
 	}
-	j.pause = min(max(2*j.pause, minProbePause), maxProbePause)
-	j.nextProbe = now.Add(j.pause)
 }
 
 // suspectOthers makes all scopes suspect that gave no answer since the main one failed.
@@ -134,18 +133,23 @@
 // probe starts a probe of a scope.
 func (j *Judge) probe(now clock.Instant, s *scope) Probe {
 	j.lastCall++
-	j.calls[j.lastCall] = call{scope: s, sent: now, due: now, probe: true, confirms: s.state == Suspect}
+	j.calls[j.lastCall] = call{scope: s, sent: now, due: now, probe: true}
 	s.probed, s.lastProbe = true, now
-	j.probing = j.probing || s.state == Closed
-	return Probe{ID: j.lastCall, Scope: s.name, Reason: s.reason, Patience: j.patience(s)}
+	p := Probe{ID: j.lastCall, Scope: s.name, Reason: s.reason, Patience: confirmPatience}
+	if s.state == Closed {
+		p.Patience = closedPatience
+		j.pause = min(max(2*j.pause, minProbePause), maxProbePause)
+		j.nextProbe = now.Add(j.pause)
+	}
+	return p
 }
 
 // toProbe returns the scope that is to be probed next: a suspect one first, else the closed one not probed for longest; nil
-// if there is none, or the probe of a closed one is under way.
+// if there is none.
 func (j *Judge) toProbe() *scope {
 	var next *scope
 	for _, s := range j.scopes {
-		if s.state == Serving || s.probed || s.state == Closed && j.probing {
+		if s.state == Serving || s.state == Suspect && s.probed {
 			continue
 		}
 		if next == nil || s.probedBefore(next) {
@@ -166,18 +170,6 @@
 	return s.name < other.name
 }
 
-// patience returns how long the next probe of a scope waits.
-func (j *Judge) patience(s *scope) time.Duration {
-	if s.state == Suspect {
-		return confirmPatience
-	}
-	j.probes++
-	if j.probes%longEvery == 0 {
-		return longPatience
-	}
-	return shortPatience
-}
-
 // untilSuspicion returns the time until a call that is under way makes its scope suspect, at least a millisecond, or 0 if
 // there is none.
 func (j *Judge) untilSuspicion(now clock.Instant) time.Duration {
