Stop parts whose start may still be carried out late on a restarted worker

A start request without a response was repeated, and the worker confirmed the second one. When the worker started again under its id, the attempt counted as lost with its process and the part started anew; then the first request was carried out by the later process. Such an attempt is now kept until the later process has confirmed its stop, after which it refuses that request.

TestLateStartAfterRestart failed before: 00:00:05.000 j1.0.0.0: two concurrent runs, the second on wa.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -40,6 +40,8 @@
 	processUnknown bool
 	// processReplaced indicates that the worker's process was replaced since the start, and that the attempt was kept.
 	processReplaced bool
+	// startOpen indicates that a start request got no response, so that it may be executed late, by a later process too.
+	startOpen bool
 	// startConfirmed and stopConfirmed are when the worker confirmed the start and the stop.
 	startConfirmed, stopConfirmed clock.Instant
 	// startBroken is when the connection of a start request broke before its response, or Never.
@@ -280,6 +282,7 @@
 // attempt runs, until the limit is reached; then it stops the attempt, which may run. There is nothing to do if a report
 // of the worker has listed the attempt in the meantime.
 func (s *Scheduler) startUnanswered(w *session, state *attemptState, ev startResult) {
+	state.startOpen = state.startOpen || !ev.undelivered()
 	if state.startConfirmed != clock.Never {
 		return
 	}
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -202,7 +202,10 @@
 	}
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
-		if state.startInFlight || state.processUnknown || slices.Contains(reported, a) {
+		if state.startInFlight || state.processUnknown || state.startOpen || slices.Contains(reported, a) {
+			if state.startOpen {
+				state.startConfirmed = clock.Never
+			}
 			state.startQueued, state.processReplaced = false, true
 			state.stopConfirmed, state.startBroken, state.runningAt = clock.Never, clock.Never, 0
 			kept[a] = state
