Ignore malformed job and progress records instead of ending the process

One malformed record in the store ended each lease holder in turn: its values were used as indexes. Records are now checked when they are read, as far as the scheduler indexes by them; such a job is ignored and logged, like one that can't be decoded.

TestMalformedRecordsStopNoScheduler failed before in 7 of 11 cases by a panic (index out of range [0] with length 0, [7] with length 1, [-1], [5] with length 0, [1] with length 1) and in the case of a negative demand. TestAbsurdWorkerEntriesStopNoScheduler passed before.

--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/store"
@@ -126,6 +127,10 @@
 	if _, ended := s.ended[job.ID]; ended {
 		return
 	}
+	if err := s.validateJob(id, job); err != nil {
+		s.config.Logger.Error("job record malformed, job ignored", "job", id, "error", err)
+		return
+	}
 	if s.engine.HasOpenJob(job.ID) {
 		if job.Cancelled {
 			s.engine.CancelJob(job.ID)
@@ -141,6 +146,20 @@
 		"row_version", row.Version, "cancelled", job.Cancelled)
 }
 
+// validateJob returns an error if the record of a job, or that of its progress, is malformed.
+func (s *Scheduler) validateJob(id ident.Job, job *work.Job) error {
+	if job.ID != id {
+		return fault.New(fault.Invalid, "read record of job", string(id), "it is of job %s", job.ID)
+	}
+	if err := job.Validate(); err != nil {
+		return err
+	}
+	if progress := s.loadedProgress[id]; progress != nil {
+		return job.ValidateProgress(progress)
+	}
+	return nil
+}
+
 // handleWorkerRows updates the sessions with workers after rows of the platform's worker list were listed or have
 // changed. A row that can't be read lists no worker.
 func (s *Scheduler) handleWorkerRows(ev rowsChanged) {
