Process all new ends of a report, whatever their order

An end whose number was below that of an earlier one in the same report counted as seen; it was acknowledged with that one, and its part ran again. The protocol promises no order of the ends that a report lists.

TestAbsurdReportsStopNoScheduler failed before, with ends in descending order: 00:00:05.100 j1.0.0.0: started after an acknowledged end; its other cases passed (two ends with one number failed with the same report).

--- a/sard/sched/malformed_test.go
+++ b/sard/sched/malformed_test.go
@@ -1,6 +1,9 @@
 package sched_test
 
 import (
+	"context"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -105,3 +108,65 @@
 		})
 	}
 }
+
+// strangeClient is a client of a worker whose reports are changed.
+type strangeClient struct {
+	sched.WorkerClient
+	change func(*sched.WorkerReport)
+}
+
+// RenewLease sends a lease renewal.
+func (c *strangeClient) RenewLease(ctx context.Context, o sched.RenewLeaseRequest) (sched.WorkerReport, error) {
+	report, err := c.WorkerClient.RenewLease(ctx, o)
+	if err == nil && o.Worker.Worker == "wa" {
+		c.change(&report)
+	}
+	return report, err
+}
+
+// TestAbsurdReportsStopNoScheduler guards against a worker whose reports end the process of the lease holder, or keep other
+// workers from getting work.
+func TestAbsurdReportsStopNoScheduler(t *testing.T) {
+	unknown := work.Attempt{Part: work.Part{Job: "j9", Occurrence: -1, Step: -1, Index: -1}, Number: math.MaxInt32}
+	tests := []struct {
+		name   string
+		change func(*sched.WorkerReport)
+	}{
+		{"huge clock", func(w *sched.WorkerReport) { w.Clock = math.MaxInt64 }},
+		{"negative clock", func(w *sched.WorkerReport) { w.Clock = math.MinInt64 }},
+		{"start time changes", func(w *sched.WorkerReport) { w.StartedMs = time.Now().UnixMilli() }},
+		{"huge percent", func(w *sched.WorkerReport) {
+			for i := range w.Running {
+				w.Running[i].Percent = math.MaxInt64
+			}
+		}},
+		{"negative percent", func(w *sched.WorkerReport) {
+			for i := range w.Running {
+				w.Running[i].Percent = math.MinInt64
+			}
+		}},
+		{"unknown attempts run", func(w *sched.WorkerReport) {
+			w.Running = append(w.Running, sched.RunningAttempt{Attempt: unknown})
+		}},
+		{"unknown attempts ended", func(w *sched.WorkerReport) {
+			for i := range w.Ended {
+				w.Ended = append(w.Ended, sched.EndedAttempt{Sequence: w.Ended[i].Sequence, Attempt: unknown, Outcome: 99})
+			}
+		}},
+		{"ends go back", func(w *sched.WorkerReport) {
+			slices.Reverse(w.Ended)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 2, func(r *harness) {
+				r.disturbed.Store(true)
+				r.wrapClient = func(c sched.WorkerClient) sched.WorkerClient { return &strangeClient{c, test.change} }
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("j1", 3*time.Second, work.Step{Parts: 8})
+				r.waitForState("j1", ident.Succeeded, time.Minute)
+			})
+		})
+	}
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -203,11 +203,12 @@
 // handleEnded passes the ended attempts of a worker's report to the engine, unless an earlier report contained them.
 func (s *Scheduler) handleEnded(w *session, report WorkerReport) {
 	now := time.Now()
+	seenBefore := w.seenEnd
 	for _, end := range report.Ended {
-		if end.Sequence <= w.seenEnd {
+		if end.Sequence <= seenBefore {
 			continue
 		}
-		w.seenEnd = end.Sequence
+		w.seenEnd = max(w.seenEnd, end.Sequence)
 		s.unconfirmed[w.id()] = w
 		s.config.Metrics.attemptsEnded.WithLabelValues(end.Outcome.String()).Inc()
 		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
