Give workers that are slow to respond more time, so that they keep their parts

A worker whose responses took over 0.7 s for some seconds lost its running parts, though it executed each request at once: each lease renewal timed out, renewals after a failed one extend nothing, and its lease expired after 5 s. After a timeout, a worker with parts now gets up to 2 s, as long as its lease lasts, and its renewals don't wait for ends until it is fast again.

--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -21,6 +21,9 @@
 	// renewalMargin is how much longer the timeout of a lease renewal is than the time by which the worker may
 	// delay its response.
 	renewalMargin = 700 * time.Millisecond
+	// slowRenewalMargin replaces renewalMargin for a worker with parts whose last response took longer, if its lease lasts
+	// that long.
+	slowRenewalMargin = 2 * time.Second
 	// renewalRetryPause is the pause after a lease renewal that failed or was refused.
 	renewalRetryPause = 250 * time.Millisecond
 	// unconfirmedPause is the pause between lease renewals of a worker while the consequences of reported ends of
@@ -105,20 +108,31 @@
 	}
 	// A renewal that waits acknowledges no ends, because it may reach a later process of the worker, whose end
 	// sequence starts again from 1.
-	if busy && w.fenced && w.seenEnd == w.ackedEnd && !w.unanswered {
+	if busy && w.fenced && w.seenEnd == w.ackedEnd && !w.unanswered && !w.slow {
 		req.MaxWait = s.maxRenewalWait()
 	}
+	timeout := req.MaxWait + w.renewalMargin(busy)
 	w.renewing = true
 	client, process := w.client, w.entry.WorkerProcess
 	sentAt := clock.Now()
 	s.runAsync(ctx, func() event {
-		ctx, cancel := s.stalls.WithTimeout(ctx, req.MaxWait+renewalMargin)
+		ctx, cancel := s.stalls.WithTimeout(ctx, timeout)
 		defer cancel()
 		report, err := client.RenewLease(ctx, req)
 		return renewalResult{process: process, sentAt: sentAt, ackedEnd: req.AckedEnd, report: report, timedOut: ctx.Err() != nil, err: err}
 	})
 }
 
+// renewalMargin returns how much longer the timeout of a lease renewal is than the time by which the worker may delay its
+// response. A worker that is only slow must not lose its parts; one without parts, or whose lease is about to expire, is given
+// up sooner.
+func (w *session) renewalMargin(busy bool) time.Duration {
+	if !w.slow || !busy {
+		return renewalMargin
+	}
+	return min(max(w.leaseExpiry.Sub(clock.Now()), renewalMargin), slowRenewalMargin)
+}
+
 // handleRenewal processes the result of a lease renewal, which normally is a report of the worker's attempts.
 func (s *Scheduler) handleRenewal(ev renewalResult) {
 	w := s.sessions[ev.process.Worker]
@@ -127,6 +141,7 @@
 	}
 	w.renewing, w.acknowledging = false, false
 	defer s.commands.makeReadyIfIdle(w)
+	w.slow = ev.timedOut || w.slow && clock.Since(ev.sentAt) > renewalMargin
 	if ev.err != nil {
 		s.renewalFailed(w, ev)
 		return
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -44,6 +44,8 @@
 	// unanswered indicates that the last lease renewal got no response, and no other request got one since.
 	unanswered bool
 	lastAnswer clock.Instant
+	// slow indicates that the last lease renewal timed out, or took longer than renewalMargin after one that did.
+	slow bool
 	// lastReport is when the worker process last sent a report.
 	lastReport clock.Instant
 	// seenEnd is the last end of an attempt that was processed, and confirmedEnd the last one whose consequences
