--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -269,3 +269,26 @@
 		assert.Equal(t, h.version(), ident.Version(7*24))
 	})
 }
+
+// TestRestartedProcessUsesNoFormerConfiguration guards against keys that were withdrawn and are in use again after a restart: a
+// process has no configuration until it has read the newest one.
+func TestRestartedProcessUsesNoFormerConfiguration(t *testing.T) {
+	runWithSource(t, func(h *harness) {
+		h.put("2")
+		h.put("3")
+		h.storeDown.Store(true)
+		restarted := NewSource(Config{Store: h.store, Key: rowKey, Decode: decodeVersion, Logger: hclog.NewNullLogger()})
+		ctx, stop := context.WithCancel(h.t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return restarted.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, restarted.Current() == nil)
+		h.storeDown.Store(false)
+		time.Sleep(2 * time.Second)
+		confirmed, _ := restarted.Confirmed(2 * time.Second)
+		stop()
+		assert.Assert(t, confirmed != nil)
+		assert.Equal(t, confirmed.Version, ident.Version(3))
+		assert.NilError(t, group.Wait())
+	})
+}
