--- a/sard/fakes/run.go
+++ b/sard/fakes/run.go
@@ -75,7 +75,7 @@
 		if m.startedAt.After(from) {
 			from = m.startedAt
 		}
-		slowdown = max(slowdown, m.worker.Slowdown)
+		slowdown = max(slowdown, max(m.worker.Slowdown, 1)*max(m.worker.UsualSlowdown, 1))
 		stalled = stalled || m.stalled
 	}
 	r.updatedAt = now
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -34,8 +34,9 @@
 	StopDelay time.Duration
 	// Failing makes all runs fail immediately; Stalled makes new runs make no progress.
 	Failing, Stalled bool
-	// Slowdown is the factor by which runs take longer; 0 means 1.
-	Slowdown float64
+	// Slowdown is the factor by which runs take longer because of a fault; 0 means 1. UsualSlowdown is the same for a worker
+	// that is always slow.
+	Slowdown, UsualSlowdown float64
 	// ClockSlowPercent is by how many percent the worker's clock runs slow.
 	ClockSlowPercent int
 	// DrainingSince is when the worker reported that it is draining; zero if it is not.
--- a/sardsoak/main.go
+++ b/sardsoak/main.go
@@ -31,6 +31,7 @@
 	Instances     int           `long:"instances" env:"SARDSOAK_INSTANCES" default:"5" description:"Entry instances, each a process."`
 	Workers       int           `long:"workers" env:"SARDSOAK_WORKERS" default:"16" description:"Workers of 8 accelerators."`
 	Jobs          float64       `long:"jobs" env:"SARDSOAK_JOBS" default:"2.5" description:"Jobs a second."`
+	Features      []string      `long:"feature" env:"SARDSOAK_FEATURES" env-delim:"," default:"run-times" default:"worker-speeds" default:"admission" default:"store-check" description:"Optional feature of the pool that the daemon switches on; may be repeated."`
 	FaultInterval time.Duration `long:"trouble-every" env:"SARDSOAK_TROUBLE_EVERY" default:"1500ms" description:"Mean time between the starts of two faults; 0 for no faults."`
 	Untimed       bool          `long:"untimed" env:"SARDSOAK_UNTIMED" description:"Don't check invariants with a time limit; for overloaded machines."`
 	Keep          bool          `long:"keep" env:"SARDSOAK_KEEP" description:"Keep the logs of seeds without violations too."`
@@ -92,6 +93,15 @@
 	return nil
 }
 
+// features returns the flags of the daemon that switch on the features.
+func (o *options) features() []string {
+	var args []string
+	for _, feature := range o.Features {
+		args = append(args, "--pool."+feature)
+	}
+	return args
+}
+
 // runSeed runs jobs and faults with one seed, prints the report and returns whether no invariant was violated.
 func (o *options) runSeed(ctx context.Context, seed uint64) bool {
 	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
@@ -103,7 +113,7 @@
 	defer func() { _ = log.Close() }()
 	report, err := play.Run(ctx, play.Config{
 		Seed: seed, Duration: o.Span, Program: o.Program, Dir: dir, Instances: o.Instances, Workers: o.Workers,
-		JobsPerSecond: o.Jobs, FaultInterval: o.FaultInterval, CheckTiming: !o.Untimed,
+		Features: o.features(), JobsPerSecond: o.Jobs, FaultInterval: o.FaultInterval, CheckTiming: !o.Untimed,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: "soak", Output: log, JSONFormat: true}),
 	})
 	if err != nil {
--- a/sardsoak/play/config.go
+++ b/sardsoak/play/config.go
@@ -20,6 +20,8 @@
 	Dir string
 	// Instances and Workers are the numbers of instances and workers.
 	Instances, Workers int
+	// Features lists flags of the daemon that switch on optional features, such as "--pool.run-times".
+	Features []string
 	// JobsPerSecond is the mean rate of submissions.
 	JobsPerSecond float64
 	// FaultInterval is the mean time between the starts of two faults, which may overlap; 0 for no faults.
--- a/sardsoak/play/instance.go
+++ b/sardsoak/play/instance.go
@@ -107,6 +107,7 @@
 		MetricsAddr: netip.AddrPortFrom(i.ip, metricsPort), StoreAddr: address,
 		Bounds: conf.Bounds{
 			MaxWorkerLease: maxWorkerLease, MaxStopTime: maxStopTime, GracePeriod: gracePeriod, MaxRevocationDelay: maxRevocationDelay, Retention: retention,
+			MaxStartDelay: maxReclaimDelay,
 		},
 	})
 }
@@ -119,7 +120,8 @@
 		return nil
 	}
 	p, err := procs.Start(procs.Config{
-		Program: i.harness.config.Program, Args: []string{"platform", "--log.json", "--settings", i.settingsPath()},
+		Program: i.harness.config.Program,
+		Args:    append([]string{"platform", "--log.json", "--settings", i.settingsPath()}, i.harness.config.Features...),
 		LogPath: i.logPath(), Group: i.harness.group,
 	})
 	if err != nil {
--- a/sardsoak/play/run.go
+++ b/sardsoak/play/run.go
@@ -276,7 +276,7 @@
 }
 
 // forbiddenLogTexts are texts that no log of an instance may contain.
-var forbiddenLogTexts = []string{"panic: ", "fatal error: ", "would have broken a promise", "WARNING: DATA RACE"}
+var forbiddenLogTexts = []string{"panic: ", "fatal error: ", "would have broken a promise", "WARNING: DATA RACE", "learned state ignored"}
 
 // checkLogs checks that the logs of the instances contain no forbidden text.
 func (h *harness) checkLogs() error {
--- a/sardsoak/play/workers.go
+++ b/sardsoak/play/workers.go
@@ -26,6 +26,9 @@
 	maxMissedHeartbeats = 3
 	// leaveDelay is the notice that a worker gives before it leaves.
 	leaveDelay = 4 * time.Second
+	// slowWorkerInterval says that each worker of this many is always slow, by usualSlowdown.
+	slowWorkerInterval = 4
+	usualSlowdown      = 2
 )
 
 // workerCapacity is the capacity of each worker.
@@ -64,6 +67,9 @@
 	h.fleet.Update(func() {
 		w.fake.Entry.Address = w.link.Address()
 		w.fake.ClockSlowPercent = rng.IntN(maxClockSlowPercent + 1)
+		if number%slowWorkerInterval == 0 {
+			w.fake.UsualSlowdown = usualSlowdown
+		}
 		w.fake.StopDelay = time.Duration(rng.Int64N(int64(maxStopTime)))
 	})
 	h.group.Go(func() error { return w.sendHeartbeats() })
