Test of evacuations takes the store down before the source starts

The product is not at fault. Change: what a test prepares is prepared before the source starts; same checks.

--- a/sard/policy/evacuation_test.go
+++ b/sard/policy/evacuation_test.go
@@ -60,8 +60,8 @@
 
 // TestEvacuationsAreUnknownBeforeTheFirstRead checks that every data centre counts as evacuated until the store answers.
 func TestEvacuationsAreUnknownBeforeTheFirstRead(t *testing.T) {
-	runWithSource(t, func(h *harness) {
-		h.storeDown.Store(true)
+	takeStoreDown := func(h *harness) { h.storeDown.Store(true) }
+	runPrepared(t, takeStoreDown, func(h *harness) {
 		time.Sleep(time.Second)
 		assert.Assert(t, h.source.Evacuations().Contains("akl"))
 		h.storeDown.Store(false)
--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -36,6 +36,12 @@
 
 // runWithSource runs test with a harness whose source is running.
 func runWithSource(t *testing.T, test func(*harness)) {
+	t.Helper()
+	runPrepared(t, func(*harness) {}, test)
+}
+
+// runPrepared is runWithSource that calls prepare before the source starts.
+func runPrepared(t *testing.T, prepare, test func(*harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		h := &harness{t: t, store: &store.Memory{}}
@@ -46,6 +52,7 @@
 			return nil
 		}
 		h.source = NewSource(Config{Store: h.store, Key: rowKey, Decode: decodeVersion, EvacuationPrefix: "evacuate/", Logger: hclog.NewNullLogger()})
+		prepare(h)
 		ctx, stop := context.WithCancel(t.Context())
 		var group errgroup.Group
 		group.Go(func() error { return h.source.Run(ctx) })
@@ -67,15 +74,16 @@
 // TestInvalidConfigurationIsRefused checks that a configuration that can be decoded but not used leaves the former one in
 // force.
 func TestInvalidConfigurationIsRefused(t *testing.T) {
-	runWithSource(t, func(h *harness) {
-		decode := h.source.config.Decode
+	repeatAccount := func(h *harness) {
 		h.source.config.Decode = func(value []byte) (*Policy, error) {
-			p, err := decode(value)
+			p, err := decodeVersion(value)
 			if p != nil && p.Version == 2 {
 				p.Accounts = []Account{{Name: "north"}, {Name: "north"}}
 			}
 			return p, err
 		}
+	}
+	runPrepared(t, repeatAccount, func(h *harness) {
 		for _, step := range []struct {
 			put  string
 			want ident.Version
