--- /dev/null
+++ b/sard/sched/missing.go
@@ -0,0 +1,74 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/pool"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// handleMissing handles the attempts that should run on a worker but are missing from its report. First indicates that
+// it is the worker's first report under this epoch.
+func (s *Scheduler) handleMissing(w *session, ev renewalResult, first bool) {
+	reported := map[work.Attempt]bool{}
+	for _, r := range ev.report.Running {
+		reported[r.Attempt] = true
+	}
+	for a, state := range w.attempts {
+		if !reported[a] {
+			s.resolveMissing(w, a, state, ev.sentAt, first)
+		}
+	}
+}
+
+// resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal sent at
+// sentAt. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
+// report, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
+func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, sentAt clock.Instant, first bool) {
+	switch {
+	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(sentAt):
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
+	case state.startConfirmed != clock.Never && state.startConfirmed.Before(sentAt):
+		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+	case state.startInFlight || state.stopPending || state.unrecorded:
+		// The result of the request or of the write tells more.
+	case state.startConfirmed != clock.Never || state.stopConfirmed != clock.Never:
+		// A later report tells more.
+	case state.processReplaced:
+		s.resolveReplaced(w, a, state)
+	case first && state.startsSent == 0:
+		s.resolveAdopted(w, a, state)
+	}
+}
+
+// resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
+// worker refuses the start requests of that holder from now on.
+func (s *Scheduler) resolveAdopted(w *session, a work.Attempt, state *attemptState) {
+	if s.placedOnFormerProcess(w, a) {
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+		return
+	}
+	if start, pending := s.engine.PendingStart(a); pending {
+		s.queueStart(w, state, start)
+		return
+	}
+	delete(w.attempts, a)
+	s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
+}
+
+// resolveReplaced ends an attempt that the later process of a worker does not report. If this instance sent its start
+// request, which may still arrive, the attempt is stopped first.
+func (s *Scheduler) resolveReplaced(w *session, a work.Attempt, state *attemptState) {
+	if state.startsSent == 0 {
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+		return
+	}
+	s.engine.StopUnconfirmed(a)
+	s.queueStop(w, a, state)
+}
