Store check: repeat reads that were sent before the store's return

Cause: after an outage, the configuration was confirmed up to 0.9 s after the store's return, since its read had been sent before; until then all calls were refused (503) for the age of the configuration.

Change: when a closed partition serves again, unanswered reads of it are ended and repeated, and the background breaker lets calls pass.

--- a/sard/store/breaker.go
+++ b/sard/store/breaker.go
@@ -150,6 +150,13 @@
 	b.pause = min(2*b.pause, maxTryPause)
 }
 
+// Restore lets all background calls pass again, because the store is known to serve.
+func (b *Breaker) Restore() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.close()
+}
+
 // close lets all background calls pass again. The caller must hold mu.
 func (b *Breaker) close() {
 	b.failures = 0
--- a/sard/store/check.go
+++ b/sard/store/check.go
@@ -22,6 +22,9 @@
 	MainPartition string
 	// ProbeTable is a table whose rows are read as a probe. It needs no rows.
 	ProbeTable string
+	// OnRestored is called when a partition that was closed serves again; nil if nobody needs to know. It must not call the
+	// Check.
+	OnRestored func()
 	// DropIdle closes unused connections, which may have fallen silent; nil closes none.
 	DropIdle func()
 	// Registerer registers the metrics; nil registers none.
@@ -43,6 +46,8 @@
 	judge *reach.Judge
 	// wakeAt is when Run looks for what is to be done next; Never while that takes a new call.
 	wakeAt clock.Instant
+	// reads holds the reads under way.
+	reads map[reach.CallID]read
 	// restored is closed when a partition or the store as a whole serves again.
 	restored chan struct{}
 }
@@ -51,7 +56,7 @@
 func NewCheck(store Store, config CheckConfig) *Check {
 	c := &Check{
 		store: store, config: config, wake: make(chan struct{}, 1),
-		judge: reach.New(reach.Scope(config.MainPartition)), restored: make(chan struct{}),
+		judge: reach.New(reach.Scope(config.MainPartition)), reads: map[reach.CallID]read{}, restored: make(chan struct{}),
 	}
 	c.metrics = newCheckMetrics(config.Registerer, c.sinceAnswer)
 	return c
@@ -78,20 +83,51 @@
 	return ""
 }
 
+// read is a read under way.
+type read struct {
+	partition string
+	cancel    context.CancelCauseFunc
+}
+
+// errSentBefore is the cause of the end of a read that was sent before its partition served again and is still unanswered.
+// The store may not have got it.
+var errSentBefore = errors.New("sent before the store served again")
+
 // List returns the rows of a range.
 func (c *Check) List(ctx context.Context, r Range) (Listing, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	id := c.sent(r.Partition)
+	c.addRead(id, read{r.Partition, cancel})
 	listing, err := c.store.List(ctx, r)
-	c.ended(id, err)
-	return listing, err
+	return listing, c.readEnded(ctx, id, err)
 }
 
 // Feed returns the changes to a table after a version, and waits for one if there are none.
 func (c *Check) Feed(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	id := c.feedSent(wait)
+	c.addRead(id, read{c.config.MainPartition, cancel})
 	changes, err := c.store.Feed(ctx, table, after, wait)
+	return changes, c.readEnded(ctx, id, err)
+}
+
+// addRead adds a read under way.
+func (c *Check) addRead(id reach.CallID, r read) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads[id] = r
+}
+
+// readEnded takes note of the end of a read and returns its error.
+func (c *Check) readEnded(ctx context.Context, id reach.CallID, err error) error {
 	c.ended(id, err)
-	return changes, err
+	if err != nil && errors.Is(context.Cause(ctx), errSentBefore) {
+		// Callers that count failures leave cancelled calls out.
+		return fault.Wrap(errors.Join(errSentBefore, context.Canceled), fault.OutcomeUnknown, "read", "store")
+	}
+	return err
 }
 
 // sent takes note of a call to a partition.
@@ -124,6 +160,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
+	delete(c.reads, id)
 	wasReachable := c.judge.Reachable(now)
 	c.judge.Ended(now, id, outcome(err))
 	c.report()
@@ -137,7 +174,7 @@
 	switch {
 	case err == nil:
 		return reach.Answered
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled), errors.Is(err, errSentBefore):
 		return reach.GivenUp
 	}
 	switch fault.KindOf(err) {
@@ -168,10 +205,26 @@
 		if change.To == reach.Serving {
 			c.wakeWaiters()
 		}
+		if change.From == reach.Closed {
+			c.restore(string(change.Scope))
+		}
 		c.wakeRun()
 	}
 }
 
+// restore ends the reads of a partition that were sent before it served again, so that they are repeated. The caller must
+// hold mu.
+func (c *Check) restore(partition string) {
+	for _, r := range c.reads {
+		if r.partition == partition {
+			r.cancel(errSentBefore)
+		}
+	}
+	if c.config.OnRestored != nil {
+		c.config.OnRestored()
+	}
+}
+
 // wakeWaiters makes those look again that wait for a partition to serve. The caller must hold mu.
 func (c *Check) wakeWaiters() {
 	close(c.restored)
--- a/sard/store/check_test.go
+++ b/sard/store/check_test.go
@@ -38,8 +38,8 @@
 func TestCheckOfSilentPartition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := &partlySilent{Store: &store.Memory{}, partition: "s0"}
-		dropped := 0
-		check := store.NewCheck(inner, store.CheckConfig{ProbeTable: "t", DropIdle: func() { dropped++ }, Logger: hclog.NewNullLogger()})
+		dropped, restores := 0, 0
+		check := store.NewCheck(inner, store.CheckConfig{ProbeTable: "t", OnRestored: func() { restores++ }, DropIdle: func() { dropped++ }, Logger: hclog.NewNullLogger()})
 		ctx, stop := context.WithCancel(t.Context())
 		var group errgroup.Group
 		group.Go(func() error { return check.Run(ctx) })
@@ -68,10 +68,19 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		assert.Assert(t, inner.reads.Load() < 45, "%d reads in 10 s", inner.reads.Load())
+		group.Go(func() error {
+			assert.Check(t, fault.Is(read("s0", 10*time.Second), fault.OutcomeUnknown), "a read from before the store's return")
+			assert.Check(t, read("s0", time.Second))
+			return nil
+		})
+		time.Sleep(100 * time.Millisecond)
 		inner.silent.Store(false)
 		restored := time.Now()
 		assert.Assert(t, (<-waited).Sub(restored) < 300*time.Millisecond)
 		assert.NilError(t, check.Admit("s0"))
+		synctest.Wait()
+		assert.Equal(t, restores, 1)
+		assert.Assert(t, time.Since(restored) < 300*time.Millisecond)
 		stop()
 		assert.NilError(t, group.Wait())
 	})
