Never refuse for good the repeat of a submission that is under way

With the store check, a repeat that met a closed partition was answered with 503, "never runs", while the first submission of the same ID was still under way in this instance and its write could be stored. So was a repeat that the store itself refused, also after the first one had been answered with 504. Both are answered with 504 now.

TestRepeatOfUnsettledSubmission failed in its three cases before.

--- a/sard/entry/check.go
+++ b/sard/entry/check.go
@@ -39,20 +39,32 @@
 	return j.config.Check.Admit(partition)
 }
 
-// admitSubmission returns an error if a submission can't be stored. Its kind is OutcomeUnknown if an earlier submission
-// with the same ID may have been stored by this instance, as it would be wrong to say that the job never runs.
+// admitSubmission returns an error if a submission can't be stored.
 func (j *Jobs) admitSubmission(id ident.Job) error {
-	err := j.admit(work.ShardOf(id))
+	return j.withoutEffect(id, j.admit(work.ShardOf(id)))
+}
+
+// withoutEffect returns the error of a submission that had no effect. Its kind is OutcomeUnknown if this instance has
+// another submission with the same ID under way, or has answered one whose outcome is unknown: it would be wrong to say
+// that the job never runs.
+func (j *Jobs) withoutEffect(id ident.Job, err error) error {
 	if err != nil && j.unsettled.has(id) {
 		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
 	}
 	return err
 }
 
-// noteOutcome remembers a submission whose outcome is unknown.
-func (j *Jobs) noteOutcome(id ident.Job, err error) {
-	if j.config.Check != nil && fault.Is(err, fault.OutcomeUnknown) {
-		j.unsettled.add(id)
+// noteBegin remembers that a submission is under way.
+func (j *Jobs) noteBegin(id ident.Job) {
+	if j.config.Check != nil {
+		j.unsettled.begin(id)
+	}
+}
+
+// noteEnd forgets that a submission is under way, and remembers it if its outcome is unknown.
+func (j *Jobs) noteEnd(id ident.Job, err error) {
+	if j.config.Check != nil {
+		j.unsettled.end(id, fault.Is(err, fault.OutcomeUnknown))
 	}
 }
 
@@ -71,22 +83,41 @@
 	return j.config.Check.Await(ctx, partition)
 }
 
-// unsettledIDs holds the IDs of submissions whose outcome is unknown, for unsettledTime each. Its zero value is ready for
-// use.
+// unsettledIDs holds the IDs of submissions that are under way, and of those whose outcome is unknown, for unsettledTime
+// each. Its zero value is ready for use.
 type unsettledIDs struct {
-	mu    sync.Mutex
-	until map[ident.Job]clock.Instant
+	mu sync.Mutex
+	// underWay counts the submissions under way by ID.
+	underWay map[ident.Job]int
+	until    map[ident.Job]clock.Instant
 	// order holds the IDs in the order in which they were added; an ID may be in it more than once.
 	order []ident.Job
 }
 
-// add adds an ID. If there are too many, the oldest ones are dropped.
-func (u *unsettledIDs) add(id ident.Job) {
+// begin adds a submission that is under way.
+func (u *unsettledIDs) begin(id ident.Job) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.until == nil {
-		u.until = map[ident.Job]clock.Instant{}
+	if u.underWay == nil {
+		u.underWay, u.until = map[ident.Job]int{}, map[ident.Job]clock.Instant{}
 	}
+	u.underWay[id]++
+}
+
+// end removes a submission that was under way. Its ID is kept if its outcome is unknown.
+func (u *unsettledIDs) end(id ident.Job, unknown bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.underWay[id]--; u.underWay[id] == 0 {
+		delete(u.underWay, id)
+	}
+	if unknown {
+		u.add(id)
+	}
+}
+
+// add adds an ID. If there are too many, the oldest ones are dropped. The caller must hold mu.
+func (u *unsettledIDs) add(id ident.Job) {
 	u.until[id] = clock.Now().Add(unsettledTime)
 	u.order = append(u.order, id)
 	for len(u.order) > maxUnsettled {
@@ -95,9 +126,9 @@
 	}
 }
 
-// has reports whether an ID was added within unsettledTime.
+// has reports whether a submission is under way, or has ended with an unknown outcome within unsettledTime.
 func (u *unsettledIDs) has(id ident.Job) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return clock.Now().Before(u.until[id])
+	return u.underWay[id] > 0 || clock.Now().Before(u.until[id])
 }
--- a/sard/entry/check_test.go
+++ b/sard/entry/check_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/sardineline/sardineline/sard/entry"
@@ -127,3 +128,53 @@
 		assert.Equal(t, state, ident.Cancelled)
 	})
 }
+
+// refusingLater is a Store that answers nothing at first and later refuses all calls.
+type refusingLater struct {
+	store.Store
+	refuses atomic.Bool
+}
+
+// Apply runs a transaction whose answer is lost, or refuses it.
+func (r *refusingLater) Apply(ctx context.Context, tx store.Tx) (store.Result, error) {
+	if r.refuses.Load() {
+		return store.Result{}, fault.New(fault.Unavailable, "apply", "store", "refused")
+	}
+	_, _ = r.Store.Apply(ctx, tx)
+	<-ctx.Done()
+	return store.Result{}, fault.New(fault.OutcomeUnknown, "apply", "store", "no response")
+}
+
+// TestRepeatOfUnsettledSubmission repeats a submission whose write was stored without an answer. While the first one is
+// under way, and after its outcome was unknown, a repeat that is refused must not be told that the job never runs.
+func TestRepeatOfUnsettledSubmission(t *testing.T) {
+	tests := []struct {
+		name string
+		// repeatAfter is the time from the first submission to its repeat.
+		repeatAfter time.Duration
+		// closed is set if the door closes, and not only the store refuses the repeat.
+		closed bool
+	}{
+		{"the first one is under way, the door closes", 500 * time.Millisecond, true},
+		{"the first one is under way, the store refuses", 500 * time.Millisecond, false},
+		{"the first one ended, the store refuses", 5 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory, d := &store.Memory{}, &door{}
+				s := &refusingLater{Store: memory}
+				jobs := entry.New(entry.Config{Store: s, Check: d})
+				var first errgroup.Group
+				first.Go(func() error { return submit(t, jobs) })
+				time.Sleep(test.repeatAfter)
+				s.refuses.Store(true)
+				d.closed.Store(test.closed)
+				err := submit(t, jobs)
+				assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
+				assert.Assert(t, first.Wait() != nil)
+				assert.Equal(t, storedJobs(t, memory), 1)
+			})
+		})
+	}
+}
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -39,7 +39,8 @@
 // Jobs submits and cancels jobs, and reads their state, for clients of the pool.
 type Jobs struct {
 	config Config
-	// unsettled holds the submissions that were answered without knowing their outcome. It is used only with a Check.
+	// unsettled holds the submissions that are under way or were answered without knowing their outcome. It is used only
+	// with a Check.
 	unsettled unsettledIDs
 }
 
@@ -55,31 +56,35 @@
 	if err := j.admitSubmission(job.ID); err != nil {
 		return err
 	}
-	err := j.submit(ctx, job)
-	j.noteOutcome(job.ID, err)
+	j.noteBegin(job.ID)
+	untouched, err := j.submit(ctx, job)
+	j.noteEnd(job.ID, err)
+	if untouched {
+		return j.withoutEffect(job.ID, err)
+	}
 	return err
 }
 
-// submit stores a job, or a refusal if the outcome remains unknown.
-func (j *Jobs) submit(ctx context.Context, job *work.Job) error {
+// submit stores a job, or a refusal if the outcome remains unknown. It reports whether it left the store as it was.
+func (j *Jobs) submit(ctx context.Context, job *work.Job) (untouched bool, err error) {
 	submitCtx, cancel := j.submitContext(ctx)
 	defer cancel()
 	attempts := 0
-	err := j.retryUntilKnown(submitCtx, work.ShardOf(job.ID), func(ctx context.Context) error {
+	err = j.retryUntilKnown(submitCtx, work.ShardOf(job.ID), func(ctx context.Context) error {
 		attempts++
 		return j.create(ctx, job)
 	})
 	if hadNoEffect(err) && attempts == 1 {
-		return err
+		return true, err
 	}
 	if err == nil || fault.Is(err, fault.Conflict) {
-		return err
+		return false, err
 	}
 	if j.isClosed(work.ShardOf(job.ID)) {
 		// A refusal could not be stored either, and the caller has time left for another instance.
-		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
+		return false, fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
 	}
-	return j.storeRefusal(ctx, job)
+	return false, j.storeRefusal(ctx, job)
 }
 
 // submitContext returns a context that is limited to submitPercent of the remaining time.
