Limit the size of load summaries, so that renewals with them are not rejected

A summary holds up to about 200 bytes for each service, client account and priority. From somewhat over 100 accounts with three priorities it exceeded the size of a row of the store (64 KB), so that each renewal of the scheduler lease that carried one was rejected as invalid and had to be repeated without, once a second, and no instance learned of the pressure. Encode drops the backlogs with the fewest parts instead.

TestSummaryOfManyAccountsFitsARow failed before, with 353,924 bytes.

--- a/sard/admit/admit_test.go
+++ b/sard/admit/admit_test.go
@@ -87,6 +87,28 @@
 	assert.ErrorContains(t, err, "format 2 is not 1")
 }
 
+// TestSummaryOfManyAccountsFitsARow encodes the load of a burst of very many accounts. The accounts with most work must be
+// kept, as the others are only thought to wait for less long.
+func TestSummaryOfManyAccountsFitsARow(t *testing.T) {
+	const accounts, rowBytes = 1000, 64 << 10
+	l := ServiceLoad{Service: "s", Capacity: work.Resources{Accelerators: 100}}
+	for i := range accounts {
+		for class := range slackClasses {
+			l.Add(ident.Account(fmt.Sprint("account-", i)), 2, firstSlack<<class, i+1, NewAmount(work.Resources{CPU: 1, Accelerators: 1}, time.Minute))
+		}
+	}
+	value, err := (&Summary{Services: []ServiceLoad{l, l}}).Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) <= rowBytes, "%d bytes", len(value))
+	read, err := DecodeSummary(value)
+	assert.NilError(t, err)
+	for i := range read.Services {
+		kept := read.Services[i].Waiting
+		assert.Assert(t, len(kept) > 20)
+		assert.Equal(t, kept[0].Account, ident.Account("account-999"))
+	}
+}
+
 // TestRetriesAreSpread lets 1,000 jobs be refused at once. They must not come back at the same time, and the ones whose delay
 // costs less must come back later.
 func TestRetriesAreSpread(t *testing.T) {
--- a/sard/admit/summary.go
+++ b/sard/admit/summary.go
@@ -1,7 +1,9 @@
 package admit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/fault"
@@ -157,10 +159,34 @@
 	return max(0, ahead.least(l.Capacity)-l.TypicalRun)
 }
 
-// Encode encodes a summary as the value of a row.
+// maxBytes limits the size of a summary, which is written together with a renewal of the scheduler lease.
+const maxBytes = 48 << 10
+
+// Encode encodes a summary as the value of a row. If it is too large, it drops the smaller backlogs, so that the waits that
+// follow from it are too short rather than too long.
 func (s *Summary) Encode() ([]byte, error) {
 	s.Format = format
-	return work.Encode(s)
+	for {
+		value, err := work.Encode(s)
+		if err != nil || len(value) <= maxBytes {
+			return value, err
+		}
+		if !s.halve() {
+			return nil, fault.New(fault.Invalid, "write load summary", "", "%d services need %d bytes", len(s.Services), len(value))
+		}
+	}
+}
+
+// halve drops the half of the backlogs of each service with the fewest parts. It returns false if there are none.
+func (s *Summary) halve() bool {
+	halved := false
+	for i := range s.Services {
+		l := &s.Services[i]
+		halved = halved || len(l.Waiting) > 0
+		slices.SortStableFunc(l.Waiting, func(a, b Backlog) int { return cmp.Compare(b.Parts, a.Parts) })
+		l.Waiting = l.Waiting[:len(l.Waiting)/2]
+	}
+	return halved
 }
 
 // DecodeSummary decodes the value of a row. It fails for summaries of another format and for impossible ones.
