Keep work and losses of very large jobs in range

The work of a job was computed as an integer of nanoseconds and cores and overflowed for very large jobs (20,000 parts of 100 hours on 64 cores), so that the order of waiting work and the cost of stops followed from arbitrary, also negative amounts. CoreTime is a floating-point number now. And the loss that a stop causes could exceed the penalty of 1,000 hours that protects guaranteed jobs from being stopped before others, which takes no more than 16 hours of a part with 8 accelerators; it is limited to less than that.

TestWorkOfHugeJobs and TestGuaranteedJobIsTheLastToBeStopped failed before.

--- a/sard/admit/cost.go
+++ b/sard/admit/cost.go
@@ -20,8 +20,9 @@
 	minSpread = 250 * time.Millisecond
 )
 
-// CoreTime is an amount of work or of its value: the time for which one processor core does it.
-type CoreTime time.Duration
+// CoreTime is an amount of work or of its value: the time for which one processor core does it, in nanoseconds. Large jobs
+// may exceed the range of a time.Duration.
+type CoreTime float64
 
 // Standing says how far a job is expected to end before its objective, and what is at stake.
 type Standing struct {
@@ -63,7 +64,7 @@
 // DelayCost returns the value that callers lose if the job ends later by a delay.
 func (s Standing) DelayCost(delay time.Duration) CoreTime {
 	lost := s.Worth() - s.Delayed(delay).Worth()
-	return CoreTime(lost * weight(s.Priority) * float64(s.Work))
+	return CoreTime(lost*weight(s.Priority)) * s.Work
 }
 
 // Weights of a unit of work by priority. The work of guaranteed jobs is short, and someone waits for its result.
--- a/sard/pool/cost_test.go
+++ b/sard/pool/cost_test.go
@@ -134,3 +134,31 @@
 	drained := h.engine.Load(h.now)
 	assert.Assert(t, !drained.Pressure())
 }
+
+// TestWorkOfHugeJobs checks that the work of a job grows with its parts beyond the range of a duration.
+func TestWorkOfHugeJobs(t *testing.T) {
+	const manyParts = 20000
+	works := map[int]float64{}
+	for _, parts := range []int{1, manyParts} {
+		h := newCostHarness(t, 1)
+		h.addJob("a", 1, work.Step{Parts: parts, Need: largePart, Estimate: 100 * time.Hour})
+		expected := h.engine.outlook(h.engine.jobs["a"].occurrences[0], h.now)
+		assert.Equal(t, expected.work, expected.left)
+		works[parts] = float64(expected.work)
+	}
+	assert.Equal(t, works[manyParts], manyParts*works[1])
+}
+
+// TestGuaranteedJobIsTheLastToBeStopped lets a job run for so long that its loss is worth more than 1,000 hours of a processor
+// core. Its stop must still cost less than that of a guaranteed job that has just started.
+func TestGuaranteedJobIsTheLastToBeStopped(t *testing.T) {
+	h := newCostHarness(t, 2)
+	h.addJob("long", 1, work.Step{Parts: 1, Need: largePart, Estimate: 500 * time.Hour})
+	h.advance(400 * time.Hour)
+	h.addJob("guaranteed", work.Guaranteed, work.Step{Parts: 1, Need: largePart, Estimate: time.Hour})
+	r := newRound(h.engine, h.now)
+	cost := func(id ident.Job) time.Duration {
+		return r.stopCost(h.engine.jobs[id].occurrences[0].steps[0].groups[0])
+	}
+	assert.Assert(t, cost("long") < cost("guaranteed"), "%v, %v", cost("long"), cost("guaranteed"))
+}
--- a/sard/pool/endings.go
+++ b/sard/pool/endings.go
@@ -58,7 +58,7 @@
 func (r *round) waitCost(g *group, wait time.Duration) time.Duration {
 	e, o := r.engine, g.job.occurrences[g.occurrence]
 	expected := e.outlook(o, r.now)
-	return time.Duration(e.standing(g, expected.rest, expected.work, r.now).DelayCost(wait))
+	return limitLoss(e.standing(g, expected.rest, expected.work, r.now).DelayCost(wait))
 }
 
 // freeWithin returns the capacity of nodes once all pending stops have completed and the groups have ended that are
--- a/sard/pool/standing.go
+++ b/sard/pool/standing.go
@@ -12,6 +12,8 @@
 	// unknownRestPercent is the share of the time that an attempt has run which it is expected to run on if it has taken
 	// longer than its forecast.
 	unknownRestPercent = 10
+	// maxLoss limits what the stop or the wait of a group counts as.
+	maxLoss = guaranteedStopPenalty - time.Hour
 )
 
 // remainingTime returns how much longer the current attempt of a placed group is expected to run. The forecast is that of a
@@ -57,7 +59,7 @@
 	state := &o.steps[step]
 	whole := e.forecast(state.groups[0]).Typical
 	cores := state.groups[0].coreEquivalents()
-	sum.work += admit.CoreTime(whole * cores * time.Duration(len(state.groups)))
+	sum.work += workOf(whole, cores) * admit.CoreTime(len(state.groups))
 	if state.unfinished == 0 {
 		return
 	}
@@ -67,18 +69,23 @@
 		case done:
 		case placed:
 			remaining := g.remainingTime(whole, now)
-			sum.left += admit.CoreTime(remaining * cores)
+			sum.left += workOf(remaining, cores)
 			sum.rest = max(sum.rest, remaining+after)
 			sum.restIfDelayed = max(sum.restIfDelayed, remaining+after)
 		default:
 			remaining := g.restartTime(whole)
-			sum.left += admit.CoreTime(remaining * cores)
+			sum.left += workOf(remaining, cores)
 			sum.rest = max(sum.rest, remaining+after)
 			sum.restIfDelayed = max(sum.restIfDelayed, restartWait+remaining+after)
 		}
 	}
 }
 
+// workOf returns the work of a group that runs for a time and has the given coreEquivalents.
+func workOf(runTime, cores time.Duration) admit.CoreTime {
+	return admit.CoreTime(runTime) * admit.CoreTime(cores)
+}
+
 // timeAfter returns the forecast run time of the longest chain of steps that depend on a step.
 func (e *Engine) timeAfter(o *occurrence, step int) time.Duration {
 	longest := time.Duration(0)
@@ -125,7 +132,12 @@
 	}
 	after := restartWait + g.restartTime(e.forecast(g).Typical) + e.timeAfter(o, g.step)
 	delay := max(0, after-expected.restIfDelayed)
-	return g.wastedWork(now) + time.Duration(e.standing(g, expected.restIfDelayed, expected.work, now).DelayCost(delay))
+	return limitLoss(admit.CoreTime(g.wastedWork(now)) + e.standing(g, expected.restIfDelayed, expected.work, now).DelayCost(delay))
+}
+
+// limitLoss converts a loss to a cost below guaranteedStopPenalty.
+func limitLoss(loss admit.CoreTime) time.Duration {
+	return time.Duration(min(loss, admit.CoreTime(maxLoss)))
 }
 
 // wastedWork returns the work that has to be done again if a placed group is stopped now. A stop saves the progress of an
