Leave impossible means and ages out of restored worker speeds

Entries of the learned row with a mean far beyond any speed, or an age that exceeds the range of a duration, were taken over, although implausible entries are to be left out: speeds became infinite, and the time of the last sample lay in the future.

TestSnapshotIsRestored failed with such entries before.

--- a/sard/speed/snapshot.go
+++ b/sard/speed/snapshot.go
@@ -31,6 +31,13 @@
 	AgeMs int64
 }
 
+const (
+	// maxEntryAge is the age from which on the samples of a worker count for nothing.
+	maxEntryAge = 30 * halfLife
+	// maxEntryMean limits the means of workers, as logarithms of speeds.
+	maxEntryMean = 8
+)
+
 // maxVariance limits what Restore takes over of the distribution of speeds.
 const maxVariance = 4
 
@@ -61,7 +68,7 @@
 		m.population = population{mean: s.Mean, spread: s.Spread, noise: s.Noise}
 	}
 	for _, e := range s.Entries[:min(len(s.Entries), maxEntries)] {
-		if m.workers[e.Worker] != nil || e.Weight <= 0 || e.Weight > maxWeight*thousandths || e.Squares < 0 || e.AgeMs < 0 {
+		if m.workers[e.Worker] != nil || !e.plausible() {
 			continue
 		}
 		m.workers[e.Worker] = &history{
@@ -71,6 +78,12 @@
 	}
 }
 
+// plausible reports whether the entry can be that of a real worker, and is of use.
+func (e Entry) plausible() bool {
+	return e.Weight > 0 && e.Weight <= maxWeight*thousandths && e.Squares >= 0 && e.AgeMs >= 0 && e.AgeMs <= maxEntryAge.Milliseconds() &&
+		e.Mean >= -maxEntryMean*thousandths && e.Mean <= maxEntryMean*thousandths
+}
+
 // plausible reports whether the distribution of speeds in a snapshot can be that of real workers.
 func (s Snapshot) plausible() bool {
 	return s.Spread >= minSpread && s.Spread <= maxVariance && s.Noise >= minNoise && s.Noise <= maxVariance && math.Abs(s.Mean) <= maxVariance
--- a/sard/speed/speed_test.go
+++ b/sard/speed/speed_test.go
@@ -138,7 +138,11 @@
 	f := newFleet(speeds(20, func(i int) Log { return Log(i % 2) }))
 	f.run(6)
 	snapshot := f.model.Snapshot(f.now)
-	snapshot.Entries = append(snapshot.Entries, Entry{Worker: "negative", Weight: -1}, Entry{Worker: "heavy", Weight: 1 << 30})
+	snapshot.Entries = append(snapshot.Entries,
+		Entry{Worker: "negative", Weight: -1}, Entry{Worker: "heavy", Weight: 1 << 30},
+		Entry{Worker: "fast", Weight: 1000, Mean: math.MaxInt32}, Entry{Worker: "slow", Weight: 1000, Mean: math.MinInt32},
+		Entry{Worker: "old", Weight: 1000, AgeMs: math.MaxInt64 / 2},
+	)
 	next := New()
 	next.Restore(snapshot, f.now)
 	assert.Equal(t, len(next.workers), len(f.truth))
