--- a/sard/sched/malformed_test.go
+++ b/sard/sched/malformed_test.go
@@ -153,6 +153,16 @@
 				w.Ended = append(w.Ended, sched.EndedAttempt{Sequence: w.Ended[i].Sequence, Attempt: unknown, Outcome: 99})
 			}
 		}},
+		{"huge number of an unknown end", func(w *sched.WorkerReport) {
+			for range w.Ended {
+				w.Ended = append(w.Ended, sched.EndedAttempt{Sequence: math.MaxUint64, Attempt: unknown})
+			}
+		}},
+		{"huge numbers of all ends", func(w *sched.WorkerReport) {
+			for i := range w.Ended {
+				w.Ended[i].Sequence = math.MaxUint64
+			}
+		}},
 		{"ends go back", func(w *sched.WorkerReport) {
 			slices.Reverse(w.Ended)
 		}},
