Placement by expected end: who has little slack gets fast workers (--pool.worker-speeds)

Cause: gangs used three coarse classes with fixed limits, single parts ignored speed. Change, with Config.WorkerSpeeds only: guaranteed work, and work that would probably end late on a typical worker, gets the fastest band that holds it, a gang and its rack by its slowest worker; work with slack is packed on workers that are not surely fast, and single parts of it explore unknown workers; headroom on fast workers that are half free; a claim prefers workers on which the group ends in time, if that loses less than its own work; a gang is spread over racks only if waiting for one is worse. Paces are measured over a time, not an amount of progress, and speeds are centred on the median estimate: before, workers with few samples drifted up (254 of 350 "Fast"). Log line "learned worker speeds" counts the choices, metric sardine_sched_placements_total{choice}.

--- a/sard/pool/bench_test.go
+++ b/sard/pool/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -78,3 +79,43 @@
 	}
 	measureDecide(b, e, now)
 }
+
+// BenchmarkDecideUnevenFleet measures Decide with 1,100 workers of two speeds, which run parts of wide jobs, while 1,000
+// gangs of all sizes and priorities wait, without and with placement by speed.
+func BenchmarkDecideUnevenFleet(b *testing.B) {
+	for _, bySpeed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("bySpeed=%t", bySpeed), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			e := newFleet(1100, 20, 300)
+			if bySpeed {
+				e.speeds = speed.New()
+				e.speeds.Restore(twoSpeeds(e), now)
+			}
+			for i := range 110 {
+				addBenchJob(e, i, ident.Account(fmt.Sprintf("a%d", i%24)), 2, work.Step{Parts: 78, Need: smallPart, Estimate: 10 * time.Second}, now)
+			}
+			e.Decide(now, now.UnixMilli())
+			sizes := []ident.Accelerators{1, 2, 4, 8, 8}
+			for i := range 1000 {
+				addBenchJob(e, 1000+i, ident.Account(fmt.Sprintf("a%d", i%24)), work.Priority(i%3), work.Step{
+					Parts: 5 + i%40, Need: work.Resources{CPU: 15000, Memory: 22000, Accelerators: sizes[i%5]},
+					Estimate: time.Duration(3+i%7) * time.Second, Gang: true, SameRack: i%4 == 0,
+				}, now)
+			}
+			measureDecide(b, e, now)
+		})
+	}
+}
+
+// twoSpeeds returns a snapshot in which every fourth worker is twice as fast as the others.
+func twoSpeeds(e *Engine) speed.Snapshot {
+	s := speed.Snapshot{Spread: 0.1, Noise: 0.05}
+	for i, n := range e.nodes {
+		entry := speed.Entry{Worker: n.WorkerProcess.Worker, Squares: 500, Weight: 10_000}
+		if i%4 == 0 {
+			entry.Mean = 700
+		}
+		s.Entries = append(s.Entries, entry)
+	}
+	return s
+}
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -73,6 +73,8 @@
 	speeds *speed.Model
 	// speedsRefreshedAt is when the distribution of the speeds was last computed.
 	speedsRefreshedAt time.Time
+	// choices counts placements since the last TakeChoices.
+	choices Choices
 }
 
 // New returns an Engine without jobs or workers.
--- a/sard/pool/headroom.go
+++ b/sard/pool/headroom.go
@@ -86,8 +86,8 @@
 	return headroom
 }
 
-// nodesByFreeAccelerators returns the accepting nodes in descending order of free accelerators. Among equals, nodes of
-// a rack stay together.
+// nodesByFreeAccelerators returns the accepting nodes in the order in which they are kept free: by compareHeadroom, then in
+// descending order of free accelerators. Among equals, nodes of a rack stay together.
 func (e *Engine) nodesByFreeAccelerators() []*node {
 	nodes := make([]*node, 0, len(e.nodes))
 	for _, n := range e.nodes {
@@ -97,6 +97,7 @@
 	}
 	slices.SortFunc(nodes, func(a, b *node) int {
 		return cmp.Or(
+			compareHeadroom(a, b),
 			cmp.Compare(b.free().Accelerators, a.free().Accelerators),
 			cmp.Compare(a.Rack, b.Rack),
 			cmp.Compare(a.index, b.index),
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -39,6 +39,8 @@
 	groups []*group
 	// unfinished is the number of groups of the step that are not done.
 	unfinished int
+	// forecastChecked is set once the step's forecast run time was compared with the paces of its parts.
+	forecastChecked bool
 	// siblings caches the usual rate of the step's groups.
 	siblings siblingRate
 	// learned is set once the run times of the step's groups have been recorded.
--- a/sard/pool/pace.go
+++ b/sard/pool/pace.go
@@ -11,8 +11,13 @@
 )
 
 const (
-	// minPacePercent is the progress, in percent of the work, over which the pace of a running attempt is measured.
-	minPacePercent = 3
+	// pacePercent is the percentage of the forecast run time over which the pace of a running attempt is measured, at least
+	// minRateWindow and at most maxPaceWindow. It is a time and not an amount of progress, as the fast attempts of a step
+	// would be measured, and compared with each other, before the slow ones.
+	pacePercent   = 8
+	maxPaceWindow = 3 * time.Second
+	// minAdvance is the progress in percent that stands for none at all.
+	minAdvance = 0.5
 	// progressVariance is the variance that the pace of a running attempt has beyond that of a whole run, and
 	// roundingVariance that of the difference of two rounded percentages.
 	progressVariance = 0.01
@@ -93,7 +98,7 @@
 	n.logSpeed = runningMean{sum: float64(n.known.Speed) * priorWeight}
 }
 
-// learnFromProgress measures the pace of an attempt once it has done minPacePercent of its work.
+// learnFromProgress measures the pace of an attempt once it has run for paceWindow.
 func (e *Engine) learnFromProgress(g *group, percent int, now time.Time) {
 	s := &g.paceSample
 	if e.speeds == nil || s.measured || g.phase != placed || g.spec().Lasting {
@@ -104,13 +109,18 @@
 		return
 	}
 	elapsed := now.Sub(s.firstAt)
-	if percent-s.firstPercent < minPacePercent || elapsed < minRateWindow {
+	if elapsed < e.paceWindow(g) {
 		return
 	}
-	advance := float64(percent - s.firstPercent)
+	advance := max(float64(percent-s.firstPercent), minAdvance)
 	e.measured(g, advance/100/elapsed.Seconds(), progressVariance+roundingVariance/(advance*advance), now)
 }
 
+// paceWindow returns for how long the pace of a group's attempt is measured.
+func (e *Engine) paceWindow(g *group) time.Duration {
+	return max(minRateWindow, min(e.forecast(g).Typical*pacePercent/100, maxPaceWindow))
+}
+
 // learnFromEnd measures the pace of an attempt that ended with success, if its progress has not shown it before.
 // Attempts that resumed from a checkpoint did an unknown part of their work.
 func (e *Engine) learnFromEnd(g *group, now time.Time) {
@@ -165,6 +175,7 @@
 	}
 	slices.Sort(paces)
 	median := paces[len(paces)/2]
+	e.recordForecastError(s, median)
 	for _, g := range s.groups {
 		if p := &g.paceSample; p.measured && !p.counted {
 			p.counted = true
@@ -173,6 +184,24 @@
 	}
 }
 
+// recordForecastError records once for a step how its forecast differs from the pace on a worker of normal speed.
+func (e *Engine) recordForecastError(s *stepState, logPace float64) {
+	g := s.groups[0]
+	forecast := e.forecast(g).Typical
+	if s.forecastChecked || forecast <= 0 {
+		return
+	}
+	s.forecastChecked = true
+	e.estimateErrorsOf(g.job.Queue).add(logPace + math.Log(forecast.Seconds()))
+}
+
+// add records how a forecast differed from a run on workers of normal speed, as a logarithm.
+func (errors *estimateErrors) add(difference float64) {
+	deviation := max(-maxForecastError, min(difference-errors.bias.value(), maxForecastError))
+	errors.bias.add(errors.bias.value()+deviation, 1)
+	errors.variance.add(deviation*deviation, 1)
+}
+
 // compareWithForecast derives a speed sample from the pace of a group and its forecast run time, which is corrected by
 // the usual error in its queue and weighed by how much that error varies.
 func (e *Engine) compareWithForecast(g *group, now time.Time) {
@@ -186,23 +215,28 @@
 	errors := e.estimateErrorsOf(g.job.Queue)
 	expected := float64(slowest(p.nodes).known.Speed)
 	sample := observed - errors.bias.value()
-	deviation := max(-maxForecastError, min(sample-expected, maxForecastError))
-	errors.bias.add(observed-expected, 1)
-	errors.variance.add(deviation*deviation, 1)
+	errors.add(observed - expected)
 	e.observeSpeed(p.nodes, speed.Sample{Speed: speed.Log(sample), ExtraVariance: p.extraVariance + errors.variance.value()}, now)
 }
 
 // maxForecastError limits how far one group counts towards the variance of the forecasts in its queue, as a logarithm.
 const maxForecastError = 1.5
 
-// observeSpeed records a sample of nodes that run a group together. The sample measures the slowest node; it raises the
-// estimate of any other only if that is below the sample, as the others are at least as fast.
+// observeSpeed records a sample of nodes that run a group together. The sample measures the slowest node. The others are at
+// least as fast, so that it raises the estimate of those that are surely below it.
 func (e *Engine) observeSpeed(nodes []*node, s speed.Sample, now time.Time) {
 	slowestNode := slowest(nodes)
+	surely := s
+	surely.Speed -= speed.Log(math.Sqrt(e.speeds.Noise() + s.ExtraVariance))
 	for _, n := range nodes {
-		if n == slowestNode || n.known.Speed < s.Speed {
+		switch {
+		case n == slowestNode:
 			e.speeds.Observe(n.WorkerProcess.Worker, s, now)
-			e.updateSpeed(n, now)
+		case n.known.Speed < surely.Speed:
+			e.speeds.Observe(n.WorkerProcess.Worker, surely, now)
+		default:
+			continue
 		}
+		e.updateSpeed(n, now)
 	}
 }
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -21,10 +22,18 @@
 	avoided := func(n *node) bool { return r.slow[n.index] || g.avoided[n.WorkerProcess.Worker] }
 	if slices.ContainsFunc(candidates, avoided) {
 		others := slices.DeleteFunc(slices.Clone(candidates), avoided)
-		if nodes := r.packFastest(g, others, available); nodes != nil {
+		if nodes := r.packPreferred(g, others, available); nodes != nil {
 			return nodes
 		}
 	}
+	return r.packPreferred(g, candidates, available)
+}
+
+// packPreferred places a group on the nodes that suit it by their speed, if they suffice.
+func (r *round) packPreferred(g *group, candidates []*node, available capacityFunc) []*node {
+	if r.bands != nil && !g.spec().Lasting {
+		return r.packBySpeed(g, candidates, available)
+	}
 	return r.packFastest(g, candidates, available)
 }
 
@@ -54,35 +63,45 @@
 			if len(fast) == len(candidates) {
 				break
 			}
-			if nodes := r.packByRack(g, fast, available, false); nodes != nil {
+			if nodes := r.packByRack(g, fast, available, false, r.allNodes); nodes != nil {
 				return nodes
 			}
 		}
 	}
-	return r.packByRack(g, candidates, available, true)
+	return r.packByRack(g, candidates, available, true, r.allNodes)
 }
 
 // packByRack places the parts of a group on the rack of their data, or together on one rack if the step asks for it. It
-// uses other racks only if allowRemote is set and no suitable rack could hold the group even when empty.
-func (r *round) packByRack(g *group, candidates []*node, available capacityFunc, allowRemote bool) []*node {
+// uses other racks only if allowRemote is set and no suitable rack could hold the group even when empty. Of the nodes that
+// are possible then, choose selects those to use.
+func (r *round) packByRack(g *group, candidates []*node, available capacityFunc, allowRemote bool, choose selector) []*node {
 	step := g.spec()
 	if step.DataRack != "" {
 		near := nodesOnRack(candidates, step.DataRack)
-		if nodes := r.packTight(g, near, available); nodes != nil {
+		if nodes := r.packSelected(g, near, available, choose); nodes != nil {
 			return nodes
 		}
 		if !allowRemote || !r.mayPlaceRemotely(g) {
 			return nil
 		}
-		return r.packTight(g, candidates, available)
+		return r.packSelected(g, candidates, available, choose)
 	}
 	if !step.SameRack {
-		return r.packTight(g, candidates, available)
+		return r.packSelected(g, candidates, available, choose)
 	}
-	if nodes := r.packOneRack(g, candidates, available); nodes != nil || !allowRemote || !r.mayPlaceRemotely(g) {
+	if nodes := r.packOneRack(g, candidates, available, choose); nodes != nil || !allowRemote || !r.mayPlaceRemotely(g) {
 		return nodes
 	}
-	return r.packTight(g, candidates, available)
+	return r.packSelected(g, candidates, available, choose)
+}
+
+// packSelected places the parts of a group on those of the nodes that choose selects.
+func (r *round) packSelected(g *group, nodes []*node, available capacityFunc, choose selector) []*node {
+	selected, _, ok := choose(g, nodes, available)
+	if !ok {
+		return nil
+	}
+	return r.packTight(g, selected, available)
 }
 
 // candidates returns the nodes that may run parts of a group.
@@ -120,16 +139,24 @@
 		}
 		found = append(found, n)
 	}
+	if r.bands != nil {
+		r.sortFastFirst(found)
+	}
 	return found
 }
 
-// packOneRack places all parts of a group on a single rack and picks the rack with the least free capacity.
-func (r *round) packOneRack(g *group, candidates []*node, available capacityFunc) []*node {
-	racks := groupByRack(candidates)
+// packOneRack places all parts of a group on a single rack. It picks the rack with the highest band, and among those the
+// one with the least free capacity.
+func (r *round) packOneRack(g *group, candidates []*node, available capacityFunc, choose selector) []*node {
 	var best []*node
+	var bestBand speed.Band
 	bestFreeShare := 0.0
-	for _, rack := range racks {
-		nodes := r.packTight(g, rack, available)
+	for _, rack := range groupByRack(candidates) {
+		selected, band, ok := choose(g, rack, available)
+		if !ok || best != nil && band < bestBand {
+			continue
+		}
+		nodes := r.packTight(g, selected, available)
 		if nodes == nil {
 			continue
 		}
@@ -137,8 +164,8 @@
 		for _, n := range rack {
 			freeShare += capacityShare(available(n), n.Capacity)
 		}
-		if best == nil || freeShare < bestFreeShare {
-			best, bestFreeShare = nodes, freeShare
+		if best == nil || band > bestBand || freeShare < bestFreeShare {
+			best, bestBand, bestFreeShare = nodes, band, freeShare
 		}
 	}
 	return best
@@ -207,7 +234,8 @@
 	freeShare float64
 }
 
-// packTight places the parts of a group on the nodes that are left with the least free capacity.
+// packTight places the parts of a group on the nodes of the slowest class, and within it on those that are left with the
+// least free capacity.
 func (r *round) packTight(g *group, candidates []*node, available capacityFunc) []*node {
 	want := len(g.parts)
 	if want == 1 {
@@ -231,7 +259,11 @@
 		return nil
 	}
 	slices.SortFunc(fits, func(a, b nodeFit) int {
-		return cmp.Or(cmp.Compare(a.freeShare, b.freeShare), cmp.Compare(a.node.index, b.node.index))
+		return cmp.Or(
+			cmp.Compare(r.band(a.node).Class(), r.band(b.node).Class()),
+			cmp.Compare(a.freeShare, b.freeShare),
+			cmp.Compare(a.node.index, b.node.index),
+		)
 	})
 	nodes := make([]*node, 0, want)
 	for _, f := range fits {
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -31,6 +31,7 @@
 	if best == nil {
 		best = r.cheapestClaim(g, candidates)
 	}
+	best = r.fasterClaim(g, near, best)
 	if best == nil {
 		return false
 	}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -56,6 +57,12 @@
 	// speeds holds the speed class of each node, and slow whether its current rate is slow.
 	speeds []speedClass
 	slow   []bool
+	// bands holds the band of each node by its learned speed; nil if speeds are not taken into account.
+	bands []speed.Band
+	// spreadChecks counts the gangs for which spreading over racks was compared with waiting.
+	spreadChecks int
+	// explorable tells for which nodes of unknown speed nothing runs that will tell it.
+	explorable []bool
 	// headroom marks the nodes that are kept free for guaranteed jobs.
 	headroom []bool
 	// unplaceable holds, for each key, the smallest number of parts of a group that did not fit, so that later groups
@@ -142,6 +149,7 @@
 	for i, n := range e.nodes {
 		r.speeds[i], r.slow[i] = n.classifySpeed(), e.slowNow(n, now)
 	}
+	r.bands, r.explorable = e.nodeBands(), e.explorableNodes()
 	r.headroom = e.headroomNodes(now)
 	r.isolated = e.isolatedNodes(now)
 	return r
@@ -189,7 +197,7 @@
 		}
 		return r.reclaim(g)
 	}
-	return false
+	return r.placeSpread(g)
 }
 
 // packNow returns nodes on which a group can be placed without waiting for stops, or nil.
@@ -222,6 +230,7 @@
 			return
 		}
 	}
+	r.countChoice(g, nodes)
 	g.reserved = nil
 	g.attempt++
 	g.phase = placed
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -26,6 +26,7 @@
 	speeds          *prometheus.GaugeVec
 	expectedWait    *prometheus.GaugeVec
 	learned         learnedMetrics
+	choices         *prometheus.CounterVec
 }
 
 // NewMetrics creates the scheduler metrics and registers them if registerer is not nil.
@@ -64,13 +65,14 @@
 		pool: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "pool", Help: "What the pool holds; meaningful while holding.",
 		}, []string{"of"}),
-		speeds: newSpeedsGauge(),
+		speeds:  newSpeedsGauge(),
+		choices: newCounterVec("placements_total", "Groups placed by the learned speeds of workers.", "choice"),
 		expectedWait: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "expected_wait_seconds", Help: "Least wait of work without a deadline; meaningful while holding.",
 		}, []string{"service"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.speeds, m.expectedWait)
+		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.speeds, m.choices, m.expectedWait)
 	}
 	return m
 }
--- a/sard/sched/speeds.go
+++ b/sard/sched/speeds.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/speed"
 )
 
@@ -46,5 +47,10 @@
 		s.config.Metrics.speeds.WithLabelValues(group.String()).Set(float64(counts[group]))
 		fields = append(fields, group.String(), counts[group])
 	}
+	for choice, count := range s.engine.TakeChoices() {
+		name := pool.Choice(choice).String()
+		s.config.Metrics.choices.WithLabelValues(name).Add(float64(count))
+		fields = append(fields, name, count)
+	}
 	s.config.Logger.Info("learned worker speeds", fields...)
 }
--- a/sard/speed/population.go
+++ b/sard/speed/population.go
@@ -1,7 +1,6 @@
 package speed
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -31,7 +30,7 @@
 // speeds so that the median worker has the speed 0, since samples tell only the differences between workers, and returns
 // what it subtracted. The caller calls it from time to time.
 func (m *Model) Refresh(now time.Time) Log {
-	shift := m.center()
+	shift := m.center(now)
 	m.measure(now)
 	return Log(shift)
 }
@@ -40,18 +39,19 @@
 const minCentered = 8
 
 // center shifts all speeds so that the median worker has the speed 0, and returns what it subtracted.
-func (m *Model) center() float64 {
-	var means []float64
+func (m *Model) center(now time.Time) float64 {
+	var speeds []float64
 	for _, h := range m.workers {
-		if h.weight >= minComparedWeight {
-			means = append(means, h.mean)
+		if e := m.estimate(h, now); e.Known() {
+			speeds = append(speeds, float64(e.Speed))
 		}
 	}
-	if len(means) < minCentered {
+	if len(speeds) < minCentered {
 		return 0
 	}
-	slices.Sort(means)
-	shift := means[len(means)/2]
+	slices.Sort(speeds)
+	shift := speeds[len(speeds)/2]
+	m.mean -= shift
 	for _, h := range m.workers {
 		h.mean -= shift
 		h.suspected -= shift
@@ -99,5 +99,5 @@
 	m.squares += deviation * (value - m.mean)
 }
 
-// Spread returns the standard deviation of the speeds of workers, as estimated by the last Refresh.
-func (m *Model) Spread() float64 { return math.Sqrt(m.spread) }
+// Noise returns the variance of the samples of one worker, as estimated by the last Refresh.
+func (m *Model) Noise() float64 { return m.noise }
--- a/sard/speed/speed.go
+++ b/sard/speed/speed.go
@@ -19,7 +19,7 @@
 	// maxWeight limits the weight of a worker's past samples, in samples, so that its mean follows newer ones.
 	maxWeight = 12
 	// minKnownWeight is the weight from which a worker counts as known.
-	minKnownWeight = 0.8
+	minKnownWeight = 0.5
 	// halfLife is the time in which the weight of samples halves.
 	halfLife = 2 * time.Minute
 	// restartFactor is what remains of the weight of a worker's samples when its process was replaced.
