Submissions at the door of a silent store get 504 in place of 503

Cause: a 503 says that a job never runs. Change: 504 at once, with Retry-After, if calls stay unanswered or end without an answer; 503 as before if the store itself refuses or throttles calls. Measured: TestRefusalBySilentStoreIsNotFinal failed before (Unavailable in place of OutcomeUnknown).

--- a/sard/entry/check.go
+++ b/sard/entry/check.go
@@ -25,6 +25,9 @@
 	// Admit returns nil if a call to the partition may be answered, as far as is known, and else an error of kind
 	// Unavailable.
 	Admit(partition string) error
+	// AdmitCreation is Admit for a write that may repeat one of another process. Its error is of kind OutcomeUnknown if the
+	// other one may still take effect.
+	AdmitCreation(partition string) error
 	// Await waits until a call to the partition may be answered. It returns false if ctx ends before.
 	Await(ctx context.Context, partition string) bool
 	// Closed reports whether Admit would fail.
@@ -41,7 +44,10 @@
 
 // admitSubmission returns an error if a submission can't be stored.
 func (j *Jobs) admitSubmission(id ident.Job) error {
-	return j.withoutEffect(id, j.admit(work.ShardOf(id)))
+	if j.config.Check == nil {
+		return nil
+	}
+	return j.withoutEffect(id, j.config.Check.AdmitCreation(work.ShardOf(id)))
 }
 
 // withoutEffect returns the error of a submission that had no effect. Its kind is OutcomeUnknown if this instance has
--- a/sard/entry/check_test.go
+++ b/sard/entry/check_test.go
@@ -17,7 +17,11 @@
 )
 
 // door is a StoreCheck whose state the test sets.
-type door struct{ closed atomic.Bool }
+type door struct {
+	closed atomic.Bool
+	// silent says that the store is closed because it is silent, and not because it refuses calls.
+	silent bool
+}
 
 // Admit fails while the door is closed.
 func (d *door) Admit(string) error {
@@ -27,6 +31,15 @@
 	return nil
 }
 
+// AdmitCreation is Admit, with an error of kind OutcomeUnknown if the store is silent.
+func (d *door) AdmitCreation(partition string) error {
+	err := d.Admit(partition)
+	if err != nil && d.silent {
+		return fault.Wrap(err, fault.OutcomeUnknown, "reach", "store")
+	}
+	return err
+}
+
 // Closed reports whether the door is closed.
 func (d *door) Closed(string) bool { return d.closed.Load() }
 
@@ -103,6 +116,22 @@
 	}
 }
 
+// TestRefusalBySilentStoreIsNotFinal guards against a submission that is said never to run although an earlier one with its ID,
+// at another instance, was sent to the same silent store and takes effect late.
+func TestRefusalBySilentStoreIsNotFinal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory, d := &store.Memory{}, &door{silent: true}
+		late := &link{Store: memory, delay: 5 * time.Second}
+		first := submit(t, entry.New(entry.Config{Store: late}))
+		assert.Assert(t, fault.Is(first, fault.OutcomeUnknown), "%v", first)
+		d.closed.Store(true)
+		second := submit(t, entry.New(entry.Config{Store: memory, Check: d}))
+		assert.NilError(t, late.late.Wait())
+		assert.Equal(t, storedJobs(t, memory), 1)
+		assert.Assert(t, fault.Is(second, fault.OutcomeUnknown), "%v", second)
+	})
+}
+
 // silentWrites is a Store that loses the answers to writes and then closes the door.
 type silentWrites struct {
 	store.Store
--- a/sard/store/check.go
+++ b/sard/store/check.go
@@ -242,6 +242,22 @@
 // Admit returns nil if a call to a partition may be answered, as far as is known, and else an error of kind Unavailable
 // that says when to try again.
 func (c *Check) Admit(partition string) error {
+	return c.admit(partition, func(reach.Reason) fault.Kind { return fault.Unavailable })
+}
+
+// AdmitCreation is Admit for a write that may repeat one of another process. Its error is of kind OutcomeUnknown if the
+// store may have taken in writes without an answer, so that the other one may still take effect.
+func (c *Check) AdmitCreation(partition string) error {
+	return c.admit(partition, func(reason reach.Reason) fault.Kind {
+		if reason == reach.Silent || reason == reach.Broken {
+			return fault.OutcomeUnknown
+		}
+		return fault.Unavailable
+	})
+}
+
+// admit is Admit with an error of the kind that follows from the reason.
+func (c *Check) admit(partition string, kind func(reach.Reason) fault.Kind) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := c.judge.Decide(clock.Now(), reach.Scope(partition))
@@ -249,7 +265,7 @@
 		return nil
 	}
 	c.metrics.refusals.WithLabelValues(v.Reason.String()).Inc()
-	return fault.New(fault.Unavailable, "reach", "store", "partition %q is closed (%v) for %v", partition, v.Reason,
+	return fault.New(kind(v.Reason), "reach", "store", "partition %q is closed (%v) for %v", partition, v.Reason,
 		v.Lasted.Truncate(time.Millisecond)).WithRetryAfter(v.RetryAfter)
 }
 
--- a/sard/store/check_test.go
+++ b/sard/store/check_test.go
@@ -55,6 +55,8 @@
 		assert.Assert(t, read("s0", 800*time.Millisecond) != nil)
 		err := check.Admit("s0")
 		assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
+		err = check.AdmitCreation("s0")
+		assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
 		assert.NilError(t, check.Admit("s1"))
 		assert.Assert(t, dropped > 0)
 		waited := make(chan time.Time, 1)
