Compute the time after each step of a job once, not once per path

With the order by cost, the time that dependent steps take was computed along every path of dependencies. For a job with many steps that each wait for all earlier ones, as any client may submit, that took for ever and stopped the scheduler loop.

TestOutlookOfDenseSteps, with 64 such steps, did not end within 15 s before.

--- a/sard/pool/cost_test.go
+++ b/sard/pool/cost_test.go
@@ -162,3 +162,24 @@
 	}
 	assert.Assert(t, cost("long") < cost("guaranteed"), "%v, %v", cost("long"), cost("guaranteed"))
 }
+
+// TestOutlookOfDenseSteps lets a job have many steps that each wait for all earlier ones. What is expected of it must be known
+// soon.
+func TestOutlookOfDenseSteps(t *testing.T) {
+	const steps = 64
+	h := newCostHarness(t, 1)
+	dense := make([]work.Step, steps)
+	for i := range dense {
+		dense[i] = work.Step{Parts: 1, Need: largePart, Estimate: time.Second}
+		for before := range i {
+			dense[i].After = append(dense[i].After, before)
+		}
+	}
+	h.engine.AddJob(&work.Job{
+		ID: "dense", Account: "a", Steps: dense, AcceptedMs: h.now.UnixMilli(),
+		Terms: work.QueueSettings{Service: "s", Priority: 1, Failures: 3, Stretch: 3, Target: time.Second},
+	}, nil, h.now, h.now.UnixMilli())
+	h.decide()
+	expected := h.engine.outlook(h.engine.jobs["dense"].occurrences[0], h.now)
+	assert.Equal(t, expected.rest, steps*time.Second)
+}
--- a/sard/pool/match.go
+++ b/sard/pool/match.go
@@ -61,7 +61,7 @@
 func (r *round) timeLeft(g *group) time.Duration {
 	o := g.job.occurrences[g.occurrence]
 	objective := g.job.objective()
-	left := objective - r.now.Sub(o.dueAt) - r.engine.timeAfter(o, g.step)
+	left := objective - r.now.Sub(o.dueAt) - r.engine.timesAfter(o)[g.step]
 	if left <= 0 {
 		left += (expiryObjectives - 1) * objective
 	}
--- a/sard/pool/standing.go
+++ b/sard/pool/standing.go
@@ -46,24 +46,24 @@
 // outlook returns what is expected of an occurrence of a job.
 func (e *Engine) outlook(o *occurrence, now time.Time) outlook {
 	var sum outlook
+	after := e.timesAfter(o)
 	for s := range o.steps {
 		if len(o.steps[s].groups) > 0 {
-			e.addStep(&sum, o, s, now)
+			e.addStep(&sum, &o.steps[s], after[s], now)
 		}
 	}
 	return sum
 }
 
-// addStep adds what is expected of a step. Its groups have equal forecasts and equal work.
-func (e *Engine) addStep(sum *outlook, o *occurrence, step int, now time.Time) {
-	state := &o.steps[step]
+// addStep adds what is expected of a step, after which other steps take the given time. Its groups have equal forecasts and
+// equal work.
+func (e *Engine) addStep(sum *outlook, state *stepState, after time.Duration, now time.Time) {
 	whole := e.forecast(state.groups[0]).Typical
 	cores := state.groups[0].coreEquivalents()
 	sum.work += workOf(whole, cores) * admit.CoreTime(len(state.groups))
 	if state.unfinished == 0 {
 		return
 	}
-	after := e.timeAfter(o, step)
 	for _, g := range state.groups {
 		switch g.phase {
 		case done:
@@ -86,27 +86,20 @@
 	return admit.CoreTime(runTime) * admit.CoreTime(cores)
 }
 
-// timeAfter returns the forecast run time of the longest chain of steps that depend on a step.
-func (e *Engine) timeAfter(o *occurrence, step int) time.Duration {
-	longest := time.Duration(0)
-	for s := step + 1; s < len(o.steps); s++ {
+// timesAfter returns, for each step, the forecast run time of the longest chain of steps that depend on it.
+func (e *Engine) timesAfter(o *occurrence) []time.Duration {
+	after := make([]time.Duration, len(o.steps))
+	for s := len(o.steps) - 1; s > 0; s-- {
 		groups := o.steps[s].groups
-		if len(groups) == 0 || o.steps[s].unfinished == 0 || !groups[0].dependsOn(step) {
+		if len(groups) == 0 || o.steps[s].unfinished == 0 {
 			continue
 		}
-		longest = max(longest, e.forecast(groups[0]).Typical+e.timeAfter(o, s))
-	}
-	return longest
-}
-
-// dependsOn reports whether the group's step waits for the given one.
-func (g *group) dependsOn(step int) bool {
-	for _, before := range g.spec().After {
-		if before == step {
-			return true
+		chain := e.forecast(groups[0]).Typical + after[s]
+		for _, before := range groups[0].spec().After {
+			after[before] = max(after[before], chain)
 		}
 	}
-	return false
+	return after
 }
 
 // standing returns how an occurrence of a job stands if it takes the given time until it is complete. The group is one of
@@ -130,7 +123,7 @@
 		expected = e.outlook(o, now)
 		r.outlooks[o] = expected
 	}
-	after := restartWait + g.restartTime(e.forecast(g).Typical) + e.timeAfter(o, g.step)
+	after := restartWait + g.restartTime(e.forecast(g).Typical) + e.timesAfter(o)[g.step]
 	delay := max(0, after-expected.restIfDelayed)
 	return limitLoss(admit.CoreTime(g.wastedWork(now)) + e.standing(g, expected.restIfDelayed, expected.work, now).DelayCost(delay))
 }
