Keep the load summary readable whatever single jobs ask for

Lasting work that needed more than the workers' capacity made the capacity in the load summary negative, as did draining workers that still held some; a demand or an estimate out of range made amounts of work negative. Such a summary counts as impossible, so that all instances accepted everything while a single such job was waiting. Sums are taken as floating-point numbers and are never negative now.

TestLoadOfSillyJobsIsReadable failed before.

--- a/sard/admit/decide.go
+++ b/sard/admit/decide.go
@@ -159,7 +159,7 @@
 			own = own.Plus(amount)
 		}
 	}
-	fair := l.Running.Plus(own.times(len(accounts)))
+	fair := l.Running.Plus(own.Times(len(accounts)))
 	return max(0, min(ahead.least(l.Capacity), fair.least(l.Capacity))-l.TypicalRun)
 }
 
--- a/sard/admit/summary.go
+++ b/sard/admit/summary.go
@@ -50,9 +50,9 @@
 	CPU, Memory, Accelerators float32
 }
 
-// NewAmount returns the work of holding resources for a time.
+// NewAmount returns the work of holding resources for a time; none if it is negative.
 func NewAmount(held work.Resources, d time.Duration) Amount {
-	seconds := float32(d.Seconds())
+	seconds := float32(max(0, d.Seconds()))
 	return Amount{CPU: float32(held.CPU) * seconds, Memory: float32(held.Memory) * seconds, Accelerators: float32(held.Accelerators) * seconds}
 }
 
@@ -61,8 +61,8 @@
 	return Amount{CPU: a.CPU + b.CPU, Memory: a.Memory + b.Memory, Accelerators: a.Accelerators + b.Accelerators}
 }
 
-// times returns n times a.
-func (a Amount) times(n int) Amount {
+// Times returns n times a.
+func (a Amount) Times(n int) Amount {
 	f := float32(n)
 	return Amount{CPU: a.CPU * f, Memory: a.Memory * f, Accelerators: a.Accelerators * f}
 }
--- a/sard/pool/cost_test.go
+++ b/sard/pool/cost_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/admit"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -183,3 +185,28 @@
 	expected := h.engine.outlook(h.engine.jobs["dense"].occurrences[0], h.now)
 	assert.Equal(t, expected.rest, steps*time.Second)
 }
+
+// TestLoadOfSillyJobsIsReadable lets one client submit jobs that can never run as they say. The summary of the load must still be
+// readable, as all instances would accept everything otherwise.
+func TestLoadOfSillyJobsIsReadable(t *testing.T) {
+	cases := []struct {
+		name string
+		step work.Step
+	}{
+		{"lasting work needs more than there is", work.Step{Parts: 3, Need: largePart, Lasting: true}},
+		{"negative estimate", work.Step{Parts: 1, Need: largePart, Estimate: math.MinInt64}},
+		{"gang whose demand exceeds the range", work.Step{Parts: 3, Gang: true, Need: work.Resources{CPU: math.MaxInt64 / 2}, Estimate: time.Second}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newCostHarness(t, 1)
+			h.fill(1, time.Second, time.Hour)
+			h.addJob("silly", 1, c.step)
+			load := h.engine.Load(h.now)
+			value, err := load.Encode()
+			assert.NilError(t, err)
+			_, err = admit.DecodeSummary(value)
+			assert.NilError(t, err)
+		})
+	}
+}
--- a/sard/pool/load.go
+++ b/sard/pool/load.go
@@ -38,6 +38,8 @@
 	// waitingGroups is the number of groups that wait, and runTimes the sum of their forecast run times.
 	waitingGroups int
 	runTimes      time.Duration
+	// lasting is what groups that last hold, or will hold, in a second.
+	lasting admit.Amount
 }
 
 // addWorker adds the capacity of a worker that accepts work.
@@ -55,28 +57,37 @@
 // finish returns the sums.
 func (l *serviceLoad) finish() admit.ServiceLoad {
 	if l.waitingGroups > 0 {
-		l.TypicalRun = l.runTimes / time.Duration(l.waitingGroups)
+		l.TypicalRun = max(0, l.runTimes/time.Duration(l.waitingGroups))
+	}
+	l.Capacity = work.Resources{
+		CPU: lessen(l.Capacity.CPU, l.lasting.CPU), Memory: lessen(l.Capacity.Memory, l.lasting.Memory),
+		Accelerators: lessen(l.Capacity.Accelerators, l.lasting.Accelerators),
 	}
 	return l.ServiceLoad
 }
 
+// lessen returns what is left of a capacity, at least nothing.
+func lessen[T ~int | ~int64](capacity T, held float32) T {
+	return T(max(0, float64(capacity)-float64(held)))
+}
+
 // addJobLoad adds the work of a job's groups that run or wait. Lasting groups hold their room for good, so that they lessen
 // the capacity.
 func (e *Engine) addJobLoad(l *serviceLoad, j *job, now time.Time) {
 	slack := j.urgency(now).slack
 	j.forEachGroup(func(g *group) {
-		held := multiply(g.demand(), len(g.parts))
+		held := func(d time.Duration) admit.Amount { return admit.NewAmount(g.demand(), d).Times(len(g.parts)) }
 		switch {
 		case g.phase == done:
 		case g.spec().Lasting:
-			l.Capacity = l.Capacity.Minus(held)
+			l.lasting = l.lasting.Plus(held(time.Second))
 		case g.phase == placed:
-			l.Running = l.Running.Plus(admit.NewAmount(held, g.remainingTime(e.forecast(g).Typical, now)))
+			l.Running = l.Running.Plus(held(g.remainingTime(e.forecast(g).Typical, now)))
 		default:
 			run := g.restartTime(e.forecast(g).Typical)
 			l.waitingGroups++
 			l.runTimes += run
-			l.Add(j.Account, j.settings.Priority, slack, len(g.parts), admit.NewAmount(held, run))
+			l.Add(j.Account, j.settings.Priority, slack, len(g.parts), held(run))
 		}
 	})
 }
