An unsent start leaves no doubt about its attempt

Cause: a start that was not sent, since the lease was not known to be held, left its attempt marked as one that may have reached a later process. With no start sent, it then looked like an attempt of an earlier lease holder, so that a possible crash was counted against a part that no worker had seen; the fifth gave it up ("job wj17 has failed without cause"). Change: the mark is taken back if no earlier request was sent.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -153,8 +153,12 @@
 }
 
 // startUnsent queues a start request again that was not sent.
-func (s *Scheduler) startUnsent(w *session, state *attemptState, a work.Attempt) {
+func (s *Scheduler) startUnsent(w *session, state *attemptState, ev startResult) {
+	a := ev.attempt
 	state.startsSent--
+	if ev.first {
+		state.processUnknown = false
+	}
 	if start, pending := s.engine.PendingStart(a); pending {
 		s.queueStart(w, state, start)
 		return
@@ -202,7 +206,7 @@
 	var refusal *RefusalError
 	switch {
 	case ev.unsent:
-		s.startUnsent(w, state, ev.attempt)
+		s.startUnsent(w, state, ev)
 	case ev.err == nil:
 		if startedMs := ev.reply.StartedMs; startedMs != 0 && startedMs != w.entry.StartedMs {
 			s.replaceProcess(w, work.WorkerProcess{Worker: w.id(), StartedMs: startedMs}, ev.attempt)
