Submissions wait, unsent, at the door of a silent store

Cause: 504 at once uses up the caller's tries within a second, and 503 could be false, as another instance may have sent the same submission. A store that itself refuses or throttles is answered with 503 at once, as before.

--- a/sard/entry/check.go
+++ b/sard/entry/check.go
@@ -42,12 +42,22 @@
 	return j.config.Check.Admit(partition)
 }
 
-// admitSubmission returns an error if a submission can't be stored.
-func (j *Jobs) admitSubmission(id ident.Job) error {
+// admitSubmission returns an error if a submission can't be stored. If it would be unknown whether the job runs, because an
+// earlier submission may still take effect, it waits for the store first: the caller would use up its tries on such answers.
+func (j *Jobs) admitSubmission(ctx context.Context, id ident.Job) error {
 	if j.config.Check == nil {
 		return nil
 	}
-	return j.withoutEffect(id, j.config.Check.AdmitCreation(work.ShardOf(id)))
+	shard := work.ShardOf(id)
+	err := j.config.Check.AdmitCreation(shard)
+	if fault.Is(err, fault.OutcomeUnknown) {
+		ctx, cancel := j.submitContext(ctx)
+		defer cancel()
+		if j.config.Check.Await(ctx, shard) {
+			return nil
+		}
+	}
+	return j.withoutEffect(id, err)
 }
 
 // withoutEffect returns the error of a submission that had no effect. Its kind is OutcomeUnknown if this instance has
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -53,7 +53,7 @@
 // Unavailable or Throttled mean that this submission will never take effect, OutcomeUnknown that it may have taken
 // effect, and Conflict that the ID belongs to another account's job.
 func (j *Jobs) Submit(ctx context.Context, job *work.Job) error {
-	if err := j.admitSubmission(job.ID); err != nil {
+	if err := j.admitSubmission(ctx, job.ID); err != nil {
 		return err
 	}
 	j.noteBegin(job.ID)
