One longest chain of steps, one expiry, and a name for each kind of rate

work.Job and pool's job each had the loop over dependent steps, and admit and pool each a constant for the number of objectives after which a result is of no use. work.Job.LongestChain and admit.ExpiryObjectives now serve both. The critical path by forecasts is expectedPath, since the method of work.Job by estimates is promoted under nearly the same name.

"pace" meant the rate of an attempt in pace.go and a ratio of rates in slowness.go; the ratio is relativeRate. "patience" is maxEndWait, "worth" a share of the value. Behaviour is unchanged.

--- a/sard/admit/admit_test.go
+++ b/sard/admit/admit_test.go
@@ -66,16 +66,16 @@
 	}
 }
 
-// TestLyingSummariesAreUnreadable checks that impossible summaries, and those of another format, are not decoded.
-func TestLyingSummariesAreUnreadable(t *testing.T) {
+// TestImpossibleSummariesAreUnreadable checks that impossible summaries, and those of another format, are not decoded.
+func TestImpossibleSummariesAreUnreadable(t *testing.T) {
 	summary := loaded(map[ident.Account]int{"a": 5})
 	value, err := summary.Encode()
 	assert.NilError(t, err)
 	read, err := DecodeSummary(value)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, read, summary)
-	for _, lie := range []float32{-1, float32(math.NaN()), float32(math.Inf(1))} {
-		summary.Services[0].Running.CPU = lie
+	for _, impossible := range []float32{-1, float32(math.NaN()), float32(math.Inf(1))} {
+		summary.Services[0].Running.CPU = impossible
 		value, err = summary.Encode()
 		assert.NilError(t, err)
 		_, err = DecodeSummary(value)
@@ -109,8 +109,8 @@
 	}
 }
 
-// TestRetriesAreSpread lets 1,000 jobs be refused at once. They must not come back at the same time, and the ones whose delay
-// costs less must come back later.
+// TestRetriesAreSpread lets 1,000 jobs be refused at once. They must not come back at the same time, and the ones whose
+// delay costs less must come back later.
 func TestRetriesAreSpread(t *testing.T) {
 	const jobs = 1000
 	perSecond := map[time.Duration]int{}
@@ -120,7 +120,7 @@
 			r := request()
 			r.ID, r.Priority = ident.Job(fmt.Sprint(i)), p
 			v := Decide(View{Summary: loaded(map[ident.Account]int{"a": 60}), Holder: 7}, r)
-			assert.Assert(t, v.Refused() && v.RetryAfter%time.Second == 0 && v.RetryAfter >= v.Wait-expiryObjectives*r.Objective)
+			assert.Assert(t, v.Refused() && v.RetryAfter%time.Second == 0 && v.RetryAfter >= v.Wait-ExpiryObjectives*r.Objective)
 			sums[p] += v.RetryAfter
 			perSecond[v.RetryAfter]++
 		}
--- a/sard/admit/cost.go
+++ b/sard/admit/cost.go
@@ -1,7 +1,7 @@
 // Package admit weighs what it costs callers when the work of a pool is delayed, stopped or refused. It performs no I/O
 // and reads no clock.
 //
-// A job is worth its whole value to its caller if it completes within its objective, less up to expiryObjectives times
+// A job has its whole value to its caller if it completes within its objective, less up to ExpiryObjectives times
 // the objective, and nothing after that. The value grows with the work that the job needs and with its priority.
 package admit
 
@@ -12,10 +12,10 @@
 )
 
 const (
-	// expiryObjectives is the number of objectives after which a job's result is of no use any more.
-	expiryObjectives = 3
-	// lateWorth is the share of a job's value that is left when it completes after its objective.
-	lateWorth = 0.4
+	// ExpiryObjectives is the number of objectives after which a job's result is of no use any more.
+	ExpiryObjectives = 3
+	// lateShare is the share of a job's value that is left when it completes after its objective.
+	lateShare = 0.4
 	// minSpread is the least uncertainty of an expected end.
 	minSpread = 250 * time.Millisecond
 )
@@ -37,11 +37,11 @@
 	Work CoreTime
 }
 
-// Worth returns the share of its value that the job is expected to keep, from 0 to 1.
-func (s Standing) Worth() float64 {
+// ValueShare returns the share of its value that the job is expected to keep, from 0 to 1.
+func (s Standing) ValueShare() float64 {
 	onTime := s.likelihood(s.Slack)
-	useful := s.likelihood(s.Slack + (expiryObjectives-1)*s.Objective)
-	return lateWorth*useful + (1-lateWorth)*onTime
+	useful := s.likelihood(s.Slack + (ExpiryObjectives-1)*s.Objective)
+	return lateShare*useful + (1-lateShare)*onTime
 }
 
 // likelihood returns how likely an event is that happens if the job ends no later than expected plus margin.
@@ -58,12 +58,12 @@
 
 // Hopeless reports whether the result of the job will surely come too late to be of use.
 func (s Standing) Hopeless() bool {
-	return s.Worth() == 0
+	return s.ValueShare() == 0
 }
 
 // DelayCost returns the value that callers lose if the job ends later by a delay.
 func (s Standing) DelayCost(delay time.Duration) CoreTime {
-	lost := s.Worth() - s.Delayed(delay).Worth()
+	lost := s.ValueShare() - s.Delayed(delay).ValueShare()
 	return CoreTime(lost*weight(s.Priority)) * s.Work
 }
 
@@ -74,7 +74,7 @@
 	otherWeight      = 1
 )
 
-// weight returns what a unit of work is worth to its caller by its priority.
+// weight returns the value of a unit of work to its caller by its priority.
 func weight(p work.Priority) float64 {
 	switch p {
 	case work.Guaranteed:
--- a/sard/admit/decide.go
+++ b/sard/admit/decide.go
@@ -104,7 +104,7 @@
 	}
 	load := v.Summary.load(r.Service)
 	verdict.Wait = load.wait(r)
-	useful := expiryObjectives*r.Objective - r.Path*leastRunPercent/100
+	useful := ExpiryObjectives*r.Objective - r.Path*leastRunPercent/100
 	if verdict.Wait*surePercent/100 <= useful {
 		return verdict
 	}
@@ -146,7 +146,7 @@
 
 // wait returns the least time until a job starts: all work that is more urgent must have started before. An account waits
 // no longer than if all accounts with waiting work had equal shares of the capacity, so that the backlog of one account
-// turns no other one away.
+// leads to no refusal of another one.
 func (l *ServiceLoad) wait(r Request) time.Duration {
 	ahead, own := l.Running, Amount{}
 	accounts := map[ident.Account]bool{r.Account: true}
--- a/sard/pool/cost_test.go
+++ b/sard/pool/cost_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// TestReclaimWaitsForEnd lets a guaranteed job with slack need a worker on which a job is about to end. It must wait for that
-// and stop nothing.
+// TestReclaimWaitsForEnd lets a guaranteed job with slack need a worker on which a job is about to end. It must wait for
+// that and stop nothing.
 func TestReclaimWaitsForEnd(t *testing.T) {
 	h := newCostHarness(t, 2)
 	h.fill(2, time.Second, 4*time.Second)
@@ -99,8 +99,8 @@
 	assert.Equal(t, len(h.workersOf("quote")), 1)
 }
 
-// TestWaitingWorkIsOrderedByStake lets jobs wait for a single worker, of which each needs the whole. The one that will just be
-// in time must start first, although another one, which is late anyway, has waited for longer.
+// TestWaitingWorkIsOrderedByStake lets jobs wait for a single worker, of which each needs the whole. The one that will just
+// be in time must start first, although another one, which is late anyway, has waited for longer.
 func TestWaitingWorkIsOrderedByStake(t *testing.T) {
 	h := newCostHarness(t, 1)
 	h.addJob("runs", 1, work.Step{Parts: 1, Need: largePart, Estimate: 20 * time.Second})
@@ -118,7 +118,8 @@
 	assert.DeepEqual(t, order, []ident.Job{"runs", "urgent", "patient", "late"})
 }
 
-// TestLoadOfBurst checks that a burst makes the load summary tell of a wait, and that it is gone when the backlog has drained.
+// TestLoadOfBurst checks that a burst makes the load summary tell of a wait, and that it is gone when the backlog has
+// drained.
 func TestLoadOfBurst(t *testing.T) {
 	h := newCostHarness(t, 1)
 	for i := range 10 {
@@ -149,8 +150,8 @@
 	assert.Equal(t, works[manyParts], manyParts*works[1])
 }
 
-// TestGuaranteedJobIsTheLastToBeStopped lets a job run for so long that its loss is worth more than 1,000 hours of a processor
-// core. Its stop must still cost less than that of a guaranteed job that has just started.
+// TestGuaranteedJobIsTheLastToBeStopped lets a job run for so long that its loss exceeds 1,000 hours of a
+// processor core. Its stop must still cost less than that of a guaranteed job that has just started.
 func TestGuaranteedJobIsTheLastToBeStopped(t *testing.T) {
 	h := newCostHarness(t, 2)
 	h.addJob("long", 1, work.Step{Parts: 1, Need: largePart, Estimate: 500 * time.Hour})
--- a/sard/pool/crash_test.go
+++ b/sard/pool/crash_test.go
@@ -53,8 +53,8 @@
 	assert.Equal(t, h.engine.CountCrash(first.Attempt, later, LikelyCrash, h.now).Crashes, 2)
 }
 
-// TestStartsAfterPossibleCrashes guards against parts that start again and again after several workers may have crashed under
-// them, because their attempts end otherwise before they have survived the probation.
+// TestStartsAfterPossibleCrashes guards against parts that start again and again after several workers may have crashed
+// under them, because their attempts end otherwise before they have survived the probation.
 func TestStartsAfterPossibleCrashes(t *testing.T) {
 	h := newHarness(t, 4)
 	h.addJob("job", 1, work.Step{Parts: 1, Need: smallPart})
--- a/sard/pool/endings.go
+++ b/sard/pool/endings.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// patiencePercent is the share of the time limit on the start of a guaranteed job for which it may wait for running
+	// endWaitPercent is the share of the time limit on the start of a guaranteed job for which it may wait for running
 	// groups to end. The rest is left for stops.
-	patiencePercent = 40
+	endWaitPercent = 40
 	// endMargin is added to the expected end of an attempt, since its worker reports it later.
 	endMargin = 100 * time.Millisecond
 	// maxReportAge is the age of a progress report from which on nothing is expected of it.
@@ -27,8 +27,8 @@
 // less than stopping others would. It reserves the nodes on which they end. A group never waits so long that stops could
 // not make room within the time limit on its start.
 func (r *round) waitForEnds(g *group, stopCost time.Duration) bool {
-	patience := r.patience(g)
-	for _, wait := range []time.Duration{patience / 4, patience / 2, patience} {
+	limit := r.maxEndWait(g)
+	for _, wait := range []time.Duration{limit / 4, limit / 2, limit} {
 		if wait < endMargin {
 			continue
 		}
@@ -48,9 +48,9 @@
 	return false
 }
 
-// patience returns for how much longer a group may wait for running groups to end.
-func (r *round) patience(g *group) time.Duration {
-	limit := r.engine.config.StartLimit * patiencePercent / 100
+// maxEndWait returns for how much longer a group may wait for running groups to end.
+func (r *round) maxEndWait(g *group) time.Duration {
+	limit := r.engine.config.StartLimit * endWaitPercent / 100
 	return limit - r.now.Sub(g.job.acceptedAt)
 }
 
@@ -79,7 +79,7 @@
 		return r.endings
 	}
 	r.endingsKnown = true
-	limit := r.engine.config.StartLimit * patiencePercent / 100
+	limit := r.engine.config.StartLimit * endWaitPercent / 100
 	for _, n := range r.engine.nodes {
 		for p := range n.parts {
 			if p.stopping || p.group.spec().Lasting {
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -79,7 +79,10 @@
 
 // New returns an Engine without jobs or workers.
 func New(config Config) *Engine {
-	e := &Engine{config: config, jobs: map[ident.Job]*job{}, suspects: map[*group]bool{}, nodesByID: map[ident.Worker]*node{}, estimateErrors: map[work.QueueName]*estimateErrors{}}
+	e := &Engine{
+		config: config, jobs: map[ident.Job]*job{}, suspects: map[*group]bool{}, nodesByID: map[ident.Worker]*node{},
+		estimateErrors: map[work.QueueName]*estimateErrors{},
+	}
 	if config.WorkerSpeeds {
 		e.speeds = speed.New()
 	}
--- a/sard/pool/forecast_test.go
+++ b/sard/pool/forecast_test.go
@@ -46,15 +46,15 @@
 			}
 			near := func(d time.Duration) bool { return (d - expected).Abs() <= tolerance }
 			assert.Assert(t, near(h.engine.forecast(g).Typical), "%v", h.engine.forecast(g))
-			assert.Assert(t, near(j.criticalPath()), "%v", j.criticalPath())
+			assert.Assert(t, near(j.expectedPath()), "%v", j.expectedPath())
 			assert.Assert(t, near(h.engine.expectedEnd(g).Sub(h.now)))
 			assert.Assert(t, near((j.objective()-time.Second)/3), "%v", j.objective())
 		})
 	}
 }
 
-// TestRateReplacesForecast checks that a job whose own progress shows how long it takes is judged by that, with slack for its
-// objective.
+// TestRateReplacesForecast checks that a job whose own progress shows how long it takes is judged by that, with slack for
+// its objective.
 func TestRateReplacesForecast(t *testing.T) {
 	h := newRunTimesHarness(t, 2)
 	h.teach(2 * time.Second)
@@ -62,12 +62,12 @@
 	h.progressOn(6*time.Second, func(ident.Job, ident.Worker) float64 { return 5 })
 	j := h.engine.jobs["long"]
 	// The speed that is learned of the two workers from so little work may be off by a seventh.
-	assert.Assert(t, (j.criticalPath()-20*time.Second).Abs() < 3*time.Second, "%v", j.criticalPath())
+	assert.Assert(t, (j.expectedPath()-20*time.Second).Abs() < 3*time.Second, "%v", j.expectedPath())
 	assert.Equal(t, j.urgency(h.now).class, onTimeClass)
 }
 
-// TestDoneStepsLeaveSlack checks that a step that is done counts against a job's slack by the time that it took: what is left
-// is the target less the time for which the next step waited.
+// TestDoneStepsLeaveSlack checks that a step that is done counts against a job's slack by the time that it took: what is
+// left is the target less the time for which the next step waited.
 func TestDoneStepsLeaveSlack(t *testing.T) {
 	h := newRunTimesHarness(t, 2)
 	step := work.Step{Parts: 1, Need: smallPart, Estimate: 10 * time.Second}
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -170,10 +170,10 @@
 	return sum
 }
 
-// criticalPath returns the expected run time of one occurrence with unlimited resources: the sum of the step lengths along
-// the longest chain of dependent steps.
-func (j *job) criticalPath() time.Duration {
-	return j.longestChain(j.stepLength)
+// expectedPath returns the expected run time of one occurrence with unlimited resources: the sum of the step lengths along
+// the longest chain of dependent steps. Unlike CriticalPath, it uses forecasts if there are any.
+func (j *job) expectedPath() time.Duration {
+	return j.LongestChain(j.stepLength)
 }
 
 // stepLength returns how long each group of a step is expected to run.
@@ -188,10 +188,10 @@
 // the whole path.
 func (j *job) remainingPath() time.Duration {
 	if j.lengths == nil {
-		return j.criticalPath()
+		return j.expectedPath()
 	}
 	o := j.currentOccurrence()
-	return j.longestChain(func(step int) time.Duration {
+	return j.LongestChain(func(step int) time.Duration {
 		if o.steps[step].unfinished == 0 {
 			return 0
 		}
@@ -199,22 +199,7 @@
 	})
 }
 
-// longestChain returns the longest sum of step lengths along a chain of dependent steps.
-func (j *job) longestChain(stepLength func(int) time.Duration) time.Duration {
-	length := time.Duration(0)
-	ends := make([]time.Duration, len(j.Steps))
-	for i := range j.Steps {
-		start := time.Duration(0)
-		for _, before := range j.Steps[i].After {
-			start = max(start, ends[before])
-		}
-		ends[i] = start + stepLength(i)
-		length = max(length, ends[i])
-	}
-	return length
-}
-
 // objective returns the time in which an occurrence of the job should complete, counted from its due time.
 func (j *job) objective() time.Duration {
-	return time.Duration(float64(j.criticalPath())*j.settings.Stretch) + j.settings.Target
+	return time.Duration(float64(j.expectedPath())*j.settings.Stretch) + j.settings.Target
 }
--- a/sard/pool/match.go
+++ b/sard/pool/match.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/admit"
 	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -63,7 +64,7 @@
 	objective := g.job.objective()
 	left := objective - r.now.Sub(o.dueAt) - r.engine.timeAfter(o, g.step)
 	if left <= 0 {
-		left += (expiryObjectives - 1) * objective
+		left += (admit.ExpiryObjectives - 1) * objective
 	}
 	return left
 }
--- a/sard/pool/match_test.go
+++ b/sard/pool/match_test.go
@@ -82,7 +82,8 @@
 func TestGangIsSpreadOnlyIfWaitingIsWorse(t *testing.T) {
 	tests := []struct {
 		name string
-		// others is the estimated run time of what occupies all workers of both racks but one, and estimate that of the gang.
+		// others is the estimated run time of what occupies all workers of both racks but one, and estimate that of the
+		// gang.
 		others, estimate time.Duration
 		stretch          float64
 		racks            int
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -16,10 +16,10 @@
 	cost  time.Duration
 }
 
-// reclaim stops groups that g may preempt so that g fits, and reserves their capacity for g. If there is nothing to stop,
-// it places g. A group that no rack can hold, although it should stay on one, gets nodes of several racks. If g would not
-// fit even then, reclaim stops nothing and returns false. With
-// CostOrder, it stops nothing either if it costs less to wait for running groups to end.
+// reclaim stops groups that g may preempt so that g fits, and reserves their capacity for g. If there is nothing to stop, it
+// places g. A group that no rack can hold, although it should stay on one, gets nodes of several racks. If g would not fit
+// even then, reclaim stops nothing and returns false. With CostOrder, it stops nothing either if it costs less to wait for
+// running groups to end.
 func (r *round) reclaim(g *group) bool {
 	step := g.spec()
 	candidates := r.candidates(g)
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -77,7 +77,8 @@
 	held map[*group][]*node
 	// isolated holds the nodes on which only the given suspect may be placed.
 	isolated map[*node]*group
-	// stopCosts caches the cost of stopping placed groups, outlooks what is expected of occurrences, and endings the parts that are expected to end soon.
+	// stopCosts caches the cost of stopping placed groups, outlooks what is expected of occurrences, and endings the parts
+	// that are expected to end soon; endings is valid if endingsKnown is set.
 	stopCosts    map[*group]time.Duration
 	outlooks     map[*occurrence]outlook
 	endings      []expectedEnding
--- a/sard/pool/slowness.go
+++ b/sard/pool/slowness.go
@@ -54,7 +54,7 @@
 		return
 	}
 	if g.progress.steady.known() {
-		n.slowness.record(g, g.pace(now), now)
+		n.slowness.record(g, g.relativeRate(now), now)
 	}
 }
 
@@ -66,8 +66,8 @@
 	return n.slowness.suspected(now)
 }
 
-// pace is how fast a group runs, compared to its own best rate or to the other groups of its step.
-type pace struct {
+// relativeRate is how fast a group runs, compared to its own best rate or to the other groups of its step.
+type relativeRate struct {
 	// ratio is the group's rate divided by the one that it is compared to.
 	ratio float64
 	// since is when the rate became as it is.
@@ -82,18 +82,20 @@
 }
 
 // slow reports whether the group runs slowly.
-func (p *pace) slow() bool {
-	return p.compared && p.ratio < slowRateRatio
+func (r *relativeRate) slow() bool {
+	return r.compared && r.ratio < slowRateRatio
 }
 
-// pace returns how fast the group runs.
-func (g *group) pace(now time.Time) pace {
+// relativeRate returns how fast the group runs.
+func (g *group) relativeRate(now time.Time) relativeRate {
 	steady := &g.progress.steady
 	shared := len(g.currentNodes()) > 1
 	if steady.slowedDown() {
-		return pace{ratio: steady.current() / steady.best, since: steady.slowSince, compared: true, slowedDown: true, shared: shared}
+		return relativeRate{
+			ratio: steady.current() / steady.best, since: steady.slowSince, compared: true, slowedDown: true, shared: shared,
+		}
 	}
-	found := pace{ratio: 1, since: steady.knownSince, shared: shared}
+	found := relativeRate{ratio: 1, since: steady.knownSince, shared: shared}
 	if usual := g.stepState().usualRate(now); usual > 0 {
 		found.ratio, found.compared, found.since = steady.current()/usual, true, g.progress.firstReport
 	}
@@ -138,26 +140,26 @@
 	return rates[len(rates)/2]
 }
 
-// nodeSlowness holds the recent paces of the groups on a node.
+// nodeSlowness holds the recent relative rates of the groups on a node.
 type nodeSlowness struct {
-	byGroup map[*group]observedPace
+	byGroup map[*group]observedRate
 }
 
-// observedPace is the latest pace of a group on a node.
-type observedPace struct {
-	pace
+// observedRate is the latest relative rate of a group on a node.
+type observedRate struct {
+	relativeRate
 	observedAt time.Time
 }
 
-// record stores the pace of a group on the node.
-func (s *nodeSlowness) record(g *group, p pace, now time.Time) {
+// record stores the relative rate of a group on the node.
+func (s *nodeSlowness) record(g *group, r relativeRate, now time.Time) {
 	if s.byGroup == nil {
-		s.byGroup = map[*group]observedPace{}
+		s.byGroup = map[*group]observedRate{}
 	}
-	s.byGroup[g] = observedPace{pace: p, observedAt: now}
+	s.byGroup[g] = observedRate{relativeRate: r, observedAt: now}
 }
 
-// expire forgets the paces that were not observed lately.
+// expire forgets the rates that were not observed lately.
 func (s *nodeSlowness) expire(now time.Time) {
 	for g, observed := range s.byGroup {
 		if now.Sub(observed.observedAt) > observationLifetime {
--- a/sard/pool/urgency.go
+++ b/sard/pool/urgency.go
@@ -4,13 +4,11 @@
 	"cmp"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/admit"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// expiryObjectives is the number of objectives after which a job's result is of no use any more.
-const expiryObjectives = 3
-
 // urgencyClass is the primary sort key of urgency.
 type urgencyClass int
 
@@ -61,7 +59,7 @@
 		u.class = guaranteedClass
 	case slack >= 0:
 		u.class = onTimeClass
-	case slack+(expiryObjectives-1)*objective >= 0:
+	case slack+(admit.ExpiryObjectives-1)*objective >= 0:
 		u.class = lateClass
 	default:
 		u.class = expiredClass
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -36,7 +36,8 @@
 	lastStart   time.Time
 	health      health
 	recentRates rateHistory
-	// slowness holds what the work on the node shows of a temporary problem; it replaces recentRates with run time forecasts.
+	// slowness holds what the work on the node shows of a temporary problem; it replaces recentRates with run time
+	// forecasts.
 	slowness nodeSlowness
 	// logSpeed is the mean logarithm of the worker's speed relative to the other workers, while no temporary problem
 	// slows it down.
--- a/sard/work/job.go
+++ b/sard/work/job.go
@@ -160,6 +160,11 @@
 // CriticalPath returns the estimated run time of one occurrence with unlimited resources: the sum of the step estimates
 // along the longest chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration {
+	return j.LongestChain(func(step int) time.Duration { return j.Steps[step].Estimate })
+}
+
+// LongestChain returns the longest sum of step lengths along a chain of dependent steps.
+func (j *Job) LongestChain(stepLength func(step int) time.Duration) time.Duration {
 	length := time.Duration(0)
 	ends := make([]time.Duration, len(j.Steps))
 	for i := range j.Steps {
@@ -167,7 +172,7 @@
 		for _, before := range j.Steps[i].After {
 			start = max(start, ends[before])
 		}
-		ends[i] = start + j.Steps[i].Estimate
+		ends[i] = start + stepLength(i)
 		length = max(length, ends[i])
 	}
 	return length
