--- a/sard/entry/check_test.go
+++ b/sard/entry/check_test.go
@@ -16,22 +16,22 @@
 	"github.com/sardineline/sardineline/sard/store"
 )
 
-// door is a StoreCheck whose state the test sets.
-type door struct{ closed atomic.Bool }
+// switchedCheck is a StoreCheck whose state the test sets.
+type switchedCheck struct{ closed atomic.Bool }
 
-// Admit fails while the door is closed.
-func (d *door) Admit(string) error {
+// Admit fails while the partition is closed.
+func (d *switchedCheck) Admit(string) error {
 	if d.closed.Load() {
 		return fault.New(fault.Unavailable, "reach", "store", "closed").WithRetryAfter(2 * time.Second)
 	}
 	return nil
 }
 
-// Closed reports whether the door is closed.
-func (d *door) Closed(string) bool { return d.closed.Load() }
+// Closed reports whether the partition is closed.
+func (d *switchedCheck) Closed(string) bool { return d.closed.Load() }
 
-// Await looks every 10 ms whether the door is open.
-func (d *door) Await(ctx context.Context, _ string) bool {
+// Await looks every 10 ms whether the partition serves.
+func (d *switchedCheck) Await(ctx context.Context, _ string) bool {
 	for d.closed.Load() {
 		select {
 		case <-ctx.Done():
@@ -42,15 +42,15 @@
 	return true
 }
 
-// TestClosedStore checks what callers are told, and how soon, when the store is silent and the check closes the door.
+// TestClosedStore checks what callers are told, and how soon, when the store is silent and the check closes the partition.
 func TestClosedStore(t *testing.T) {
 	const soon, closesAfter = 100 * time.Millisecond, 750 * time.Millisecond
 	tests := []struct {
 		name string
-		// link is the state of the link to the store, and closed that of the door, when the call begins.
+		// link is the state of the link to the store, and closed that of the partition, when the call begins.
 		link   func(*link)
 		closed bool
-		// reopensAfter is when the link works again and the door opens; 0 means never.
+		// reopensAfter is when the link works again and the partition serves; 0 means never.
 		reopensAfter time.Duration
 		call         func(*testing.T, *entry.Jobs) error
 		// want is the kind of the error; fault.Internal means none.
@@ -58,26 +58,26 @@
 		within time.Duration
 		stored int
 	}{
-		{"submission at the closed door", func(l *link) { l.dropRequests = true }, true, 0, submit, fault.Unavailable, soon, 0},
-		{"submission under way when the door closes", func(l *link) { l.dropRequests = true }, false, 0, submit, fault.OutcomeUnknown, 1300 * time.Millisecond, 0},
+		{"submission at the closed partition", func(l *link) { l.dropRequests = true }, true, 0, submit, fault.Unavailable, soon, 0},
+		{"submission under way when the partition closes", func(l *link) { l.dropRequests = true }, false, 0, submit, fault.OutcomeUnknown, 1300 * time.Millisecond, 0},
 		{"submission under way, the answer is lost", func(l *link) { l.loseResponses = true }, false, 0, submit, fault.OutcomeUnknown, 1300 * time.Millisecond, 1},
 		{"the store is back in time", func(l *link) { l.dropRequests = true }, false, time.Second, submit, fault.Internal, 1100 * time.Millisecond, 1},
 		{"submitted again after an unknown outcome", func(l *link) { l.loseResponses = true }, false, 0, func(t *testing.T, jobs *entry.Jobs) error {
 			_ = submit(t, jobs)
 			return submit(t, jobs)
 		}, fault.OutcomeUnknown, 1300 * time.Millisecond, 1},
-		{"state at the closed door", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
+		{"state at the closed partition", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
 			_, err := jobs.State(t.Context(), "a", "00000000000000aa")
 			return err
 		}, fault.Unavailable, soon, 0},
-		{"cancellation at the closed door", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
+		{"cancellation at the closed partition", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
 			return jobs.Cancel(t.Context(), "a", "00000000000000aa")
 		}, fault.Unavailable, soon, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				memory, d := &store.Memory{}, &door{}
+				memory, d := &store.Memory{}, &switchedCheck{}
 				l := &link{Store: memory}
 				test.link(l)
 				d.closed.Store(test.closed)
@@ -103,23 +103,23 @@
 	}
 }
 
-// silentWrites is a Store that loses the answers to writes and then closes the door.
+// silentWrites is a Store that loses the answers to writes and then closes the partition.
 type silentWrites struct {
 	store.Store
-	door *door
+	check *switchedCheck
 }
 
 // Apply runs a transaction; its answer is lost.
 func (s *silentWrites) Apply(ctx context.Context, tx store.Tx) (store.Result, error) {
 	_, _ = s.Store.Apply(ctx, tx)
-	s.door.closed.Store(true)
+	s.check.closed.Store(true)
 	return store.Result{}, fault.New(fault.OutcomeUnknown, "apply", "store", "no response")
 }
 
 // TestCancellationMayHaveTakenEffect checks that a cancellation whose write was sent is not said to have done nothing.
 func TestCancellationMayHaveTakenEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		memory, d := &store.Memory{}, &door{}
+		memory, d := &store.Memory{}, &switchedCheck{}
 		assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
 		err := entry.New(entry.Config{Store: &silentWrites{memory, d}, Check: d}).Cancel(t.Context(), "a", "00000000000000aa")
 		assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
@@ -152,17 +152,17 @@
 		name string
 		// repeatAfter is the time from the first submission to its repeat.
 		repeatAfter time.Duration
-		// closed is set if the door closes, and not only the store refuses the repeat.
+		// closed is set if the partition closes, and not only the store refuses the repeat.
 		closed bool
 	}{
-		{"the first one is under way, the door closes", 500 * time.Millisecond, true},
+		{"the first one is under way, the partition closes", 500 * time.Millisecond, true},
 		{"the first one is under way, the store refuses", 500 * time.Millisecond, false},
 		{"the first one ended, the store refuses", 5 * time.Second, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				memory, d := &store.Memory{}, &door{}
+				memory, d := &store.Memory{}, &switchedCheck{}
 				s := &refusingLater{Store: memory}
 				jobs := entry.New(entry.Config{Store: s, Check: d})
 				var first errgroup.Group
--- a/sard/reach/judge.go
+++ b/sard/reach/judge.go
@@ -6,7 +6,7 @@
 // sequence for all scopes that are closed.
 //
 // A pause of the process itself makes scopes suspect, but does not close them, because the probe is sent after the pause.
-// The patience of a probe must leave out the time in which the process can't run.
+// The timeout of a probe must leave out the time in which the process can't run.
 package reach
 
 import (
@@ -71,13 +71,13 @@
 const (
 	// SuspicionDelay is the time without an answer after which a scope is probed. NextProbe must be called then.
 	SuspicionDelay = 400 * time.Millisecond
-	// confirmPatience is how long the probe of a suspect scope waits for its answer. Together with SuspicionDelay it stays
+	// confirmTimeout is how long the probe of a suspect scope waits for its answer. Together with SuspicionDelay it stays
 	// below the time after which callers give a call up, so that an answer they would still take in is not missed.
-	confirmPatience = 350 * time.Millisecond
-	// closedPatience is how long the probe of a closed scope waits, so that a slow store is noticed too.
-	closedPatience = 800 * time.Millisecond
-	// minProbePause and maxProbePause limit the time between probes of closed scopes, which grows with each of them. They are
-	// sent whether or not earlier ones were answered, so that the store's return is noticed after one pause.
+	confirmTimeout = 350 * time.Millisecond
+	// closedTimeout is how long the probe of a closed scope waits, so that a slow store is noticed too.
+	closedTimeout = 800 * time.Millisecond
+	// minProbePause and maxProbePause limit the time between probes of closed scopes, which grows with each of them. They
+	// are sent whether or not earlier ones were answered, so that the store's return is noticed after one pause.
 	minProbePause = 100 * time.Millisecond
 	maxProbePause = 250 * time.Millisecond
 	// quietTime is the time without any answer from which on a store with a closed scope counts as unreachable as a whole.
--- a/sard/reach/judge_test.go
+++ b/sard/reach/judge_test.go
@@ -11,8 +11,8 @@
 
 const (
 	tick = time.Millisecond
-	// callerPatience is how long the caller of a test waits for an answer.
-	callerPatience = 800 * time.Millisecond
+	// callerTimeout is how long the caller of a test waits for an answer.
+	callerTimeout = 800 * time.Millisecond
 	// start is the time at which a simulated run begins.
 	start = clock.Instant(time.Hour)
 )
@@ -52,7 +52,7 @@
 }
 
 // call sends a call to a scope, unless it is refused.
-func (r *run) call(scope Scope, patience time.Duration) {
+func (r *run) call(scope Scope, timeout time.Duration) {
 	at := r.now.Sub(start)
 	a := r.answers(at, scope, r.sent, false)
 	r.sent++
@@ -62,19 +62,19 @@
 		if r.firstRefusal == 0 {
 			r.firstRefusal = at
 		}
-		if a.outcome == Answered && a.after < callerPatience {
+		if a.outcome == Answered && a.after < callerTimeout {
 			r.wronged++
 		}
 		return
 	}
-	r.send(r.judge.Sent(r.now, scope), a, patience)
+	r.send(r.judge.Sent(r.now, scope), a, timeout)
 }
 
-// send adds a call that is given up after patience.
-func (r *run) send(id CallID, a answer, patience time.Duration) {
+// send adds a call that is given up after a timeout.
+func (r *run) send(id CallID, a answer, timeout time.Duration) {
 	p := pending{id: id, endsAt: r.now.Add(a.after), outcome: a.outcome}
-	if a.after >= patience {
-		p = pending{id: id, endsAt: r.now.Add(patience), outcome: Unanswered}
+	if a.after >= timeout {
+		p = pending{id: id, endsAt: r.now.Add(timeout), outcome: Unanswered}
 	}
 	r.pending = append(r.pending, p)
 }
@@ -96,7 +96,7 @@
 		if !due {
 			return
 		}
-		r.send(probe.ID, r.answers(r.now.Sub(start), probe.Scope, r.probes, true), probe.Patience)
+		r.send(probe.ID, r.answers(r.now.Sub(start), probe.Scope, r.probes, true), probe.Timeout)
 		r.probes++
 	}
 }
@@ -107,7 +107,7 @@
 	for at := time.Duration(0); at < length; at += tick {
 		if at%period == 0 {
 			for _, scope := range scopes {
-				r.call(scope, callerPatience)
+				r.call(scope, callerTimeout)
 			}
 		}
 		if at%(600*time.Millisecond) == 0 {
--- a/sard/reach/scope.go
+++ b/sard/reach/scope.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if s.state == Suspect {
-		j.change(now, s, Closed, failureReason(outcome, now.Sub(c.sent) >= confirmPatience), s.since)
+		j.change(now, s, Closed, failureReason(outcome, now.Sub(c.sent) >= confirmTimeout), s.since)
 		j.suspectOthers(now, s)
 	}
 }
@@ -107,8 +107,8 @@
 	Scope Scope
 	// Reason is why the scope is probed.
 	Reason Reason
-	// Patience is how long to wait for the answer.
-	Patience time.Duration
+	// Timeout is how long to wait for the answer.
+	Timeout time.Duration
 }
 
 // NextProbe returns the probe to send now, if any, and else the time until NextProbe shall be called again; 0 means when
@@ -135,9 +135,9 @@
 	j.lastCall++
 	j.calls[j.lastCall] = call{scope: s, sent: now, due: now, probe: true}
 	s.probed, s.lastProbe = true, now
-	p := Probe{ID: j.lastCall, Scope: s.name, Reason: s.reason, Patience: confirmPatience}
+	p := Probe{ID: j.lastCall, Scope: s.name, Reason: s.reason, Timeout: confirmTimeout}
 	if s.state == Closed {
-		p.Patience = closedPatience
+		p.Timeout = closedTimeout
 		j.pause = min(max(2*j.pause, minProbePause), maxProbePause)
 		j.nextProbe = now.Add(j.pause)
 	}
--- a/sard/store/check.go
+++ b/sard/store/check.go
@@ -341,7 +341,7 @@
 	}
 	c.metrics.probes.Inc()
 	var stalls stall.Meter
-	ctx, cancel := stalls.WithTimeout(ctx, probe.Patience)
+	ctx, cancel := stalls.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
 	var metering errgroup.Group
 	metering.Go(func() error { return stalls.Run(ctx) })
