--- a/sard/sched/acks.go
+++ b/sard/sched/acks.go
@@ -7,9 +7,9 @@
 )
 
 // An acknowledgement of ends names no worker process. A process that has started since the last report would discard its own
-// ends with the same sequence numbers, before any report has listed them. So acknowledgements and starts exclude each other: an
-// acknowledgement is sent only when a report has shown which process each start has reached, and starts wait for its response.
-// A later process then has no ends that the acknowledgement could discard.
+// ends with the same sequence numbers, before any report has listed them. So acknowledgements and starts exclude each other:
+// an acknowledgement is sent only when a report has shown which process each start has reached, and starts wait for its
+// response. A later process then has no ends that the acknowledgement could discard.
 
 const (
 	// acksFirstLimit is how long starts wait for an acknowledgement that is due but may not be sent yet.
--- a/sard/sched/crash.go
+++ b/sard/sched/crash.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// countUnseenCrashes counts a possible crash against the parts whose attempts an earlier holder of the scheduler lease recorded
-// for a former process of the worker, except those that the worker reports.
+// countUnseenCrashes counts a possible crash against the parts whose attempts an earlier holder of the scheduler lease
+// recorded for a former process of the worker, except those that the worker reports.
 func (s *Scheduler) countUnseenCrashes(w *session, reported []work.Attempt) {
 	var suspects []work.Attempt
 	for a := range w.attempts {
@@ -85,7 +85,8 @@
 	}
 	s.config.Metrics.crashesCounted.Inc()
 	s.config.Logger.Warn("worker crashed under a part", "part", a.Part, "attempt", a.Number, "worker", process.Worker,
-		"born", process.StartedMs, "evidence", evidence.String(), "crashes", count.Crashes, "possible", count.Possible, "suspects", suspects, "placed_ago_ms", count.SincePlaced.Milliseconds())
+		"born", process.StartedMs, "evidence", evidence.String(), "crashes", count.Crashes, "possible", count.Possible,
+		"suspects", suspects, "placed_ago_ms", count.SincePlaced.Milliseconds())
 	if count.GivenUp {
 		s.config.Metrics.partsGivenUp.Inc()
 		s.config.Logger.Error("part given up, its workers crash", "part", a.Part, "attempt", a.Number, "crashes", count.Crashes)
--- a/sard/sched/handover_test.go
+++ b/sard/sched/handover_test.go
@@ -53,8 +53,8 @@
 	return c.WorkerClient.RenewLease(ctx, o)
 }
 
-// TestPausedHolderStartsNothingTwice guards against parts that run twice, because a lease holder was paused between the check
-// of its lease and a start request, and its successor can't reach that worker.
+// TestPausedHolderStartsNothingTwice guards against parts that run twice, because a lease holder was paused between the
+// check of its lease and a start request, and its successor can't reach that worker.
 func TestPausedHolderStartsNothingTwice(t *testing.T) {
 	for _, pause := range []time.Duration{time.Second, 4 * time.Second, 8 * time.Second, 12 * time.Second, 20 * time.Second} {
 		t.Run(fmt.Sprint(pause), func(t *testing.T) {
--- a/sard/sched/malformed_test.go
+++ b/sard/sched/malformed_test.go
@@ -44,8 +44,8 @@
 	}},
 }
 
-// TestMalformedRecordsStopNoScheduler guards against one malformed job or progress record that ends the process of each lease
-// holder in turn.
+// TestMalformedRecordsStopNoScheduler guards against one malformed job or progress record that ends the process of each
+// lease holder in turn.
 func TestMalformedRecordsStopNoScheduler(t *testing.T) {
 	for _, record := range malformedRecords {
 		t.Run(record.name, func(t *testing.T) {
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -50,33 +50,42 @@
 		partsGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "parts_given_up_total", Help: "Parts whose job failed because their workers crash.",
 		}),
-		jobSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "sardine", Subsystem: "sched", Name: "job_seconds", Help: "Time from the acceptance of a job to its recorded end.",
-			Buckets: prometheus.ExponentialBuckets(0.25, 2, 10),
-		}),
-		recordSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "sardine", Subsystem: "sched", Name: "record_seconds", Help: "Time to record a batch of decisions.",
-			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
-		}),
-		decideSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "sardine", Subsystem: "sched", Name: "decide_seconds", Help: "Time that a decision takes.",
-			Buckets: prometheus.ExponentialBuckets(0.0001, 4, 8),
-		}),
 		pool: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "pool", Help: "What the pool holds; meaningful while holding.",
 		}, []string{"of"}),
 		speeds:  newSpeedsGauge(),
 		choices: newCounterVec("placements_total", "Groups placed by the learned speeds of workers.", "choice"),
 		expectedWait: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: "sardine", Subsystem: "sched", Name: "expected_wait_seconds", Help: "Least wait of work without a deadline; meaningful while holding.",
+			Namespace: "sardine", Subsystem: "sched", Name: "expected_wait_seconds",
+			Help: "Least wait of work without a deadline; meaningful while holding.",
 		}, []string{"service"}),
 	}
+	m.addHistograms()
 	if registerer != nil {
-		registerer.MustRegister(m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted, m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.speeds, m.choices, m.expectedWait)
+		registerer.MustRegister(
+			m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted,
+			m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.speeds, m.choices, m.expectedWait,
+		)
 	}
 	return m
 }
 
+// addHistograms creates the histograms of durations.
+func (m *Metrics) addHistograms() {
+	m.jobSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "sardine", Subsystem: "sched", Name: "job_seconds", Help: "Time from the acceptance of a job to its recorded end.",
+		Buckets: prometheus.ExponentialBuckets(0.25, 2, 10),
+	})
+	m.recordSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "sardine", Subsystem: "sched", Name: "record_seconds", Help: "Time to record a batch of decisions.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+	})
+	m.decideSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "sardine", Subsystem: "sched", Name: "decide_seconds", Help: "Time that a decision takes.",
+		Buckets: prometheus.ExponentialBuckets(0.0001, 4, 8),
+	})
+}
+
 // newCounterVec returns a counter of the scheduler with a single label.
 func newCounterVec(name, help, label string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "sardine", Subsystem: "sched", Name: name, Help: help}, []string{label})
--- a/sard/sched/progress.go
+++ b/sard/sched/progress.go
@@ -2,7 +2,8 @@
 
 import "github.com/sardineline/sardineline/sard/pool"
 
-// progressFields returns the fields of a log line that tell how far an attempt got that is stopped, and why slow work is moved.
+// progressFields returns the fields of a log line that tell how far an attempt got that is stopped, and why slow work is
+// moved.
 func progressFields(stop pool.Stop) []any {
 	p := stop.Progress
 	if !stop.Reason.OfMove() {
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -124,8 +124,8 @@
 }
 
 // renewalMargin returns how much longer the timeout of a lease renewal is than the time by which the worker may delay its
-// response. A worker that is only slow must not lose its parts; one without parts, or whose lease is about to expire, is given
-// up sooner.
+// response. A worker that is only slow must not lose its parts; one without parts, or whose lease is about to expire, is
+// given up sooner.
 func (w *session) renewalMargin(busy bool) time.Duration {
 	if !w.slow || !busy {
 		return renewalMargin
--- a/sard/sched/takeover_test.go
+++ b/sard/sched/takeover_test.go
@@ -26,8 +26,8 @@
 	return 0
 }
 
-// TestLearnedStateIsKept checks that the holder keeps what it has learned in the store, at most once in two seconds, that the
-// next holder goes on from it, and that nothing is written while nothing ends.
+// TestLearnedStateIsKept checks that the holder keeps what it has learned in the store, at most once in two seconds, that
+// the next holder goes on from it, and that nothing is written while nothing ends.
 func TestLearnedStateIsKept(t *testing.T) {
 	runTest(t, 4, func(r *harness) {
 		r.runTimes = true
