--- a/sard/fcast/moments.go
+++ b/sard/fcast/moments.go
@@ -13,8 +13,8 @@
 	// variance; minLimit is the least such limit.
 	maxDeviations = 2.5
 	minLimit      = 0.4
-	// narrowWeight is the weight, in samples, of what is known of the wider kind.
-	narrowWeight = 4
+	// widerWeight is the weight, in samples, of what is known of the wider kind.
+	widerWeight = 4
 )
 
 // moments is a mean and a variance in which old samples fade and single ones far from the rest count little.
@@ -48,7 +48,7 @@
 	isTail := 0.0
 	if deviation > tailDeviation {
 		isTail = 1
-		t.excess += max(step, 1.0/narrowWeight) * (deviation - t.excess)
+		t.excess += max(step, 1.0/widerWeight) * (deviation - t.excess)
 	}
 	t.share += step * (isTail - t.share)
 }
@@ -65,7 +65,7 @@
 	if m.weight <= 0 {
 		return b
 	}
-	prior := float64(narrowWeight)
+	prior := float64(widerWeight)
 	total := m.weight + prior
 	mean := (m.weight*m.mean + prior*b.mean) / total
 	if !b.known {
--- a/sard/lint/diff.go
+++ b/sard/lint/diff.go
@@ -12,7 +12,7 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// ChangeKind tells how an entry differs between two versions, the gravest kind first.
+// ChangeKind tells how an entry differs between two versions.
 type ChangeKind int
 
 // Kinds of changes. Removed entries come first, since they cut callers off.
--- a/sard/policy/source_test.go
+++ b/sard/policy/source_test.go
@@ -278,8 +278,8 @@
 	})
 }
 
-// TestRestartedProcessUsesNoFormerConfiguration guards against keys that were withdrawn and are in use again after a restart: a
-// process has no configuration until it has read the newest one.
+// TestRestartedProcessUsesNoFormerConfiguration guards against keys that were withdrawn and are in use again after a
+// restart: a process has no configuration until it has read the newest one.
 func TestRestartedProcessUsesNoFormerConfiguration(t *testing.T) {
 	runWithSource(t, func(h *harness) {
 		h.put("2")
--- a/sard/speed/speed.go
+++ b/sard/speed/speed.go
@@ -79,7 +79,8 @@
 	// suspected is a sample that was far off and is taken into account only if the next one agrees with it.
 	suspected    float64
 	hasSuspected bool
-	at           time.Time
+	// at is the time of the last sample.
+	at time.Time
 }
 
 // Model holds what is known of the speeds of all workers. It is not safe for concurrent use.
--- a/sardctl/causes.go
+++ b/sardctl/causes.go
@@ -178,8 +178,8 @@
 	}
 }
 
-// recordLostWork counts an interruption of a part, and adds the work since the start of the attempt to the lost work. The work
-// may be saved by a checkpoint.
+// recordLostWork counts an interruption of a part, and adds the work since the start of the attempt to the lost work. The
+// work may be saved by a checkpoint.
 func (h *logHistory) recordLostWork(j *jobHistory, key attemptKey, reason string, at time.Time, saved bool) {
 	j.interruptions[reason]++
 	started, ok := j.attemptStarts[key]
