Say what the parts of a load summary and the count of learned ends are

LearnedEnds counts all groups that have succeeded, not only those that something was learned from. Units and two fields of the load summary had no comment. Comments only.

--- a/sard/admit/summary.go
+++ b/sard/admit/summary.go
@@ -32,19 +32,21 @@
 	// Running is the rest of the work that runs, and TypicalRun the mean run time of the groups that wait.
 	Running    Amount
 	TypicalRun time.Duration
-	Waiting    []Backlog `cbor:",omitempty"`
+	// Waiting holds the work that waits, by client account and priority.
+	Waiting []Backlog `cbor:",omitempty"`
 }
 
-// Backlog is the waiting work of a client account that has a priority.
+// Backlog is the waiting work of one client account and priority.
 type Backlog struct {
 	Account  ident.Account
 	Priority work.Priority
-	Parts    int
+	// Parts is the number of its parts.
+	Parts int
 	// BySlack holds the work by the slack of its jobs, as slackClass classifies it. It leaves out jobs that will be late.
 	BySlack [slackClasses]Amount
 }
 
-// Amount is work in units of a resource held for a second.
+// Amount is work: each resource, in the unit that it has in work.Resources, times the seconds for which it is held.
 type Amount struct {
 	_                         struct{} `cbor:",toarray"`
 	CPU, Memory, Accelerators float32
--- a/sard/pool/forecast_test.go
+++ b/sard/pool/forecast_test.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// TestForecastReplacesWrongEstimates checks that what reads run times goes by those of the queue, once they are known, for
-// estimates that are far off either way, and by the estimates without the setting.
+// TestForecastReplacesWrongEstimates checks that forecasts, and what is derived from them, follow the run times of the queue
+// once they are known, however far off the estimates are, and that the estimates are used as they are without the setting.
 func TestForecastReplacesWrongEstimates(t *testing.T) {
 	const usual = 4 * time.Second
 	tests := []struct {
--- a/sard/pool/learned.go
+++ b/sard/pool/learned.go
@@ -37,7 +37,7 @@
 	l.Speeds.Entries = l.Speeds.Entries[:len(l.Speeds.Entries)/2]
 }
 
-// LearnedEnds returns the number of ended groups that something was learned from.
+// LearnedEnds returns the number of groups that have succeeded, by which a caller can tell how much of Learned is new.
 func (e *Engine) LearnedEnds() uint64 {
 	return e.learnedEnds
 }
--- a/sard/pool/speed.go
+++ b/sard/pool/speed.go
@@ -66,6 +66,7 @@
 
 // classifySpeed returns the worker's speed class relative to other workers.
 func (n *node) classifySpeed() speedClass {
+	// The deviation is 0 without Config.WorkerSpeeds.
 	if n.known.Deviation > 0 && !n.known.Known() {
 		return normalSpeed
 	}
