--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -43,10 +43,7 @@
 
 // runPlatform runs the subcommand platform, an entry instance on the users' platform, and returns the exit code.
 func runPlatform(args []string) int {
-	var s platformSettings
-	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "sardined " + platformCommand
-	_, err := parser.ParseArgs(args)
+	s, err := parsePlatformArgs(args)
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
 		_, _ = os.Stdout.WriteString(help.Message + "\n")
@@ -56,12 +53,27 @@
 		_, _ = os.Stderr.WriteString(err.Error() + "\n")
 		return exitBadSettings
 	}
-	if s.Settings == "" {
-		s.Settings = os.Getenv(conf.SettingsPathEnv)
-	}
 	if s.Check {
 		return checkPlatformSettings(s.Settings)
 	}
+	return servePlatform(s)
+}
+
+// parsePlatformArgs returns the settings in the arguments and the environment. Its error is a flags.Error; of type
+// flags.ErrHelp if help was asked for.
+func parsePlatformArgs(args []string) (platformSettings, error) {
+	var s platformSettings
+	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "sardined " + platformCommand
+	_, err := parser.ParseArgs(args)
+	if s.Settings == "" {
+		s.Settings = os.Getenv(conf.SettingsPathEnv)
+	}
+	return s, err
+}
+
+// servePlatform runs an entry instance until it is told to end, and returns the exit code.
+func servePlatform(s platformSettings) int {
 	logWriter := logs.NewWriter(os.Stdout)
 	writerCtx, stopWriter := context.WithCancel(context.Background())
 	var writer errgroup.Group
