--- a/sard/fcast/fcast_test.go
+++ b/sard/fcast/fcast_test.go
@@ -141,7 +141,7 @@
 	assert.Assert(t, m.kinds[kindA] != nil)
 }
 
-// TestSnapshotRestores checks that a restored model forecasts the same, and that nonsense is left out.
+// TestSnapshotRestores checks that a restored model forecasts the same, and that impossible values are left out.
 func TestSnapshotRestores(t *testing.T) {
 	m, restored := New(), New()
 	for i := range 50 {
--- a/sard/pool/forecast.go
+++ b/sard/pool/forecast.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/fcast"
@@ -134,8 +133,7 @@
 	if len(shown) < min(len(s.groups), minComparedParts) {
 		return e.forecast(s.groups[0]).Typical
 	}
-	slices.Sort(shown)
-	return shown[len(shown)/2]
+	return medianOf(shown)
 }
 
 // shownLengths returns how long the groups of the step take, as far as that has shown.
--- a/sard/pool/pace.go
+++ b/sard/pool/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
@@ -173,8 +172,7 @@
 	if len(paces) < minComparedParts {
 		return
 	}
-	slices.Sort(paces)
-	median := paces[len(paces)/2]
+	median := medianOf(paces)
 	e.recordForecastError(s, median)
 	for _, g := range s.groups {
 		if p := &g.paceSample; p.measured && !p.counted {
--- a/sard/pool/slowness.go
+++ b/sard/pool/slowness.go
@@ -1,9 +1,6 @@
 package pool
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// minSlowGroups is the number of groups that must be slower than others of their steps on a worker at once, since a
@@ -136,8 +133,7 @@
 	if len(rates) < minComparedParts || len(nodes) < minSiblingNodes {
 		return 0
 	}
-	slices.Sort(rates)
-	return rates[len(rates)/2]
+	return medianOf(rates)
 }
 
 // nodeSlowness holds the recent relative rates of the groups on a node.
--- a/sard/pool/speed.go
+++ b/sard/pool/speed.go
@@ -119,6 +119,12 @@
 	return found
 }
 
+// medianOf sorts values, of which there must be one, and returns their median; of an even number, the higher middle one.
+func medianOf[T cmp.Ordered](values []T) T {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
 // compareRunTimes derives speed samples from the run times of a step's parts once all have ended. The parts share one
 // estimate, so its error cancels out. It is not used with Config.WorkerSpeeds.
 func (s *stepState) compareRunTimes() {
@@ -131,8 +137,7 @@
 	if len(logRunTimes) < minComparedParts {
 		return
 	}
-	slices.Sort(logRunTimes)
-	median := logRunTimes[len(logRunTimes)/2]
+	median := medianOf(logRunTimes)
 	for _, g := range s.groups {
 		if sample := median - math.Log(g.runTime.Seconds()); g.runTime > 0 && math.Abs(sample) < outlierThreshold {
 			addSpeedSample(g.ranOn, sample, 1)
