Keep the start times of sixteen former processes of a worker at most

Change: the latest sixteen are kept. Measured: TestStartTimeGoesBack and the tests of late requests as before.

--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -13,11 +13,15 @@
 // silentLimit is how long a worker may leave requests without a response before it gets no new parts.
 const silentLimit = 1500 * time.Millisecond
 
+// maxFormerStarts is how many start times of former processes of a worker are kept. Its list entry lags behind by a few
+// processes at most.
+const maxFormerStarts = 16
+
 // session is what the scheduler knows about a worker process, its lease and its attempts.
 type session struct {
 	entry  ListedWorker
 	client WorkerClient
-	// formerStartsMs holds the start times of the worker's former processes.
+	// formerStartsMs holds the start times of the latest former processes of the worker, at most maxFormerStarts.
 	formerStartsMs []int64
 	// listed indicates that the platform's list contains the worker.
 	listed bool
@@ -221,7 +225,7 @@
 	next := s.newSession(entry)
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
-	next.formerStartsMs = append(w.formerStartsMs, w.entry.StartedMs)
+	next.formerStartsMs = append(w.formerStartsMs[max(0, len(w.formerStartsMs)+1-maxFormerStarts):], w.entry.StartedMs)
 	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
 }
