Refusals for want of room hold for earlier submissions too

Cause: 429 says that a job never runs, but another instance may have sent the same submission to the store, of unknown outcome; its write could take effect after the refusal (found by the review). Change: a refusal is stored at the job's key, as submissions of unknown outcome are settled; a job that is there is accepted. Measured: TestRefusalHoldsForEarlierSubmissions; the call it tests did not exist before.

--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -177,6 +177,16 @@
 	return decoded.Job.Account, false, nil
 }
 
+// Refuse stores a refusal of a job, so that no earlier submission with its ID takes effect any more, at whatever instance it
+// was made. It returns false if the job has been accepted already. A later submission may still use the ID.
+func (j *Jobs) Refuse(ctx context.Context, job *work.Job) (refused bool, err error) {
+	err = j.storeRefusal(ctx, job)
+	if fault.Is(err, fault.Unavailable) {
+		return true, nil
+	}
+	return false, err
+}
+
 // storeRefusal resolves a submission of unknown outcome. It stores a refusal under the job's ID, after which the
 // submission can't take effect any more.
 func (j *Jobs) storeRefusal(ctx context.Context, job *work.Job) error {
--- a/sard/entry/resubmit_test.go
+++ b/sard/entry/resubmit_test.go
@@ -145,3 +145,24 @@
 		assert.Equal(t, storedJobs(t, memory), 1)
 	})
 }
+
+// TestRefusalHoldsForEarlierSubmissions guards against a job that is refused, and said never to run, while the write of an
+// earlier submission at another instance is still under way.
+func TestRefusalHoldsForEarlierSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := &store.Memory{}
+		late := &link{Store: memory, delay: 5 * time.Second}
+		first := submit(t, entry.New(entry.Config{Store: late}))
+		assert.Assert(t, fault.Is(first, fault.OutcomeUnknown), "%v", first)
+		jobs := entry.New(entry.Config{Store: memory})
+		refused, err := jobs.Refuse(t.Context(), &work.Job{ID: "00000000000000aa", Account: "a"})
+		assert.NilError(t, err)
+		assert.Assert(t, refused)
+		assert.NilError(t, late.late.Wait())
+		assert.Equal(t, storedJobs(t, memory), 0)
+		assert.NilError(t, submit(t, jobs))
+		refused, err = jobs.Refuse(t.Context(), &work.Job{ID: "00000000000000aa", Account: "a"})
+		assert.NilError(t, err)
+		assert.Assert(t, !refused)
+	})
+}
