--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -38,6 +38,9 @@
 	RunTimes bool
 	// WorkerSpeeds switches on placement by the learned speeds of workers.
 	WorkerSpeeds bool
+	// MinSpeedRacks is the number of racks from which on WorkerSpeeds has an effect on placement. In a smaller pool, gangs
+	// need the racks that happen to be empty.
+	MinSpeedRacks int
 	// CostOrder makes the engine delay and stop the work whose delay costs callers least.
 	CostOrder bool
 	// StartLimit is the time limit on the start of a guaranteed job that its account's guarantee covers.
--- a/sard/pool/match.go
+++ b/sard/pool/match.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/admit"
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/speed"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -69,9 +70,27 @@
 	return left
 }
 
+// placesBySpeed reports whether the speeds of workers are taken into account: with Config.WorkerSpeeds, in a pool of
+// Config.MinSpeedRacks racks or more.
+func (e *Engine) placesBySpeed() bool {
+	if e.speeds == nil {
+		return false
+	}
+	racks := map[ident.Rack]bool{}
+	for _, n := range e.nodes {
+		if len(racks) >= e.config.MinSpeedRacks {
+			break
+		}
+		if n.Accepting {
+			racks[n.Rack] = true
+		}
+	}
+	return len(racks) >= e.config.MinSpeedRacks
+}
+
 // nodeBands returns the band of each node, or nil if speeds are not taken into account.
 func (e *Engine) nodeBands() []speed.Band {
-	if e.speeds == nil {
+	if !e.placesBySpeed() {
 		return nil
 	}
 	bands := make([]speed.Band, len(e.nodes))
@@ -196,7 +215,7 @@
 // explorableNodes returns the nodes that a single part may explore: their speed is unknown, and no part is running there
 // that will tell it.
 func (e *Engine) explorableNodes() []bool {
-	if e.speeds == nil {
+	if !e.placesBySpeed() {
 		return nil
 	}
 	explorable := make([]bool, len(e.nodes))
--- a/sard/pool/match_test.go
+++ b/sard/pool/match_test.go
@@ -109,3 +109,16 @@
 		})
 	}
 }
+
+// TestSmallPoolIsPackedTightly checks that speeds have no effect on placement in a pool with fewer racks than configured.
+func TestSmallPoolIsPackedTightly(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		racks int
+		want  bool
+	}{{"as many racks as configured", 2, true}, {"fewer", 3, false}} {
+		h := newSpeedHarness(t, 16)
+		h.engine.config.MinSpeedRacks = test.racks
+		assert.Equal(t, h.engine.placesBySpeed(), test.want, test.name)
+	}
+}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -85,6 +85,8 @@
 	RunTimes bool
 	// WorkerSpeeds switches on placement by the learned speeds of workers.
 	WorkerSpeeds bool
+	// MinSpeedRacks is the number of racks from which on work is placed by the speeds of workers.
+	MinSpeedRacks int
 	// Admission switches on the summary of the pool's load by which instances refuse submissions.
 	Admission bool
 	// Announce tells all instances of the pool's load; nil announces nothing.
@@ -186,7 +188,7 @@
 	s.config.Metrics.setHolding(true)
 	defer s.config.Metrics.setHolding(false)
 	s.engine = pool.New(pool.Config{
-		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds,
+		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds, MinSpeedRacks: config.MinSpeedRacks,
 		CostOrder: config.Admission, StartLimit: config.StartLimit,
 	})
 	group.Go(func() error { return s.stalls.Run(ctx) })
--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -30,10 +30,11 @@
 
 // poolSettings are the flags that switch on optional features of the pool.
 type poolSettings struct {
-	RunTimes     bool `long:"run-times" env:"RUN_TIMES" description:"forecast run times from work that has ended; without it, the submitters' estimates are used as they are"`
-	WorkerSpeeds bool `long:"worker-speeds" env:"WORKER_SPEEDS" description:"place work by the learned speeds of workers"`
-	Admission    bool `long:"admission" env:"ADMISSION" description:"while there is too little room, refuse the submissions whose refusal costs callers least"`
-	StoreCheck   bool `long:"store-check" env:"STORE_CHECK" description:"refuse submissions at once while the store is known not to answer"`
+	RunTimes      bool `long:"run-times" env:"RUN_TIMES" description:"forecast run times from work that has ended; without it, the submitters' estimates are used as they are"`
+	WorkerSpeeds  bool `long:"worker-speeds" env:"WORKER_SPEEDS" description:"place work by the learned speeds of workers"`
+	MinSpeedRacks int  `long:"worker-speeds-min-racks" env:"WORKER_SPEEDS_MIN_RACKS" default:"12" description:"number of racks from which on work is placed by the speeds of workers; in a smaller pool, gangs need the racks that happen to be empty"`
+	Admission     bool `long:"admission" env:"ADMISSION" description:"while there is too little room, refuse the submissions whose refusal costs callers least"`
+	StoreCheck    bool `long:"store-check" env:"STORE_CHECK" description:"refuse submissions at once while the store is known not to answer"`
 }
 
 // features converts the flags.
