--- a/sardsoak/main.go
+++ b/sardsoak/main.go
@@ -31,7 +31,7 @@
 	Instances     int           `long:"instances" env:"SARDSOAK_INSTANCES" default:"5" description:"Entry instances, each a process."`
 	Workers       int           `long:"workers" env:"SARDSOAK_WORKERS" default:"16" description:"Workers of 8 accelerators."`
 	Jobs          float64       `long:"jobs" env:"SARDSOAK_JOBS" default:"2.5" description:"Jobs a second."`
-	Features      []string      `long:"feature" env:"SARDSOAK_FEATURES" env-delim:"," default:"run-times" default:"worker-speeds" default:"admission" default:"store-check" description:"Optional feature of the pool that the daemon switches on; may be repeated."`
+	Features      []string      `long:"feature" env:"SARDSOAK_FEATURES" env-delim:"," default:"run-times" default:"worker-speeds" default:"worker-speeds-min-racks=1" default:"admission" default:"store-check" description:"Optional feature of the pool that the daemon switches on; may be repeated."`
 	FaultInterval time.Duration `long:"trouble-every" env:"SARDSOAK_TROUBLE_EVERY" default:"1500ms" description:"Mean time between the starts of two faults; 0 for no faults."`
 	Untimed       bool          `long:"untimed" env:"SARDSOAK_UNTIMED" description:"Don't check invariants with a time limit; for overloaded machines."`
 	Keep          bool          `long:"keep" env:"SARDSOAK_KEEP" description:"Keep the logs of seeds without violations too."`
--- a/sardsoak/play/run_test.go
+++ b/sardsoak/play/run_test.go
@@ -21,7 +21,7 @@
 	assert.NilError(t, err, string(out))
 	report, err := Run(context.Background(), Config{
 		Seed: 1, Duration: 8 * time.Second, Program: program, Dir: dir, Instances: 3, Workers: 8,
-		Features:      []string{"--pool.run-times", "--pool.worker-speeds", "--pool.admission", "--pool.store-check"},
+		Features:      []string{"--pool.run-times", "--pool.worker-speeds", "--pool.worker-speeds-min-racks=1", "--pool.admission", "--pool.store-check"},
 		JobsPerSecond: 2, FaultInterval: time.Second, Logger: hclog.NewNullLogger(),
 	})
 	assert.NilError(t, err)
