Count the racks of a pool once a round

Cause: each round asked twice whether work is placed by speed, which counts racks in a map. Change: the round asks once; bands and explorable nodes are computed together. Measured: tests of sard/pool pass; no behaviour changes.

--- a/sard/pool/match.go
+++ b/sard/pool/match.go
@@ -88,11 +88,8 @@
 	return len(racks) >= e.config.MinSpeedRacks
 }
 
-// nodeBands returns the band of each node, or nil if speeds are not taken into account.
+// nodeBands returns the band of each node.
 func (e *Engine) nodeBands() []speed.Band {
-	if !e.placesBySpeed() {
-		return nil
-	}
 	bands := make([]speed.Band, len(e.nodes))
 	for i, n := range e.nodes {
 		bands[i] = n.known.Band()
@@ -215,9 +212,6 @@
 // explorableNodes returns the nodes that a single part may explore: their speed is unknown, and no part is running there
 // that will tell it.
 func (e *Engine) explorableNodes() []bool {
-	if !e.placesBySpeed() {
-		return nil
-	}
 	explorable := make([]bool, len(e.nodes))
 	budget := len(e.nodes)/exploredShare + 1
 	for _, n := range e.nodes {
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -150,7 +150,9 @@
 	for i, n := range e.nodes {
 		r.speeds[i], r.slow[i] = n.classifySpeed(), e.slowNow(n, now)
 	}
-	r.bands, r.explorable = e.nodeBands(), e.explorableNodes()
+	if e.placesBySpeed() {
+		r.bands, r.explorable = e.nodeBands(), e.explorableNodes()
+	}
 	r.headroom = e.headroomNodes(now)
 	r.isolated = e.isolatedNodes(now)
 	return r
