Refuse says whether a refusal was stored, and submissions call it

Cause: Refuse told a stored refusal from other results by the kind of an error that storeRefusal had just made for its other caller, in two places. Change: one function returns whether the refusal was stored; the submission makes its own error of it, with the same text. Measured: tests of sard/entry with the race detector and of platform/front pass; no behaviour changes.

--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -84,7 +84,11 @@
 		// A refusal could not be stored either, and the caller has time left for another instance.
 		return false, fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
 	}
-	return false, j.storeRefusal(ctx, job)
+	refused, err := j.Refuse(ctx, job)
+	if refused {
+		return false, fault.New(fault.Unavailable, "submit", "store", "no answer in time; the id %s was refused", job.ID)
+	}
+	return false, err
 }
 
 // submitContext returns a context that is limited to submitPercent of the remaining time.
@@ -180,16 +184,6 @@
 // Refuse stores a refusal of a job, so that no earlier submission with its ID takes effect any more, at whatever instance it
 // was made. It returns false if the job has been accepted already. A later submission may still use the ID.
 func (j *Jobs) Refuse(ctx context.Context, job *work.Job) (refused bool, err error) {
-	err = j.storeRefusal(ctx, job)
-	if fault.Is(err, fault.Unavailable) {
-		return true, nil
-	}
-	return false, err
-}
-
-// storeRefusal resolves a submission of unknown outcome. It stores a refusal under the job's ID, after which the
-// submission can't take effect any more.
-func (j *Jobs) storeRefusal(ctx context.Context, job *work.Job) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-replyTime))
@@ -197,7 +191,7 @@
 	}
 	value, err := work.Encode(work.JobRow{Refused: true})
 	if err != nil {
-		return err
+		return false, err
 	}
 	tx := store.Tx{
 		Preconditions: []store.Precondition{{Key: work.JobKey(job.ID)}},
@@ -209,14 +203,11 @@
 		return err
 	})
 	if err == nil {
-		return fault.New(fault.Unavailable, "submit", "store", "no answer in time; the id %s was refused", job.ID)
+		return true, nil
 	}
 	if !fault.Is(err, fault.Conflict) {
-		return fault.Wrap(err, fault.OutcomeUnknown, "settle submission", "store")
+		return false, fault.Wrap(err, fault.OutcomeUnknown, "settle submission", "store")
 	}
 	accepted, _, err := j.findExisting(result.Current, job)
-	if err != nil || accepted {
-		return err
-	}
-	return fault.New(fault.Unavailable, "submit", "store", "no answer in time; the id %s was refused", job.ID)
+	return err == nil && !accepted, err
 }
