Messages on a document repeat excerpts of its values

Cause: 'sardctl check -' on a binary file, and on any long value, key or duration, printed all of it: the messages quoted the value whole.

--- a/sard/envdoc/check.go
+++ b/sard/envdoc/check.go
@@ -73,7 +73,7 @@
 		field := fmt.Sprintf("Accounts[%d]", i)
 		c.checkName(field+".Name", string(a.Name))
 		if first, ok := seen[a.Name]; ok && a.Name != "" {
-			c.addProblem(field+".Name", fmt.Sprintf("%q is already used by %s", a.Name, first))
+			c.addProblem(field+".Name", fmt.Sprintf("%s is already used by %s", quote(string(a.Name)), first))
 		} else {
 			seen[a.Name] = field
 		}
@@ -107,7 +107,7 @@
 		field := fmt.Sprintf("Routes[%d]", i)
 		c.checkName(field+".Name", string(r.Name))
 		if first, ok := names[r.Name]; ok && r.Name != "" {
-			c.addProblem(field+".Name", fmt.Sprintf("%q is already used by %s", r.Name, first))
+			c.addProblem(field+".Name", fmt.Sprintf("%s is already used by %s", quote(string(r.Name)), first))
 		} else {
 			names[r.Name] = field
 		}
@@ -126,7 +126,7 @@
 		return
 	}
 	if first, ok := seen[urlPath]; ok {
-		c.addProblem(field, fmt.Sprintf("%q is already used by %s", urlPath, first))
+		c.addProblem(field, fmt.Sprintf("%s is already used by %s", quote(urlPath), first))
 		return
 	}
 	seen[urlPath] = route
@@ -143,7 +143,7 @@
 // checkName adds a problem unless name matches namePattern.
 func (c checker) checkName(field, name string) {
 	if !namePattern.MatchString(name) {
-		c.addProblem(field, fmt.Sprintf("%q is not a valid name: use 1 to 63 characters from a-z, 0-9 and -, and start and end with a letter or digit", name))
+		c.addProblem(field, quote(name)+" is not a valid name: use 1 to 63 characters from a-z, 0-9 and -, and start and end with a letter or digit")
 	}
 }
 
--- a/sard/envdoc/decode.go
+++ b/sard/envdoc/decode.go
@@ -99,7 +99,7 @@
 	seen := map[string]bool{}
 	for it := mapping.MapRange(); it.Next(); {
 		key := keyText(it.Key())
-		keyPath := joinPath(path, key)
+		keyPath := joinPath(path, excerpt(key))
 		keyPosition := positionOf(it.Key())
 		field := v.FieldByName(key)
 		switch {
@@ -136,7 +136,7 @@
 		return
 	}
 	if err := u.UnmarshalText([]byte(text)); err != nil {
-		d.addProblemAt(positionOf(node), path, err.Error())
+		d.addProblemAt(positionOf(node), path, excerpt(err.Error()))
 	}
 }
 
--- a/sard/envdoc/node.go
+++ b/sard/envdoc/node.go
@@ -1,7 +1,6 @@
 package envdoc
 
 import (
-	"fmt"
 	"math"
 	"reflect"
 	"strings"
@@ -81,7 +80,7 @@
 	case ast.ArrayNode:
 		return "a list"
 	}
-	return fmt.Sprintf("%q", node.String())
+	return quote(node.String())
 }
 
 // fieldNames lists the field names of a struct type.
--- a/sard/envdoc/parse_test.go
+++ b/sard/envdoc/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -75,6 +76,30 @@
 	}
 }
 
+// TestMessagesRepeatExcerpts guards against messages that repeat a whole input, such as a binary file.
+func TestMessagesRepeatExcerpts(t *testing.T) {
+	long := strings.Repeat("x", 1<<16)
+	tests := []struct{ name, text string }{
+		{"not a document", "a\x00\x01" + long},
+		{"control characters", strings.Repeat("\x00", 1<<16)},
+		{"name", "Accounts:\n- Name: " + long},
+		{"repeated names", "Accounts:\n- Name: " + long + "\n- Name: " + long},
+		{"unknown key", long + ": 1"},
+		{"number", "Accounts:\n- Weight: " + long},
+		{"duration", minimalDocument + "Limits: {CheckpointGrace: " + long + "}"},
+		{"class", minimalDocument + "Routes:\n- {Name: a, Path: /x, Class: " + long + "}"},
+		{"path", minimalDocument + "Routes:\n- {Name: a, Path: /" + long + "}\n- {Name: b, Path: /" + long + "}"},
+		{"syntax", "Accounts: {" + long},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, _, _, err := envdoc.Parse([]byte(tt.text))
+			assert.Assert(t, err != nil)
+			assert.Assert(t, len(err.Error()) < 2000, "%d bytes", len(err.Error()))
+		})
+	}
+}
+
 func TestDigestIgnoresFormatting(t *testing.T) {
 	_, canonical, want, err := envdoc.Parse([]byte(minimalDocument))
 	assert.NilError(t, err)
