The rows of refused submissions are deleted once they are no longer needed

Cause: a refusal is stored under the ID of its job, so that no earlier submission takes effect late; nothing deleted it, so each refusal cost a row of the store for good (listed as open in docs/design/admission.md). Change: the lease holder deletes refusals that are older than the retention of ended jobs, in batches of one shard, each on the condition that the row is still that refusal.

--- a/sard/sched/cleanup.go
+++ b/sard/sched/cleanup.go
@@ -74,7 +74,9 @@
 		s.deleteRows(ctx, cleanupResult{shard: shard, keys: keys})
 		return
 	}
-	s.pruneEndedJobs(ctx)
+	if s.pruneEndedJobs(ctx); !c.running {
+		s.deleteRefusals(ctx)
+	}
 }
 
 // pruneEndedJobs deletes the records of ended jobs that have been kept long enough, for one shard. It deletes the
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -91,6 +91,8 @@
 		s.handleLearned(ev)
 	case cleanupResult:
 		s.handleCleanup(ev)
+	case refusalsDeleted:
+		s.handleRefusalsDeleted(ev)
 	}
 }
 
@@ -111,6 +113,7 @@
 	id := ident.Job(row.Key.Name)
 	if row.Deleted {
 		delete(s.jobVersions, id)
+		delete(s.refusals, id)
 		return
 	}
 	if s.jobVersions[id] >= row.Version {
@@ -122,6 +125,7 @@
 		s.config.Logger.Error("job record not decoded, job ignored", "job", row.Key.Name, "error", err)
 		return
 	}
+	s.refusals.update(row, record.Refused, s.config.JobRetention)
 	if record.Refused || record.Job == nil {
 		return
 	}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -147,6 +147,8 @@
 	// ended holds the ended jobs, with the time until which their records are kept.
 	ended   map[ident.Job]time.Time
 	cleaner cleaner
+	// refusals holds the refused submissions whose rows are in the store.
+	refusals refusals
 	// jobVersions holds the version of the last processed row of each job.
 	jobVersions map[ident.Job]store.Version
 	events      chan event
@@ -174,6 +176,7 @@
 		latestStartedMs: map[ident.Worker]int64{},
 		ended:           map[ident.Job]time.Time{},
 		cleaner:         cleaner{waitingRows: map[string][]store.Key{}, scheduled: map[ident.Job]bool{}},
+		refusals:        refusals{},
 		jobVersions:     map[ident.Job]store.Version{},
 		events:          make(chan event, eventBuffer),
 		group:           group,
