sardined reports errors in its arguments in one place

Cause: the instance and its subcommand each had the same lines for help texts and bad arguments. Change: reportParseError, called by both; no change of behaviour.

--- a/sardined/main.go
+++ b/sardined/main.go
@@ -52,14 +52,8 @@
 // run parses the settings, runs an instance and returns the exit code.
 func run(args []string) int {
 	s, err := parseSettings(args)
-	var help *flags.Error
-	if errors.As(err, &help) && help.Type == flags.ErrHelp {
-		_, _ = os.Stdout.WriteString(help.Message + "\n")
-		return exitOK
-	}
 	if err != nil {
-		_, _ = os.Stderr.WriteString(err.Error() + "\n")
-		return exitBadSettings
+		return reportParseError(err)
 	}
 	if s.Version {
 		_, _ = os.Stdout.WriteString("sardined " + version + "\n")
@@ -87,3 +81,15 @@
 	}
 	return d.run(ctx)
 }
+
+// reportParseError prints the help text if it was asked for, and otherwise the error in the arguments. It returns the exit
+// code.
+func reportParseError(err error) int {
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		_, _ = os.Stdout.WriteString(help.Message + "\n")
+		return exitOK
+	}
+	_, _ = os.Stderr.WriteString(err.Error() + "\n")
+	return exitBadSettings
+}
--- a/sardined/platform.go
+++ b/sardined/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -45,14 +44,8 @@
 // runPlatform runs the subcommand platform, an entry instance on the users' platform, and returns the exit code.
 func runPlatform(args []string) int {
 	s, err := parsePlatformArgs(args)
-	var help *flags.Error
-	if errors.As(err, &help) && help.Type == flags.ErrHelp {
-		_, _ = os.Stdout.WriteString(help.Message + "\n")
-		return exitOK
-	}
 	if err != nil {
-		_, _ = os.Stderr.WriteString(err.Error() + "\n")
-		return exitBadSettings
+		return reportParseError(err)
 	}
 	if s.Check {
 		return checkPlatformSettings(s.Settings)
