Log and count what the store did for each call of a client

Cause: a question for a job's state that ends late shows one duration. Change: each call to the store is noted in a trace in the call's context, with its end as an enum.

--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -46,6 +46,7 @@
 
 // New returns Jobs that use the configured store.
 func New(config Config) *Jobs {
+	config.Store = tracedStore{config.Store}
 	return &Jobs{config: config}
 }
 
