Repeat a read that goes unanswered for 400 ms beside the first one

Cause: reads of one question were sent one after the other, and each held the question for 800 ms before it was given up and repeated. Change: a read without an answer after 400 ms is sent once more while the first one goes on; the first answer counts. A slow store (up to 400 ms) gets no more reads than before.

--- /dev/null
+++ b/sard/entry/read_test.go
@@ -0,0 +1,85 @@
+package entry_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/entry"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
+)
+
+// slowReads is a Store whose first reads are never answered, and the others after a delay.
+type slowReads struct {
+	store.Store
+	silent int64
+	delay  time.Duration
+	reads  atomic.Int64
+}
+
+// List returns the rows of a range, or waits for the end of ctx.
+func (s *slowReads) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	delay := s.delay
+	if s.reads.Add(1) <= s.silent {
+		delay = time.Hour
+	}
+	select {
+	case <-time.After(delay):
+		return s.Store.List(ctx, r)
+	case <-ctx.Done():
+		return store.Listing{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "read rows", "store")
+	}
+}
+
+// storedJob is the job that submit stores.
+const storedJob ident.Job = "00000000000000aa"
+
+// TestUnansweredReadIsRepeated guards against questions about a job that are answered late because the store leaves some of
+// the reads unanswered, and against needless reads (issue 36).
+func TestUnansweredReadIsRepeated(t *testing.T) {
+	state := func(ctx context.Context, jobs *entry.Jobs) error {
+		state, err := jobs.State(ctx, "a", storedJob)
+		assert.Check(t, err != nil || state == ident.Queued)
+		return err
+	}
+	cancelJob := func(ctx context.Context, jobs *entry.Jobs) error { return jobs.Cancel(ctx, "a", storedJob) }
+	tests := []struct {
+		name string
+		// silent is the number of reads that are not answered, and delay the time in which the others are.
+		silent int64
+		delay  time.Duration
+		call   func(context.Context, *entry.Jobs) error
+		within time.Duration
+		// most is the number of reads.
+		most int64
+	}{
+		{"all reads are answered", 0, 0, state, 0, 2},
+		{"the store is slow", 0, 270 * time.Millisecond, state, 540 * time.Millisecond, 2},
+		{"the store is very slow", 0, 600 * time.Millisecond, state, 1200 * time.Millisecond, 4},
+		{"one read is not answered", 1, 0, state, 500 * time.Millisecond, 3},
+		{"three reads are not answered", 3, 0, state, 1300 * time.Millisecond, 5},
+		{"one read of a cancellation is not answered", 1, 0, cancelJob, 500 * time.Millisecond, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := &store.Memory{}
+				assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
+				reads := &slowReads{Store: memory, silent: test.silent, delay: test.delay}
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				started := time.Now()
+				err := test.call(ctx, entry.New(entry.Config{Store: reads}))
+				assert.Check(t, time.Since(started) <= test.within, "took %v", time.Since(started))
+				assert.Check(t, err)
+				assert.Check(t, reads.reads.Load() <= test.most, "%d reads", reads.reads.Load())
+			})
+		})
+	}
+}
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -5,7 +5,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/store"
@@ -106,7 +105,7 @@
 	counts := make([]int, len(work.Shards()))
 	for i, shard := range work.Shards() {
 		group.Go(func() error {
-			listing, err := j.listWithRetry(ctx, work.WaitRange(shard, queue))
+			listing, err := j.list(ctx, work.WaitRange(shard, queue))
 			counts[i] = len(listing.Rows)
 			return err
 		})
@@ -121,7 +120,7 @@
 
 // readProgress reads a job's recorded progress, or nil if there is none.
 func (j *Jobs) readProgress(ctx context.Context, id ident.Job) (*work.Progress, error) {
-	listing, err := j.listWithRetry(ctx, store.KeyRange(work.ProgressKey(id)))
+	listing, err := j.list(ctx, store.KeyRange(work.ProgressKey(id)))
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, err
 	}
@@ -134,7 +133,7 @@
 
 // readOpenJob reads a job that has not ended, with the version of its row. It returns nil if there is no such job.
 func (j *Jobs) readOpenJob(ctx context.Context, id ident.Job) (*work.Job, store.Version, error) {
-	listing, err := j.listWithRetry(ctx, store.KeyRange(work.JobKey(id)))
+	listing, err := j.list(ctx, store.KeyRange(work.JobKey(id)))
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, 0, err
 	}
@@ -147,22 +146,3 @@
 	}
 	return decoded.Job, listing.Rows[0].Version, nil
 }
-
-// listWithRetry reads a range and retries until ctx is cancelled, which is safe because reads have no side effects. It
-// fails at once while the partition is closed.
-func (j *Jobs) listWithRetry(ctx context.Context, r store.Range) (store.Listing, error) {
-	for {
-		if err := j.admit(r.Partition); err != nil {
-			return store.Listing{}, err
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := j.config.Store.List(callCtx, r)
-		cancel()
-		if err == nil || fault.Is(err, fault.Invalid) {
-			return listing, err
-		}
-		if !clock.Sleep(ctx, retryDelay) {
-			return listing, err
-		}
-	}
-}
