Spend half of a caller's time on a question, and then answer 503

Callers saw: an instance that got no answer from the store held a question for a job's state for all the time that the caller waits (3 s), and then answered 504. Cause: reads were repeated until the caller's deadline. Change: states and counts of waiting jobs get half of the caller's remaining time, cancellations six tenths, as submissions do. A question without an answer gets 503 with Retry-After, as it changes nothing; the outcome of a cancellation stays unknown (504). Measured: TestQuestionIsNotHeld: 1.5 s and 1.8 s in place of 3 s; its cases failed before.

--- a/sard/entry/check.go
+++ b/sard/entry/check.go
@@ -51,7 +51,7 @@
 	shard := work.ShardOf(id)
 	err := j.config.Check.AdmitCreation(shard)
 	if fault.Is(err, fault.OutcomeUnknown) {
-		ctx, cancel := j.submitContext(ctx)
+		ctx, cancel := limitTime(ctx, submitPercent)
 		defer cancel()
 		if j.config.Check.Await(ctx, shard) {
 			return nil
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -21,8 +21,8 @@
 	callTimeout = 800 * time.Millisecond
 	// retryDelay is the wait after a failed call to the store.
 	retryDelay = 50 * time.Millisecond
-	// submitPercent is the percentage of the caller's remaining time that is spent on a submission. If its outcome is
-	// still unknown after that, it is refused.
+	// submitPercent is the percentage of the caller's remaining time that is spent on a submission or a cancellation. If the
+	// outcome of a submission is still unknown after that, it is refused.
 	submitPercent = 60
 	// replyTime is the part of the caller's time that is reserved for sending the reply.
 	replyTime = 150 * time.Millisecond
@@ -68,7 +68,7 @@
 
 // submit stores a job, or a refusal if the outcome remains unknown. It reports whether it left the store as it was.
 func (j *Jobs) submit(ctx context.Context, job *work.Job) (untouched bool, err error) {
-	submitCtx, cancel := j.submitContext(ctx)
+	submitCtx, cancel := limitTime(ctx, submitPercent)
 	defer cancel()
 	attempts := 0
 	err = j.retryUntilKnown(submitCtx, work.ShardOf(job.ID), func(ctx context.Context) error {
@@ -92,16 +92,6 @@
 	return false, err
 }
 
-// submitContext returns a context that is limited to submitPercent of the remaining time.
-func (j *Jobs) submitContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
-	}
-	left := time.Until(deadline)
-	return context.WithTimeout(ctx, left*submitPercent/100)
-}
-
 // retryUntilKnown repeats a call to a partition until its outcome is known, ctx is cancelled or the partition has been
 // closed for some time.
 func (j *Jobs) retryUntilKnown(ctx context.Context, partition string, call func(context.Context) error) error {
--- a/sard/entry/read.go
+++ b/sard/entry/read.go
@@ -11,8 +11,30 @@
 	"github.com/sardineline/sardineline/sard/store"
 )
 
-// hedgeDelay is the time without an answer after which a read is sent once more, while the first one goes on.
-const hedgeDelay = 400 * time.Millisecond
+const (
+	// questionPercent is the percentage of the caller's remaining time that is spent on a question. After that, its caller
+	// has time left for another instance.
+	questionPercent = 50
+	// hedgeDelay is the time without an answer after which a read is sent once more, while the first one goes on.
+	hedgeDelay = 400 * time.Millisecond
+)
+
+// limitTime returns a context that is limited to a percentage of the remaining time.
+func limitTime(ctx context.Context, percent int) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)*time.Duration(percent)/100)
+}
+
+// withoutAnswer returns the error of a question. One that the store did not answer has changed nothing and may be repeated.
+func withoutAnswer(err error) error {
+	if fault.Is(err, fault.OutcomeUnknown) {
+		return fault.Wrap(err, fault.Unavailable, "answer question", "store")
+	}
+	return err
+}
 
 // listing is the result of a read.
 type listing struct {
--- a/sard/entry/read_test.go
+++ b/sard/entry/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -83,3 +84,40 @@
 		})
 	}
 }
+
+// TestQuestionIsNotHeld guards against calls of clients that wait for 3 s that one instance holds until nobody waits any
+// more, because the store answers none of its reads, so that no other instance can be asked (issue 36).
+func TestQuestionIsNotHeld(t *testing.T) {
+	tests := []struct {
+		name   string
+		call   func(context.Context, *entry.Jobs) error
+		want   fault.Kind
+		within time.Duration
+	}{
+		{"state", func(ctx context.Context, jobs *entry.Jobs) error {
+			_, err := jobs.State(ctx, "a", storedJob)
+			return err
+		}, fault.Unavailable, 1500 * time.Millisecond},
+		{"count of waiting jobs", func(ctx context.Context, jobs *entry.Jobs) error {
+			_, err := jobs.CountWaiting(ctx, "claims")
+			return err
+		}, fault.Unavailable, 1500 * time.Millisecond},
+		{
+			"cancellation", func(ctx context.Context, jobs *entry.Jobs) error { return jobs.Cancel(ctx, "a", storedJob) },
+			fault.OutcomeUnknown, 1800 * time.Millisecond,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reads := &slowReads{Store: &store.Memory{}, silent: math.MaxInt64}
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				started := time.Now()
+				err := test.call(ctx, entry.New(entry.Config{Store: reads}))
+				assert.Check(t, fault.Is(err, test.want), "%v", err)
+				assert.Check(t, time.Since(started) <= test.within, "took %v", time.Since(started))
+			})
+		})
+	}
+}
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -14,6 +14,14 @@
 // State returns the state of a job. It fails with NotFound if the job does not exist and with Denied if it belongs to
 // another account. An empty account may access all jobs.
 func (j *Jobs) State(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+	ctx, cancel := limitTime(ctx, questionPercent)
+	defer cancel()
+	state, err := j.readState(ctx, account, id)
+	return state, withoutAnswer(err)
+}
+
+// readState is State without a limit for the time.
+func (j *Jobs) readState(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
 	progress, err := j.readProgress(ctx, id)
 	if err != nil {
 		return 0, err
@@ -58,6 +66,8 @@
 // Cancel marks a job that has not ended as cancelled, so that the scheduler stops its parts and starts no others. It
 // fails with NotFound if the job does not exist.
 func (j *Jobs) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
+	ctx, cancel := limitTime(ctx, submitPercent)
+	defer cancel()
 	sent := false
 	return j.retryUntilKnown(ctx, work.ShardOf(id), func(ctx context.Context) error {
 		job, version, err := j.readOpenJob(ctx, id)
@@ -101,6 +111,8 @@
 
 // CountWaiting returns the number of a queue's accepted jobs of which no part was started.
 func (j *Jobs) CountWaiting(ctx context.Context, queue work.QueueName) (int, error) {
+	ctx, cancel := limitTime(ctx, questionPercent)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	counts := make([]int, len(work.Shards()))
 	for i, shard := range work.Shards() {
@@ -115,7 +127,7 @@
 	for _, count := range counts {
 		sum += count
 	}
-	return sum, err
+	return sum, withoutAnswer(err)
 }
 
 // readProgress reads a job's recorded progress, or nil if there is none.
