--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -5,7 +5,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/store"
@@ -15,6 +14,14 @@
 // State returns the state of a job. It fails with NotFound if the job does not exist and with Denied if it belongs to
 // another account. An empty account may access all jobs.
 func (j *Jobs) State(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+	ctx, cancel := limitTime(ctx, questionPercent)
+	defer cancel()
+	state, err := j.readState(ctx, account, id)
+	return state, withoutAnswer(err)
+}
+
+// readState is State without a limit for the time.
+func (j *Jobs) readState(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
 	progress, err := j.readProgress(ctx, id)
 	if err != nil {
 		return 0, err
@@ -59,6 +66,8 @@
 // Cancel marks a job that has not ended as cancelled, so that the scheduler stops its parts and starts no others. It
 // fails with NotFound if the job does not exist.
 func (j *Jobs) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
+	ctx, cancel := limitTime(ctx, submitPercent)
+	defer cancel()
 	sent := false
 	return j.retryUntilKnown(ctx, work.ShardOf(id), func(ctx context.Context) error {
 		job, version, err := j.readOpenJob(ctx, id)
@@ -102,11 +111,13 @@
 
 // CountWaiting returns the number of a queue's accepted jobs of which no part was started.
 func (j *Jobs) CountWaiting(ctx context.Context, queue work.QueueName) (int, error) {
+	ctx, cancel := limitTime(ctx, questionPercent)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	counts := make([]int, len(work.Shards()))
 	for i, shard := range work.Shards() {
 		group.Go(func() error {
-			listing, err := j.listWithRetry(ctx, work.WaitRange(shard, queue))
+			listing, err := j.list(ctx, work.WaitRange(shard, queue))
 			counts[i] = len(listing.Rows)
 			return err
 		})
@@ -116,12 +127,12 @@
 	for _, count := range counts {
 		sum += count
 	}
-	return sum, err
+	return sum, withoutAnswer(err)
 }
 
 // readProgress reads a job's recorded progress, or nil if there is none.
 func (j *Jobs) readProgress(ctx context.Context, id ident.Job) (*work.Progress, error) {
-	listing, err := j.listWithRetry(ctx, store.KeyRange(work.ProgressKey(id)))
+	listing, err := j.list(ctx, store.KeyRange(work.ProgressKey(id)))
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, err
 	}
@@ -134,7 +145,7 @@
 
 // readOpenJob reads a job that has not ended, with the version of its row. It returns nil if there is no such job.
 func (j *Jobs) readOpenJob(ctx context.Context, id ident.Job) (*work.Job, store.Version, error) {
-	listing, err := j.listWithRetry(ctx, store.KeyRange(work.JobKey(id)))
+	listing, err := j.list(ctx, store.KeyRange(work.JobKey(id)))
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, 0, err
 	}
@@ -147,22 +158,3 @@
 	}
 	return decoded.Job, listing.Rows[0].Version, nil
 }
-
-// listWithRetry reads a range and retries until ctx is cancelled, which is safe because reads have no side effects. It
-// fails at once while the partition is closed.
-func (j *Jobs) listWithRetry(ctx context.Context, r store.Range) (store.Listing, error) {
-	for {
-		if err := j.admit(r.Partition); err != nil {
-			return store.Listing{}, err
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := j.config.Store.List(callCtx, r)
-		cancel()
-		if err == nil || fault.Is(err, fault.Invalid) {
-			return listing, err
-		}
-		if !clock.Sleep(ctx, retryDelay) {
-			return listing, err
-		}
-	}
-}
