Lost reads of the table don't delay the next poll in sard/config

A poll of the table's head that got no answer was waited for until its timeout of 2 s, and the next poll began only an interval (1.2 to 1.8 s) after that.

A poll now starts each interval, while at most one other is pending; so the table sees no more reads than with answers.

--- a/sard/config/poll.go
+++ b/sard/config/poll.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/table"
@@ -18,6 +20,8 @@
 	minPollInterval = 1500 * time.Millisecond
 	// pollTimeout bounds one read of the head of the table.
 	pollTimeout = 2 * time.Second
+	// maxPendingPolls bounds the polls of one instance that are pending at the same time.
+	maxPendingPolls = 2
 	// jitterFraction is the maximum deviation of a jittered interval, as a fraction of the interval.
 	jitterFraction = 0.2
 )
@@ -32,10 +36,22 @@
 	return time.Duration(float64(d) * (1 - jitterFraction + 2*jitterFraction*rand.Float64()))
 }
 
-// pollLoop polls the head of the table at once and then periodically until ctx is done.
+// pollLoop polls the head of the table at once and then periodically until ctx is done. A poll that is still pending does
+// not delay the next one, since its request may have been lost.
 func (a *Agent) pollLoop(ctx context.Context) error {
-	a.poll(ctx)
-	return runPeriodically(ctx, func() time.Duration { return pollInterval(a.membership().Listed) }, a.poll)
+	var group errgroup.Group
+	group.SetLimit(maxPendingPolls)
+	start := func(ctx context.Context) {
+		group.TryGo(func() error {
+			a.poll(ctx)
+			return nil
+		})
+	}
+	start(ctx)
+	if err := runPeriodically(ctx, func() time.Duration { return pollInterval(a.membership().Listed) }, start); err != nil {
+		return err
+	}
+	return group.Wait()
 }
 
 // runPeriodically calls f after each jittered interval until ctx is done, and then returns nil.
--- a/sard/config/propagation_test.go
+++ b/sard/config/propagation_test.go
@@ -162,6 +162,29 @@
 	})
 }
 
+// A read of the table that gets no answer must not delay the next one: the table was back for over two seconds before an
+// instance became ready.
+func TestLostReadDoesNotDelayNextPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1)
+		defer c.stop()
+		_, err := c.propose(0, 1)
+		assert.NilError(t, err)
+		c.cutAllFromTable()
+		time.Sleep(time.Minute)
+		agent := c.currentNodes()[0].agent
+		for reads := agent.Counts().HeadReads; agent.Counts().HeadReads == reads; {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// The next read has begun by then, and is lost.
+		time.Sleep(1900 * time.Millisecond)
+		assert.Equal(t, c.readyCount(1), 0)
+		c.heal()
+		time.Sleep(propagationLimit9)
+		assert.Equal(t, c.readyCount(1), 1)
+	})
+}
+
 // If the network is partitioned when a document is written, its acceptance must not be reported, since the majority
 // still runs the earlier version. The document must come into force everywhere after the partition heals.
 func TestPartitionDuringAcceptance(t *testing.T) {
