Workers without new parts and attempts without a result are counted by reason

Neither logs nor metrics told it: what bars a worker was one expression of six conditions, and an attempt that waits for a start, a stop, a report or the expiry of a lease looked like one that runs. What the engine sees of a worker follows from the same reason. No decision changes.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -53,6 +53,8 @@
 	startInFlight bool
 	// stopPending indicates that a stop request is queued or in flight.
 	stopPending bool
+	// wait is what the attempt waits for.
+	wait wait[orderWait]
 }
 
 // session returns the session with a worker process, or nil.
@@ -249,7 +251,7 @@
 		s.lease.MarkLost()
 		return
 	case Unwell, NoRoom, OtherLife:
-		s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+		s.suspend(w)
 	}
 	if state.startsSent > 1 {
 		s.startRetryRefused(state, ev.attempt, refusal.Cause)
@@ -279,7 +281,7 @@
 // have started it.
 func (s *Scheduler) startUndelivered(w *session, ev startResult) {
 	s.config.Logger.Warn("start not delivered", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(), "error", ev.err)
-	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+	s.suspend(w)
 	delete(w.attempts, ev.attempt)
 	s.engine.AttemptEnded(ev.attempt, pool.Refused, "", time.Now())
 }
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -26,6 +26,7 @@
 	speeds          *prometheus.GaugeVec
 	expectedWait    *prometheus.GaugeVec
 	learned         learnedMetrics
+	waits           waitMetrics
 	choices         *prometheus.CounterVec
 }
 
@@ -33,6 +34,7 @@
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		learned: newLearnedMetrics(registerer),
+		waits:   newWaitMetrics(registerer),
 		holding: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "holding", Help: "1 while the instance holds the scheduler lease.",
 		}),
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -140,6 +140,7 @@
 	evacuations *policy.Evacuations
 	// stalls measures for how long this process could not run.
 	stalls stall.Meter
+	waits  waits
 	// loadedProgress holds the progress records read at the start, until their jobs are added to the engine.
 	loadedProgress map[ident.Job]*work.Progress
 	// latestStartedMs holds the start time of the latest process of each worker in the progress records.
@@ -250,6 +251,7 @@
 	}
 	s.sendCommands(ctx)
 	s.reportSummary()
+	s.reportWaits()
 	s.announceLoad()
 	return nil
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -77,6 +77,10 @@
 	flight   *flight
 	// unexpected is the number of running attempts that the engine does not account for on this worker.
 	unexpected int
+	// suspendedUntil is until when a refused or undelivered start keeps new parts away.
+	suspendedUntil clock.Instant
+	// bar is why the worker gets no new parts.
+	bar wait[barReason]
 }
 
 // id returns the name of the worker.
@@ -225,6 +229,7 @@
 	next := s.newSession(entry)
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
+	next.bar = w.bar
 	next.formerStartsMs = append(w.formerStartsMs[max(0, len(w.formerStartsMs)+1-maxFormerStarts):], w.entry.StartedMs)
 	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
@@ -243,14 +248,19 @@
 	s.countCrashIfReplaced(w)
 }
 
-// engineView returns the worker as it is passed to the engine. It accepts new parts only while it is listed and
-// responds, is not lost, runs no unexpected attempts, and its data centre is not being evacuated.
+// engineView returns the worker as it is passed to the engine.
 func (s *Scheduler) engineView(w *session) pool.Worker {
 	view := w.entry.Worker
-	view.Accepting = s.listedForStarts(w) && w.fenced && !w.lost && w.unexpected == 0 && !w.silent()
+	view.Accepting = s.barred(w) == noBar
 	return view
 }
 
+// suspend places no new parts on a worker for a while.
+func (s *Scheduler) suspend(w *session) {
+	w.suspendedUntil = clock.Now().Add(unwellSuspension)
+	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+}
+
 // listedForStarts reports whether the worker is listed as accepting new parts, in a data centre that is not being evacuated.
 func (s *Scheduler) listedForStarts(w *session) bool {
 	return w.listed && w.entry.Accepting && !s.evacuated(w)
