A worker that refuses to report counts as silent, and its lease runs out

What was seen: parts counted as running for good, and new ones were placed on the worker, while it answered each lease renewal with 429 or 503. Cause: a refused renewal was neither a response nor a missing one. The worker never counted as silent, each further renewal was taken to extend its lease, and so nothing ended the parts of which no report told; a worker that only fails part of its calls (503) is the usual case. Change: after 1.5 s of refused renewals the worker gets no new parts and its lease is not taken to be extended; the parts are started elsewhere once it has certainly expired. A worker that reports in between keeps them, since each renewal of the first 1.5 s still asks for a longer lease. Tests: TestRefusedRenewalsEndTheLease failed before for each cause ("w1 is Running, want Succeeded, after 13s"); TestSomeRefusedRenewalsEndNothing passed before too.

--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// expired reports whether the worker does not respond and its lease has certainly expired.
+// expired reports whether the worker does not report and its lease has certainly expired.
 func (w *session) expired(now clock.Instant) bool {
-	return (w.unanswered || !w.fenced) && !w.renewing && !now.Before(w.leaseExpiry) && !now.Before(w.certainExpiry())
+	return (w.unreported() || !w.fenced) && !w.renewing && !now.Before(w.leaseExpiry) && !now.Before(w.certainExpiry())
 }
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -65,7 +65,7 @@
 	if !busy && w.departed(now) {
 		return
 	}
-	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered && !w.lost {
+	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered && w.refusedSince == clock.Never && !w.lost {
 		return
 	}
 	if w.awaitsStartBeforeAck() {
@@ -96,19 +96,19 @@
 }
 
 // sendRenewal sends a lease renewal in the background. It extends the lease if the worker is busy or has not been
-// contacted yet, unless the last renewal got no response.
+// contacted yet, unless the last renewal got no report.
 func (s *Scheduler) sendRenewal(ctx context.Context, w *session, busy bool) {
 	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: s.lease.Epoch()}
 	if w.ackDue() && w.mayAcknowledge() {
 		req.AckedEnd = w.confirmedEnd
 		w.acknowledging = true
 	}
-	if (busy || !w.fenced) && !w.unanswered {
+	if (busy || !w.fenced) && !w.unreported() {
 		req.Deadline = s.extendLease(w)
 	}
 	// A renewal that waits acknowledges no ends, because it may reach a later process of the worker, whose end
 	// sequence starts again from 1.
-	if busy && w.fenced && w.seenEnd == w.ackedEnd && !w.unanswered && !w.slow {
+	if busy && w.fenced && w.seenEnd == w.ackedEnd && !w.unanswered && w.refusedSince == clock.Never && !w.slow {
 		req.MaxWait = s.maxRenewalWait()
 	}
 	timeout := req.MaxWait + w.renewalMargin(busy)
@@ -154,7 +154,7 @@
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
 	w.lastReport, w.failedAt, w.failureUndated = clock.Now(), clock.Never, false
-	w.otherAnswered = false
+	w.otherAnswered, w.refusedSince = false, clock.Never
 	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
 	if first {
 		s.countUnseenCrashes(w, ev.report.attempts())
@@ -198,10 +198,21 @@
 		s.lease.MarkLost()
 	case OtherLife:
 		s.otherLifeResponded(w, refusal.Reply.StartedMs)
+	default:
+		s.reportRefused(w)
 	}
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 }
 
+// reportRefused records that a worker runs but refuses to tell what runs on it. Its parts go on until their lease expires, as
+// those of a silent worker.
+func (s *Scheduler) reportRefused(w *session) {
+	if w.refusedSince == clock.Never {
+		w.refusedSince = clock.Now()
+	}
+	s.engine.SetWorker(s.engineView(w))
+}
+
 // otherLifeResponded handles a response of another worker process at a worker's address, which started at startedMs if that
 // isn't 0. If it does not tell that it is a later process of the worker, the worker itself has not responded.
 func (s *Scheduler) otherLifeResponded(w *session, startedMs int64) {
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -48,6 +48,8 @@
 	// unanswered indicates that the last lease renewal got no response, and no other request got one since.
 	unanswered bool
 	lastAnswer clock.Instant
+	// refusedSince is since when the worker has refused all lease renewals; Never if it has responded to the last one.
+	refusedSince clock.Instant
 	// slow indicates that the last lease renewal timed out, or took longer than renewalMargin after one that did.
 	slow bool
 	// lastReport is when the worker process last sent a report.
@@ -98,14 +100,14 @@
 }
 
 // extendLease returns the deadline of a worker's lease to send with a request, and updates when the lease expires. It
-// extends nothing if the last renewal got no response. It returns 0 if the worker's clock is unknown.
+// extends nothing if the last renewal got no report. It returns 0 if the worker's clock is unknown.
 func (s *Scheduler) extendLease(w *session) WorkerClock {
 	now := w.workerNow()
 	if now == 0 {
 		return 0
 	}
 	w.nextProcessExpiry = clock.Now().Add(requestTimeout + s.maxLeaseDuration())
-	if w.unanswered {
+	if w.unreported() {
 		// A request that may not have arrived must not change the expiry of the lease.
 		return w.deadline
 	}
@@ -266,7 +268,18 @@
 	return w.listed && w.entry.Accepting && !s.evacuated(w)
 }
 
-// silent reports whether the worker has left requests without a response for longer than silentLimit.
+// silent reports whether the worker has left requests without a response, or refused to report, for longer than silentLimit.
 func (w *session) silent() bool {
-	return w.unanswered && clock.Since(w.lastAnswer) > silentLimit
+	return w.unanswered && clock.Since(w.lastAnswer) > silentLimit || w.refusesReports()
+}
+
+// refusesReports reports whether the worker has refused all lease renewals for longer than silentLimit. Nothing tells what
+// runs on it.
+func (w *session) refusesReports() bool {
+	return w.refusedSince != clock.Never && clock.Since(w.refusedSince) > silentLimit
+}
+
+// unreported reports whether the worker's lease is not to be extended until it reports again.
+func (w *session) unreported() bool {
+	return w.unanswered || w.refusesReports()
 }
--- a/sard/sched/waits.go
+++ b/sard/sched/waits.go
@@ -32,7 +32,7 @@
 	lostWorker
 	// unexpectedParts means that the worker runs attempts that are not accounted for on it.
 	unexpectedParts
-	// silentWorker means that the worker leaves requests without a response.
+	// silentWorker means that the worker leaves requests without a response, or refuses to report.
 	silentWorker
 	// refusedStart means that the worker has refused a start, or that a start did not reach it.
 	refusedStart
@@ -55,7 +55,7 @@
 	stopWait
 	// reportWait means that the worker has confirmed the stop and that no report has shown the end since.
 	reportWait
-	// leaseWait means that the worker does not respond, and that its lease has not expired.
+	// leaseWait means that the worker does not report, and that its lease has not expired.
 	leaseWait
 	// orderWaits is the number of values.
 	orderWaits
@@ -156,7 +156,7 @@
 		return recordWait
 	case s.engine.ShouldRun(a, w.id()) && state.startConfirmed != clock.Never:
 		return noWait
-	case w.unanswered:
+	case w.unreported():
 		return leaseWait
 	case state.startQueued || state.startInFlight:
 		return startWait
--- /dev/null
+++ b/sard/sched/waits_test.go
@@ -0,0 +1,114 @@
+package sched_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/fakes"
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/sched"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// deafClient is a client of a worker. The worker wa may be deaf to some kinds of requests.
+type deafClient struct {
+	sched.WorkerClient
+	*deafness
+}
+
+// deafness tells which requests the worker wa does not execute, for its clients.
+type deafness struct {
+	// starts and stops make these requests time out before they are executed.
+	starts, stops atomic.Bool
+	// cause, if set, is the cause with which the worker refuses its lease renewals but for each accepted-th.
+	cause             atomic.Pointer[sched.Cause]
+	accepted, renewal atomic.Int64
+}
+
+// deafen makes the instances use clients of which that of the worker wa may be deaf.
+func (r *harness) deafen() *deafness {
+	r.disturbed.Store(true)
+	d := &deafness{}
+	r.wrapClient = func(c sched.WorkerClient) sched.WorkerClient { return &deafClient{c, d} }
+	return d
+}
+
+// hold blocks until ctx ends if the request is one for the worker wa that it is deaf to.
+func hold(ctx context.Context, worker work.WorkerProcess, deaf *atomic.Bool) error {
+	if worker.Worker != "wa" || !deaf.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", "wa")
+}
+
+// Start sends a start request.
+func (c *deafClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
+	if err := hold(ctx, o.Worker, &c.starts); err != nil {
+		return sched.Reply{}, err
+	}
+	return c.WorkerClient.Start(ctx, o)
+}
+
+// Stop sends a stop request.
+func (c *deafClient) Stop(ctx context.Context, o sched.StopRequest) (sched.Reply, error) {
+	if err := hold(ctx, o.Worker, &c.stops); err != nil {
+		return sched.Reply{}, err
+	}
+	return c.WorkerClient.Stop(ctx, o)
+}
+
+// RenewLease sends a lease renewal.
+func (c *deafClient) RenewLease(ctx context.Context, o sched.RenewLeaseRequest) (sched.WorkerReport, error) {
+	if cause := c.cause.Load(); o.Worker.Worker == "wa" && cause != nil {
+		if every := c.accepted.Load(); every == 0 || c.renewal.Add(1)%every != 0 {
+			return sched.WorkerReport{}, &sched.RefusalError{Cause: *cause, Worker: "wa"}
+		}
+	}
+	return c.WorkerClient.RenewLease(ctx, o)
+}
+
+// TestRefusedRenewalsEndTheLease guards against parts that count as running for good, and workers that get new ones, though
+// the worker refuses each lease renewal, so that no report tells of its parts and their lease has expired.
+func TestRefusedRenewalsEndTheLease(t *testing.T) {
+	for _, cause := range []sched.Cause{sched.Unwell, sched.NoRoom, sched.Expired, sched.Outdated, sched.Unpermitted} {
+		t.Run(cause.String(), func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				d := r.deafen()
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("w1", 4*time.Second, work.Step{Parts: 1})
+				r.sleep(300 * time.Millisecond)
+				d.cause.Store(&cause)
+				r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+				r.waitForState("w1", ident.Succeeded, fakes.MaxLease+7*time.Second)
+				assert.Equal(t, r.fleet.StartCount(), 2)
+				d.cause.Store(nil)
+				r.submit("w2", time.Second, work.Step{Parts: 2})
+				r.waitForState("w2", ident.Succeeded, 4*time.Second)
+			})
+		})
+	}
+}
+
+// TestSomeRefusedRenewalsEndNothing guards against parts that are started again because their worker refuses most of its lease
+// renewals.
+func TestSomeRefusedRenewalsEndNothing(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		d := r.deafen()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("w1", 30*time.Second, work.Step{Parts: 2})
+		r.sleep(300 * time.Millisecond)
+		d.accepted.Store(4)
+		cause := sched.Unwell
+		d.cause.Store(&cause)
+		r.waitForState("w1", ident.Succeeded, 33*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+	})
+}
