A part whose stop has no answer ends once its start can't be executed any more

What was seen: a start that was neither executed nor answered, and a stop likewise, while the worker's reports went on: the part, and the rest of its gang, counted as being stopped for as long as that lasted, and renewals kept the worker's lease. The same for a start of an earlier lease holder that was never sent. Cause: a stop in flight took precedence over what reports show; only its response, or the expiry of the lease, ended the wait. Change: if a report lacks a part that is being stopped, it has ended when the deadlines of all its start requests had passed on the worker's clock, since the worker refuses them from then on, or when this instance has sent none, since the worker refuses those of earlier epochs. Nothing changes for a part that a report lists, nor if the worker's process was replaced since the start, as the deadlines are on the former one's clock. Bound: before, none; now 5 s after the last start request, and a report.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -33,6 +33,9 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
+	// startDeadline is the latest deadline of the start requests on the clock of the worker process, which refuses them from
+	// then on.
+	startDeadline WorkerClock
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
 	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
@@ -125,6 +128,7 @@
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
 		Epoch: s.lease.Epoch(), Deadline: s.extendLease(w),
 	}
+	state.startDeadline = max(state.startDeadline, req.Deadline)
 	client, sentAt := w.client, clock.Now()
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -17,23 +17,26 @@
 	}
 	for a, state := range w.attempts {
 		if !reported[a] {
-			s.resolveMissing(w, a, state, ev.sentAt, first)
+			s.resolveMissing(w, a, state, ev, first)
 		}
 	}
 }
 
-// resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal sent at
-// sentAt. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
+// resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
 // report, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
-func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, sentAt clock.Instant, first bool) {
+func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, ev renewalResult, first bool) {
 	switch {
-	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(sentAt):
+	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(ev.sentAt):
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
-	case state.startConfirmed != clock.Never && state.startConfirmed.Before(sentAt):
+	case state.startConfirmed != clock.Never && state.startConfirmed.Before(ev.sentAt):
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
+	case s.cannotStart(w, a, state, ev.report.Clock):
+		s.config.Logger.Info("part is not started any more", "part", a.Part, "attempt", a.Number, "worker", w.id(), "sent", state.startsSent)
+		delete(w.attempts, a)
+		s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
 	case state.startInFlight || state.stopPending || state.unrecorded:
 		// The result of the request or of the write tells more.
 	case state.startConfirmed != clock.Never || state.stopConfirmed != clock.Never:
@@ -45,6 +48,16 @@
 	}
 }
 
+// cannotStart reports whether an attempt that is being stopped, and that a report lacks, has certainly ended though its stop
+// has no response: either this instance has sent no start request, and the worker refuses those of earlier ones, or the
+// deadline of each had passed on the worker's clock when it reported.
+func (s *Scheduler) cannotStart(w *session, a work.Attempt, state *attemptState, reportedAt WorkerClock) bool {
+	if s.engine.ShouldRun(a, w.id()) || state.unrecorded || state.startInFlight || state.processReplaced {
+		return false
+	}
+	return state.startsSent == 0 || state.startDeadline > 0 && reportedAt > state.startDeadline
+}
+
 // resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
 // worker refuses the start requests of that holder from now on.
 func (s *Scheduler) resolveAdopted(w *session, a work.Attempt, state *attemptState) {
--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -112,3 +112,52 @@
 		assert.Equal(t, r.fleet.StartCount(), 2)
 	})
 }
+
+// TestUnexecutedStartWithoutStop guards against parts that count as running for good, because neither their start nor their
+// stop was executed or answered, though the worker's reports show that they do not run.
+func TestUnexecutedStartWithoutStop(t *testing.T) {
+	tests := []struct {
+		name string
+		gang bool
+	}{
+		{"single parts", false},
+		{"gang", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 3, func(r *harness) {
+				d := r.deafen()
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				r.submit("wj0", 12*time.Second, work.Step{Parts: 1})
+				d.starts.Store(true)
+				d.stops.Store(true)
+				r.submit("wj1", time.Second, work.Step{Parts: 2, Gang: test.gang})
+				r.sleep(4 * time.Second)
+				d.starts.Store(false)
+				r.waitForState("wj1", ident.Succeeded, 6*time.Second)
+			})
+		})
+	}
+}
+
+// TestCancelledPartOfEarlierHolder guards against parts that count as running for good, because an earlier lease holder
+// recorded their start and never sent it, and their stop has no answer.
+func TestCancelledPartOfEarlierHolder(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.deafen()
+		d.starts.Store(true)
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("w1", 30*time.Second, work.Step{Parts: 1})
+		r.sleep(300 * time.Millisecond)
+		kill()
+		d.stops.Store(true)
+		assert.NilError(t, r.api.Cancel(r.ctx, "a", "w1"))
+		r.startInstance("i2")
+		r.sleep(10 * time.Second)
+		d.starts.Store(false)
+		r.submit("w2", time.Second, work.Step{Parts: 1})
+		r.waitForState("w2", ident.Succeeded, 5*time.Second)
+	})
+}
