--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -33,6 +33,9 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
+	// startDeadline is the latest deadline of the start requests on the clock of the worker process, which refuses them from
+	// then on.
+	startDeadline WorkerClock
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
 	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
@@ -53,6 +56,8 @@
 	startInFlight bool
 	// stopPending indicates that a stop request is queued or in flight.
 	stopPending bool
+	// wait is what the attempt waits for.
+	wait wait[orderWait]
 }
 
 // session returns the session with a worker process, or nil.
@@ -123,6 +128,7 @@
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
 		Epoch: s.lease.Epoch(), Deadline: s.extendLease(w),
 	}
+	state.startDeadline = max(state.startDeadline, req.Deadline)
 	client, sentAt := w.client, clock.Now()
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
@@ -249,7 +255,7 @@
 		s.lease.MarkLost()
 		return
 	case Unwell, NoRoom, OtherLife:
-		s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+		s.suspend(w)
 	}
 	if state.startsSent > 1 {
 		s.startRetryRefused(state, ev.attempt, refusal.Cause)
@@ -279,7 +285,7 @@
 // have started it.
 func (s *Scheduler) startUndelivered(w *session, ev startResult) {
 	s.config.Logger.Warn("start not delivered", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(), "error", ev.err)
-	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+	s.suspend(w)
 	delete(w.attempts, ev.attempt)
 	s.engine.AttemptEnded(ev.attempt, pool.Refused, "", time.Now())
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -48,6 +48,8 @@
 	// unanswered indicates that the last lease renewal got no response, and no other request got one since.
 	unanswered bool
 	lastAnswer clock.Instant
+	// refusedSince is since when the worker has refused all lease renewals; Never if it has responded to the last one.
+	refusedSince clock.Instant
 	// slow indicates that the last lease renewal timed out, or took longer than renewalMargin after one that did.
 	slow bool
 	// lastReport is when the worker process last sent a report.
@@ -77,6 +79,10 @@
 	flight   *flight
 	// unexpected is the number of running attempts that the engine does not account for on this worker.
 	unexpected int
+	// suspendedUntil is until when a refused or undelivered start keeps new parts away.
+	suspendedUntil clock.Instant
+	// bar is why the worker gets no new parts.
+	bar wait[barReason]
 }
 
 // id returns the name of the worker.
@@ -94,14 +100,14 @@
 }
 
 // extendLease returns the deadline of a worker's lease to send with a request, and updates when the lease expires. It
-// extends nothing if the last renewal got no response. It returns 0 if the worker's clock is unknown.
+// extends nothing if the last renewal got no report. It returns 0 if the worker's clock is unknown.
 func (s *Scheduler) extendLease(w *session) WorkerClock {
 	now := w.workerNow()
 	if now == 0 {
 		return 0
 	}
 	w.nextProcessExpiry = clock.Now().Add(requestTimeout + s.maxLeaseDuration())
-	if w.unanswered {
+	if w.unreported() {
 		// A request that may not have arrived must not change the expiry of the lease.
 		return w.deadline
 	}
@@ -225,6 +231,7 @@
 	next := s.newSession(entry)
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
+	next.bar = w.bar
 	next.formerStartsMs = append(w.formerStartsMs[max(0, len(w.formerStartsMs)+1-maxFormerStarts):], w.entry.StartedMs)
 	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
@@ -243,20 +250,36 @@
 	s.countCrashIfReplaced(w)
 }
 
-// engineView returns the worker as it is passed to the engine. It accepts new parts only while it is listed and
-// responds, is not lost, runs no unexpected attempts, and its data centre is not being evacuated.
+// engineView returns the worker as it is passed to the engine.
 func (s *Scheduler) engineView(w *session) pool.Worker {
 	view := w.entry.Worker
-	view.Accepting = s.listedForStarts(w) && w.fenced && !w.lost && w.unexpected == 0 && !w.silent()
+	view.Accepting = s.barred(w) == noBar
 	return view
 }
 
+// suspend places no new parts on a worker for a while.
+func (s *Scheduler) suspend(w *session) {
+	w.suspendedUntil = clock.Now().Add(unwellSuspension)
+	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
+}
+
 // listedForStarts reports whether the worker is listed as accepting new parts, in a data centre that is not being evacuated.
 func (s *Scheduler) listedForStarts(w *session) bool {
 	return w.listed && w.entry.Accepting && !s.evacuated(w)
 }
 
-// silent reports whether the worker has left requests without a response for longer than silentLimit.
+// silent reports whether the worker has left requests without a response, or refused to report, for longer than silentLimit.
 func (w *session) silent() bool {
-	return w.unanswered && clock.Since(w.lastAnswer) > silentLimit
+	return w.unanswered && clock.Since(w.lastAnswer) > silentLimit || w.refusesReports()
+}
+
+// refusesReports reports whether the worker has refused all lease renewals for longer than silentLimit. Nothing tells what
+// runs on it.
+func (w *session) refusesReports() bool {
+	return w.refusedSince != clock.Never && clock.Since(w.refusedSince) > silentLimit
+}
+
+// unreported reports whether the worker's lease is not to be extended until it reports again.
+func (w *session) unreported() bool {
+	return w.unanswered || w.refusesReports()
 }
