Reasons of groups that wait in a pool with room

A round now finds out the reason for up to four groups that have waited for 0.5 s, each at most once a second. The engine counts groups and their longest wait by reason, gives those of a job, and hands out once each wait of over 2.5 s in a pool with room, by the users' measure (twice over, under half in use). The scheduler meters and logs them, and sardctl causes names the reason of jobs that were held back.

--- a/sard/pool/bench_test.go
+++ b/sard/pool/bench_test.go
@@ -107,6 +107,25 @@
 	}
 }
 
+// BenchmarkExamineWaits measures the search for the reasons of waits in a round with 1,100 workers and 1,000 waiting gangs.
+func BenchmarkExamineWaits(b *testing.B) {
+	now := time.Unix(1000, 0)
+	e := newFleet(1100, 20, 300)
+	for i := range 1110 {
+		addBenchJob(e, i, "a", 2, work.Step{Parts: 78, Need: smallPart, Estimate: 10 * time.Second, Gang: i >= 110, SameRack: i%4 == 0}, now)
+	}
+	e.Decide(now, now.UnixMilli())
+	now = now.Add(examinedAfter)
+	queue := e.placementQueue(now)
+	r := newRound(e, now)
+	for b.Loop() {
+		for _, g := range queue {
+			g.wait.examinedAt = time.Time{}
+		}
+		r.examineWaits(queue)
+	}
+}
+
 // twoSpeeds returns a snapshot in which every fourth worker is twice as fast as the others.
 func twoSpeeds(e *Engine) speed.Snapshot {
 	s := speed.Snapshot{Spread: 0.1, Noise: 0.05}
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -78,6 +78,9 @@
 	speedsRefreshedAt time.Time
 	// choices counts placements since the last TakeChoices.
 	choices Choices
+	// longWaits holds the groups to return by TakeLongWaits, and examineFrom where in the queue examineWaits goes on.
+	longWaits   []Wait
+	examineFrom int
 }
 
 // New returns an Engine without jobs or workers.
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -107,6 +107,8 @@
 	reserved []*node
 	// avoided holds the workers on which the group failed, stalled or ran slowly.
 	avoided map[ident.Worker]bool
+	// wait is what is known of the group's wait since its turn came.
+	wait waitState
 	// moves counts how often the group was stopped for stalling or running slowly.
 	moves int
 }
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -308,7 +308,15 @@
 
 // maxParts returns how many parts of a group fit on a node if they may use the available resources.
 func (r *round) maxParts(g *group, n *node, available work.Resources) int {
-	demand := g.demand()
+	parts := partsByCapacity(g.demand(), available)
+	if limit := g.spec().MaxPerWorker; limit > 0 && parts > 0 {
+		parts = min(parts, max(0, limit-n.countParts(g)))
+	}
+	return parts
+}
+
+// partsByCapacity returns how many parts with a demand fit into the available resources.
+func partsByCapacity(demand, available work.Resources) int {
 	if !demand.Fits(available) {
 		return 0
 	}
@@ -322,9 +330,6 @@
 	if demand.Accelerators > 0 {
 		parts = min(parts, int(available.Accelerators/demand.Accelerators))
 	}
-	if limit := g.spec().MaxPerWorker; limit > 0 {
-		parts = min(parts, max(0, limit-n.countParts(g)))
-	}
 	return parts
 }
 
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -23,6 +23,7 @@
 	e.moveStalledAndSlow(now)
 	e.moveOffLeavingWorkers()
 	queue := e.placementQueue(now)
+	beginWaits(queue, now)
 	r := newRound(e, now)
 	r.holdReservations(queue)
 	var unplaceable *stepState
@@ -36,6 +37,7 @@
 			unplaceable = step
 		}
 	}
+	r.examineWaits(queue)
 	decisions := e.decisions
 	e.decisions = nil
 	return decisions
@@ -83,6 +85,8 @@
 	outlooks     map[*occurrence]outlook
 	endings      []expectedEnding
 	endingsKnown bool
+	// use caches how much of each service is in use; nil if not known.
+	use map[work.Service]serviceUse
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
@@ -223,6 +227,7 @@
 	if violated := r.checkInvariants(g, nodes); violated != "" {
 		r.engine.violations = append(r.engine.violations, Violation{Job: g.job.ID, Invariant: violated})
 		g.retryAt = r.now.Add(violationRetryDelay)
+		g.wait.reason = PlacementRejected
 		return
 	}
 	r.reserve(g, nodes)
@@ -235,6 +240,7 @@
 	}
 	r.countChoice(g, nodes)
 	g.reserved = nil
+	g.wait = waitState{}
 	g.attempt++
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -27,12 +27,14 @@
 	expectedWait    *prometheus.GaugeVec
 	learned         learnedMetrics
 	choices         *prometheus.CounterVec
+	waits           waitMetrics
 }
 
 // NewMetrics creates the scheduler metrics and registers them if registerer is not nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		learned: newLearnedMetrics(registerer),
+		waits:   newWaitMetrics(registerer),
 		holding: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "holding", Help: "1 while the instance holds the scheduler lease.",
 		}),
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -268,6 +268,7 @@
 	decisions := s.engine.Decide(now, now.UnixMilli())
 	observeSince(s.config.Metrics.decideSeconds, now)
 	s.reportViolations()
+	s.reportLongWaits()
 	for _, d := range decisions {
 		switch d := d.(type) {
 		case pool.Start:
@@ -330,6 +331,7 @@
 	s.nextSummary = clock.Now().Add(summaryPeriod)
 	summary := s.engine.Summary()
 	s.config.Metrics.setSummary(summary)
+	s.config.Metrics.waits.set(s.engine.Waits())
 	s.reportLearned()
 	if summary == s.lastSummary {
 		return
--- a/sardctl/causes.go
+++ b/sardctl/causes.go
@@ -18,6 +18,7 @@
 	messagePartStopped = "part is stopped"
 	messagePartEnded   = "part ended"
 	messageJobEnded    = "job ended"
+	messageLongWait    = "part waits though the pool has room"
 )
 
 // Causes of late jobs, and results of jobs that were not late. Other causes are the reasons for which the logs say that
@@ -28,6 +29,8 @@
 	causeJobFailed      = "job failed"
 	causeStartDelay     = "waited for the first start"
 	causeUnderestimated = "work longer than estimated"
+	// causeHeldBack is the prefix of the cause of a job that waited for its first start in a pool with room.
+	causeHeldBack = "held back: "
 )
 
 // endCauses lists, for each way in which a part ends too early without a stop, the name of the cause.
@@ -135,7 +138,9 @@
 	// interruptions holds the number of interruptions of the job's parts, by the reason of a stop or the kind of a
 	// failed end.
 	interruptions map[string]int
-	end           *logEvent
+	// heldBack is the reason for which parts of the job waited in a pool with room; empty if none did.
+	heldBack string
+	end      *logEvent
 }
 
 // logHistory is what the logs say about all jobs.
@@ -167,6 +172,8 @@
 			j.firstStart = e.Time
 		}
 		j.attemptStarts[key] = e.Time
+	case messageLongWait:
+		j.heldBack = e.Reason
 	case messagePartStopped:
 		h.recordLostWork(j, key, e.Reason, e.Time, j.checkpoints)
 	case messagePartEnded:
@@ -200,7 +207,7 @@
 }
 
 // cause returns why the job was late. That is the wait for its first start if it took longer than minStartDelay and
-// more than half of the delay, otherwise the most frequent interruption, or causeUnderestimated without interruptions.
+// more than half of the delay, with the reason if it was held back in a pool with room, otherwise the most frequent interruption, or causeUnderestimated without interruptions.
 func (j *jobHistory) cause() string {
 	switch {
 	case j.end == nil:
@@ -209,7 +216,9 @@
 		return causeJobFailed
 	case j.overObjective() <= 0:
 		return causeInTime
-	case j.startDelay() > minStartDelay && 2*j.startDelay() > j.overObjective():
+	case j.waitedForStart() && j.heldBack != "":
+		return causeHeldBack + j.heldBack
+	case j.waitedForStart():
 		return causeStartDelay
 	}
 	mostFrequent := causeUnderestimated
@@ -221,6 +230,11 @@
 	return mostFrequent
 }
 
+// waitedForStart reports whether the job is late mostly by the wait for its first start.
+func (j *jobHistory) waitedForStart() bool {
+	return j.startDelay() > minStartDelay && 2*j.startDelay() > j.overObjective()
+}
+
 // overObjective returns by how much the job's completion time exceeded its objective; negative if the job ended
 // earlier.
 func (j *jobHistory) overObjective() time.Duration {
