Hold no group back for another one that only seems to have equal demand

A round remembers the demand of groups that did not fit, and skips later groups with the same. The demand left out that only the parts of the own step count towards its limit on each worker, and that parts which fill and parts with a latency bound keep off each other's workers. So a job waited in every round, in an empty pool too, while a more urgent one with equal need had reached its limit on all workers or was kept apart from what ran there.

The key now holds the step of a group with a limit, and what its parts would disturb.

--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -107,8 +107,11 @@
 	parts           int
 	sameRack        bool
 	rack            ident.Rack
-	maxPerWorker    int
 	withinGuarantee bool
+	// limited is the step of a group that is limited in its parts on each worker, since those of its own step count.
+	limited *stepState
+	// fills and serves tell which parts the group's parts would disturb.
+	fills, serves bool
 }
 
 // demandKey returns the properties of g that determine whether it can be placed.
@@ -116,7 +119,10 @@
 	step := g.spec()
 	key := demandKey{
 		eligibilityKey: r.eligibilityKey(g), sameRack: step.SameRack, rack: step.DataRack,
-		maxPerWorker: step.MaxPerWorker, withinGuarantee: g.job.withinGuarantee,
+		withinGuarantee: g.job.withinGuarantee, fills: step.Fills, serves: step.Latency > 0,
+	}
+	if step.MaxPerWorker > 0 {
+		key.limited = g.stepState()
 	}
 	if step.SameRack || step.DataRack != "" || step.MaxPerWorker > 0 {
 		key.parts = len(g.parts)
