--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -23,6 +23,7 @@
 	e.moveStalledAndSlow(now)
 	e.moveOffLeavingWorkers()
 	queue := e.placementQueue(now)
+	beginWaits(queue, now)
 	r := newRound(e, now)
 	r.holdReservations(queue)
 	var unplaceable *stepState
@@ -36,6 +37,7 @@
 			unplaceable = step
 		}
 	}
+	r.examineWaits(queue)
 	decisions := e.decisions
 	e.decisions = nil
 	return decisions
@@ -83,6 +85,8 @@
 	outlooks     map[*occurrence]outlook
 	endings      []expectedEnding
 	endingsKnown bool
+	// use caches how much of each service is in use; nil if not known.
+	use map[work.Service]serviceUse
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
@@ -103,8 +107,11 @@
 	parts           int
 	sameRack        bool
 	rack            ident.Rack
-	maxPerWorker    int
 	withinGuarantee bool
+	// limited is the step of a group that is limited in its parts on each worker, since those of its own step count.
+	limited *stepState
+	// fills and serves tell which parts the group's parts would disturb.
+	fills, serves bool
 }
 
 // demandKey returns the properties of g that determine whether it can be placed.
@@ -112,7 +119,10 @@
 	step := g.spec()
 	key := demandKey{
 		eligibilityKey: r.eligibilityKey(g), sameRack: step.SameRack, rack: step.DataRack,
-		maxPerWorker: step.MaxPerWorker, withinGuarantee: g.job.withinGuarantee,
+		withinGuarantee: g.job.withinGuarantee, fills: step.Fills, serves: step.Latency > 0,
+	}
+	if step.MaxPerWorker > 0 {
+		key.limited = g.stepState()
 	}
 	if step.SameRack || step.DataRack != "" || step.MaxPerWorker > 0 {
 		key.parts = len(g.parts)
@@ -223,6 +233,7 @@
 	if violated := r.checkInvariants(g, nodes); violated != "" {
 		r.engine.violations = append(r.engine.violations, Violation{Job: g.job.ID, Invariant: violated})
 		g.retryAt = r.now.Add(violationRetryDelay)
+		g.wait.reason = PlacementRejected
 		return
 	}
 	r.reserve(g, nodes)
@@ -235,6 +246,7 @@
 	}
 	r.countChoice(g, nodes)
 	g.reserved = nil
+	g.wait = waitState{}
 	g.attempt++
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -27,14 +27,16 @@
 	expectedWait    *prometheus.GaugeVec
 	learned         learnedMetrics
 	waits           waitMetrics
+	groupWaits      groupWaitMetrics
 	choices         *prometheus.CounterVec
 }
 
 // NewMetrics creates the scheduler metrics and registers them if registerer is not nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		learned: newLearnedMetrics(registerer),
-		waits:   newWaitMetrics(registerer),
+		learned:    newLearnedMetrics(registerer),
+		waits:      newWaitMetrics(registerer),
+		groupWaits: newGroupWaitMetrics(registerer),
 		holding: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "holding", Help: "1 while the instance holds the scheduler lease.",
 		}),
