Don't take a long transfer for silence of the store

Callers saw: an instance on a slow link that starts, or whose configuration grows, refuses all requests for many seconds or for good ('no configuration yet', 'configuration was confirmed ... ago'), with the store in order. While a large configuration arrives, its partition became suspect; the probe waits behind the transfer on the same link, so the partition was closed; and when the probe's answer came, all reads sent before it were ended to be repeated: the transfer too, which began again from zero. Change: parts of an answer that arrive are signs that the partition serves, and a read whose answer is arriving is not ended. The client says so through the context of the read.

--- a/sard/reach/judge.go
+++ b/sard/reach/judge.go
@@ -185,6 +185,22 @@
 	}
 }
 
+// Arrived takes note of a part of the answer to a call that has not ended. Its scope serves, and is silent only when no
+// further part arrives.
+func (j *Judge) Arrived(now clock.Instant, id CallID) {
+	c, ok := j.calls[id]
+	if !ok {
+		return
+	}
+	c.due = max(c.due, now)
+	j.calls[id] = c
+	if c.feed {
+		j.lastAnswer = now
+		return
+	}
+	j.answered(now, c.scope)
+}
+
 // failureReason returns what a call without an answer, that had waited for long or not, says of its scope.
 func failureReason(outcome Outcome, waited bool) Reason {
 	switch {
--- a/sard/reach/judge_test.go
+++ b/sard/reach/judge_test.go
@@ -223,3 +223,21 @@
 	_, due, _ := j.NextProbe(awake.Add(10 * time.Millisecond))
 	assert.Assert(t, !due)
 }
+
+// TestArrivingAnswerIsNotSilence checks that a scope whose answer takes long to arrive counts as serving, and as silent when
+// no further part arrives.
+func TestArrivingAnswerIsNotSilence(t *testing.T) {
+	const parts = 20
+	j := New("")
+	now := start
+	id := j.Sent(now, "a")
+	for range parts {
+		now = now.Add(SuspicionDelay - tick)
+		j.Arrived(now, id)
+		_, due, _ := j.NextProbe(now)
+		assert.Assert(t, !due)
+	}
+	probe, due, _ := j.NextProbe(now.Add(SuspicionDelay))
+	assert.Assert(t, due)
+	assert.Equal(t, probe.Reason, Silent)
+}
--- a/sard/store/check.go
+++ b/sard/store/check.go
@@ -87,6 +87,8 @@
 type read struct {
 	partition string
 	cancel    context.CancelCauseFunc
+	// arriving is set once a part of the answer has arrived.
+	arriving bool
 }
 
 // errSentBefore is the cause of the end of a read that was sent before its partition served again and is still unanswered.
@@ -98,8 +100,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	id := c.sent(r.Partition)
-	c.addRead(id, read{r.Partition, cancel})
-	listing, err := c.store.List(ctx, r)
+	c.addRead(id, read{partition: r.Partition, cancel: cancel})
+	listing, err := c.store.List(c.withArrivals(ctx, id), r)
 	return listing, c.readEnded(ctx, id, err)
 }
 
@@ -108,8 +110,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	id := c.feedSent(wait)
-	c.addRead(id, read{c.config.MainPartition, cancel})
-	changes, err := c.store.Feed(ctx, table, after, wait)
+	c.addRead(id, read{partition: c.config.MainPartition, cancel: cancel})
+	changes, err := c.store.Feed(c.withArrivals(ctx, id), table, after, wait)
 	return changes, c.readEnded(ctx, id, err)
 }
 
@@ -120,6 +122,22 @@
 	c.reads[id] = r
 }
 
+// withArrivals returns a context whose read takes note of each part of its answer. An answer that is arriving is not silence,
+// however long its transfer takes.
+func (c *Check) withArrivals(ctx context.Context, id reach.CallID) context.Context {
+	return WithArrivals(ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		r, ok := c.reads[id]
+		if !ok {
+			return
+		}
+		r.arriving = true
+		c.reads[id] = r
+		c.judged(func(now clock.Instant) { c.judge.Arrived(now, id) })
+	})
+}
+
 // readEnded takes note of the end of a read and returns its error.
 func (c *Check) readEnded(ctx context.Context, id reach.CallID, err error) error {
 	c.ended(id, err)
@@ -159,10 +177,15 @@
 func (c *Check) ended(id reach.CallID, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := clock.Now()
 	delete(c.reads, id)
+	c.judged(func(now clock.Instant) { c.judge.Ended(now, id, outcome(err)) })
+}
+
+// judged calls note, which tells the judge something, and lets those know whom it concerns. The caller must hold mu.
+func (c *Check) judged(note func(now clock.Instant)) {
+	now := clock.Now()
 	wasReachable := c.judge.Reachable(now)
-	c.judge.Ended(now, id, outcome(err))
+	note(now)
 	c.report()
 	if !wasReachable && c.judge.Reachable(now) {
 		c.wakeWaiters()
@@ -212,11 +235,11 @@
 	}
 }
 
-// restore ends the reads of a partition that were sent before it served again, so that they are repeated. The caller must
-// hold mu.
+// restore ends the reads of a partition that were sent before it served again, so that they are repeated, unless their
+// answer is arriving. The caller must hold mu.
 func (c *Check) restore(partition string) {
 	for _, r := range c.reads {
-		if r.partition == partition {
+		if r.partition == partition && !r.arriving {
 			r.cancel(errSentBefore)
 		}
 	}
