Quarantine a worker on which one gang alone keeps failing

Trace: each refused gang ran on 4 to 16 workers and failed 10 times on one of them, always the same bad one, with the reason "failed 9 times again on the same workers". Its cell or guarantee held it there, so hardly another job came to the worker: one or two jobs had failed on it, and a quarantine asks for three different ones. The gang was refused for the worker's fault.

Change: a gang that has used up its repeats by failures on a part of its workers only has these workers quarantined, and its repeats begin anew. That happens for at most MaxFailedWorkers-1 times; after that the gang is at fault and is refused. A worker that was quarantined wrongly is back after one probe. Gangs whose workers all fail are refused as before.

--- a/sard/place/engine_test.go
+++ b/sard/place/engine_test.go
@@ -267,6 +267,42 @@
 	}
 }
 
+// TestGangThatFailsOnOneOfItsWorkersIsNotRefused guards against the refusal of a gang for a bad worker of its cell that no
+// other job uses, so that too few different jobs fail there for a quarantine.
+func TestGangThatFailsOnOneOfItsWorkersIsNotRefused(t *testing.T) {
+	const bad ident.Worker = "r0-w1"
+	e := place.New(place.Config{})
+	out := applyAll(e, place.Topology{Workers: workers(4)}, place.Submit{Job: job("a", "north", 16)}, place.Submit{Job: job("b", "north", 16)})
+	for range 30 {
+		placed, ok := findDecision(out, func(p place.Place) bool { return p.Job == "a" })
+		if !ok {
+			break
+		}
+		assert.Equal(t, placed.Parts[1].Worker, bad)
+		out = e.Apply(epoch, place.Ended{Job: "a", Attempt: placed.Attempt, Result: place.Requeued, FailedWorkers: []ident.Worker{bad}})
+	}
+	_, quarantined := findDecision(out, func(q place.Quarantine) bool { return q.Worker == bad })
+	assert.Assert(t, quarantined, "%v", out)
+	assert.Equal(t, e.Explain("a").State, "Waiting")
+}
+
+// TestGangThatFailsEverywhereIsRefused checks that a gang whose failures follow it to other workers isn't retried for ever.
+func TestGangThatFailsEverywhereIsRefused(t *testing.T) {
+	e := place.New(place.Config{})
+	out := applyAll(e, place.Topology{Workers: workers(32)}, place.Submit{Job: job("a", "north", 16)})
+	for range 100 {
+		placed, ok := findDecision(out, func(p place.Place) bool { return p.Job == "a" })
+		if !ok {
+			break
+		}
+		out = e.Apply(epoch, place.Ended{
+			Job: "a", Attempt: placed.Attempt, Result: place.Requeued, FailedWorkers: []ident.Worker{placed.Parts[0].Worker},
+		})
+	}
+	_, refused := findDecision(out, func(place.Refuse) bool { return true })
+	assert.Assert(t, refused, "%v", out)
+}
+
 // TestRepeatedlyFailingJobIsRefused guards against endless retries of a job that can't be checkpointed and fails on
 // the only workers of its guarantee. No other job fails on them, so they are never quarantined.
 func TestRepeatedlyFailingJobIsRefused(t *testing.T) {
--- a/sard/place/gang.go
+++ b/sard/place/gang.go
@@ -43,6 +43,8 @@
 	failedWorkers []int32
 	// repeatedFailures counts the attempts that failed only on workers already in failedWorkers.
 	repeatedFailures int
+	// isolatedFailures counts how often workers were quarantined because the gang alone kept failing on them.
+	isolatedFailures int
 	// lastMoved is when the gang was last moved or displaced others; moveCount counts how often.
 	lastMoved time.Time
 	moveCount int
--- a/sard/place/health.go
+++ b/sard/place/health.go
@@ -96,6 +96,11 @@
 		}
 		return
 	}
+	isolated := e.isIsolatedFailure(g, ev)
+	if isolated {
+		g.isolatedFailures++
+		g.repeatedFailures = 0
+	}
 	for _, name := range ev.FailedWorkers {
 		w, ok := e.ledger.topo.byName[name]
 		if !ok || w == probedWorker {
@@ -104,13 +109,20 @@
 		if !slices.Contains(g.failedWorkers, w) {
 			g.failedWorkers = append(g.failedWorkers, w)
 		}
-		e.recordFailure(w, g)
+		e.recordFailure(w, g, isolated)
 	}
 }
 
-// recordFailure records a failure of a gang on worker w, and quarantines the worker when enough different jobs in a row
-// have failed there. Repeated failures of one job count once.
-func (e *Engine) recordFailure(w int32, g *gang) {
+// isIsolatedFailure reports whether a gang has failed so often, each time on few of its workers and on the same ones, that
+// these workers are suspected in place of the gang. A gang that other workers have been suspected for is at fault itself.
+func (e *Engine) isIsolatedFailure(g *gang, ev Ended) bool {
+	return e.config.QuarantineThreshold > 0 && g.repeatedFailures >= e.config.MaxRepeatedFailures &&
+		len(ev.FailedWorkers) < len(g.parts) && g.isolatedFailures < e.config.MaxFailedWorkers-1
+}
+
+// recordFailure records a failure of a gang on worker w. It quarantines the worker if the failure is isolated, or when
+// enough different jobs in a row have failed there. Repeated failures of one job count once.
+func (e *Engine) recordFailure(w int32, g *gang, isolated bool) {
 	h := e.healthRecord(e.ledger.topo.workers[w].Name)
 	if h.quarantined || h.lost {
 		return
@@ -118,22 +130,22 @@
 	if !slices.Contains(h.failedJobs, g.ID) {
 		h.failedJobs = append(h.failedJobs, g.ID)
 	}
-	if e.config.QuarantineThreshold > 0 && len(h.failedJobs) >= e.config.QuarantineThreshold {
-		e.quarantine(w, h)
+	switch {
+	case isolated:
+		e.quarantine(w, h, fmt.Sprintf("job %s failed again and again only on it", g.ID))
+	case e.config.QuarantineThreshold > 0 && len(h.failedJobs) >= e.config.QuarantineThreshold:
+		e.quarantine(w, h, fmt.Sprintf("%d different jobs in a row failed on it", len(h.failedJobs)))
 	}
 }
 
 // quarantine takes a worker out of service until a probe succeeds on it.
-func (e *Engine) quarantine(w int32, h *workerHealth) {
+func (e *Engine) quarantine(w int32, h *workerHealth, reason string) {
 	h.quarantined = true
 	e.quarantined = append(e.quarantined, e.ledger.topo.workers[w].Name)
 	h.backoff = e.config.InitialProbeBackoff
 	h.nextProbe = e.now.Add(h.backoff)
 	e.updateService(w)
-	e.emit(Quarantine{
-		Worker: e.ledger.topo.workers[w].Name,
-		Reason: fmt.Sprintf("%d different jobs in a row failed on it", len(h.failedJobs)),
-	})
+	e.emit(Quarantine{Worker: e.ledger.topo.workers[w].Name, Reason: reason})
 }
 
 // countFailedWorkers counts the workers outside quarantine on which the gang failed.
