A part of an earlier lease holder that vanishes from the reports has ended

What was seen: a part that an earlier lease holder had started, and that the new one's first report listed, counted as running for as long as its worker reported, though no further report listed it, as running or as ended. Cause: such a part was resolved by the worker's first report only. Later reports that lack a part end it if this instance has sent its start, and this one's start it hasn't. Change: the time of the last report that lists a part is kept. A report that lacks a part after that ends it as lost, if this instance has sent no start. That is safe, since the worker refuses requests of earlier epochs. Test: TestVanishedPartOfEarlierHolder failed before (1 start in place of 2).

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -51,6 +51,8 @@
 	startBroken clock.Instant
 	// runningAt is the first time on the worker process's clock at which the attempt is known to run there, or 0.
 	runningAt WorkerClock
+	// listedAt is when a report of the worker process last listed the attempt as running.
+	listedAt clock.Instant
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
 	startQueued   bool
 	startInFlight bool
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -22,14 +22,15 @@
 	}
 }
 
-// resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal. It has ended as stopped or lost if the worker had confirmed its stop or start before. On the worker's first
-// report, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
+// resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal. It has ended
+// as stopped or lost if the worker had confirmed its stop or start before, or had listed it. On the worker's first report, an
+// attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
 func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, ev renewalResult, first bool) {
 	switch {
 	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(ev.sentAt):
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
-	case state.startConfirmed != clock.Never && state.startConfirmed.Before(ev.sentAt):
+	case state.startConfirmed != clock.Never && state.startConfirmed.Before(ev.sentAt) || state.vanished():
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
@@ -48,6 +49,12 @@
 	}
 }
 
+// vanished reports whether an attempt of an earlier holder of the scheduler lease, which a report lacks, was in an earlier one.
+// The worker refuses the requests that might start it again.
+func (state *attemptState) vanished() bool {
+	return state.startsSent == 0 && state.listedAt != clock.Never
+}
+
 // cannotStart reports whether an attempt that is being stopped, and that a report lacks, has certainly ended though its stop
 // has no response: either this instance has sent no start request, and the worker refuses those of earlier ones, or the
 // deadline of each had passed on the worker's clock when it reported.
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -255,6 +255,7 @@
 			w.unexpected++
 		}
 		if state := w.attempts[r.Attempt]; state != nil {
+			state.listedAt = clock.Now()
 			state.processUnknown = state.processUnknown && state.startInFlight
 			if state.startsSent > 0 {
 				s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -219,7 +219,7 @@
 				state.startConfirmed = clock.Never
 			}
 			state.startQueued, state.processReplaced = false, true
-			state.stopConfirmed, state.startBroken, state.runningAt = clock.Never, clock.Never, 0
+			state.stopConfirmed, state.startBroken, state.listedAt, state.runningAt = clock.Never, clock.Never, clock.Never, 0
 			kept[a] = state
 		}
 	}
--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -161,3 +161,27 @@
 		r.waitForState("w2", ident.Succeeded, 5*time.Second)
 	})
 }
+
+// TestVanishedPartOfEarlierHolder guards against parts that count as running for good, because an earlier lease holder has
+// started them, and they vanish from the worker's reports after the first one without an end.
+func TestVanishedPartOfEarlierHolder(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("j1", time.Minute, work.Step{Parts: 1, Checkpoints: true})
+		r.sleep(40 * time.Second)
+		kill()
+		r.startInstance("i2")
+		r.sleep(10 * time.Second)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() {
+			started := wa.Entry.StartedMs
+			wa.Crash()
+			wa.Entry.StartedMs = started
+		})
+		r.sleep(3 * time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
