A worker that keeps a part after its stop loses its lease

What was seen: a worker that reports but executes no stops kept a part that was to be stopped for good, if other parts on it kept its lease: the part's group was not started again, and the worker got no new parts if the part's job had been forgotten. Cause: stops were repeated without an end, and renewals extended the lease of everything on the worker in the meantime. Change: once a report lists a part more than 10 s after its stop was asked for, the worker gets no new parts (reason keptPart) and its lease is not extended, so that all parts on it end at its expiry and its report tells so. Bound: before, none; now 10 s and the lease. Test: TestPartThatCantBeStopped failed before ("j3 is Queued, want Succeeded, after 25s").

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -21,6 +21,9 @@
 	// maxStartSendsResponding replaces maxStartSends while the worker responds to other requests. The other parts of a gang
 	// wait for longer than these requests take.
 	maxStartSendsResponding = 4
+	// stopPatience is how long a worker may list a part that it was asked to stop. Its lease is not extended any more after
+	// that, which ends all parts on it.
+	stopPatience = 10 * time.Second
 	// unwellSuspension is how long no new parts are placed on a worker that refused a start for lack of health or
 	// capacity, or that a start did not reach.
 	unwellSuspension = 2 * time.Second
@@ -56,6 +59,8 @@
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
 	startQueued   bool
 	startInFlight bool
+	// stopSince is when the first stop request was queued.
+	stopSince clock.Instant
 	// stopPending indicates that a stop request is queued or in flight.
 	stopPending bool
 	// wait is what the attempt waits for.
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -196,5 +196,8 @@
 		return
 	}
 	state.stopPending = true
+	if state.stopSince == clock.Never {
+		state.stopSince = clock.Now()
+	}
 	s.commands.add(w, stopClass, stopCommand{attempt: a})
 }
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -96,14 +96,14 @@
 }
 
 // sendRenewal sends a lease renewal in the background. It extends the lease if the worker is busy or has not been
-// contacted yet, unless the last renewal got no report.
+// contacted yet, unless the last renewal got no report or the worker disobeys.
 func (s *Scheduler) sendRenewal(ctx context.Context, w *session, busy bool) {
 	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: s.lease.Epoch()}
 	if w.ackDue() && w.mayAcknowledge() {
 		req.AckedEnd = w.confirmedEnd
 		w.acknowledging = true
 	}
-	if (busy || !w.fenced) && !w.unreported() {
+	if (busy || !w.fenced) && !w.unreported() && !w.disobeys() {
 		req.Deadline = s.extendLease(w)
 	}
 	// A renewal that waits acknowledges no ends, because it may reach a later process of the worker, whose end
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -100,15 +100,16 @@
 }
 
 // extendLease returns the deadline of a worker's lease to send with a request, and updates when the lease expires. It
-// extends nothing if the last renewal got no report. It returns 0 if the worker's clock is unknown.
+// extends nothing if the last renewal got no report, or if the worker disobeys. It returns 0 if the worker's clock is unknown.
 func (s *Scheduler) extendLease(w *session) WorkerClock {
 	now := w.workerNow()
 	if now == 0 {
 		return 0
 	}
 	w.nextProcessExpiry = clock.Now().Add(requestTimeout + s.maxLeaseDuration())
-	if w.unreported() {
-		// A request that may not have arrived must not change the expiry of the lease.
+	if w.unreported() || w.disobeys() {
+		// A request that may not have arrived must not change the expiry of the lease, and a worker that keeps a part that it
+		// was to stop loses it with its lease.
 		return w.deadline
 	}
 	w.deadline = max(w.deadline, now+WorkerClock(s.config.WorkerLease.Milliseconds()))
@@ -215,11 +216,7 @@
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
 		if state.startInFlight || state.processUnknown || state.startOpen || slices.Contains(reported, a) {
-			if state.startOpen {
-				state.startConfirmed = clock.Never
-			}
-			state.startQueued, state.processReplaced = false, true
-			state.stopConfirmed, state.startBroken, state.listedAt, state.runningAt = clock.Never, clock.Never, clock.Never, 0
+			state.resetForProcess()
 			kept[a] = state
 		}
 	}
@@ -237,6 +234,18 @@
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
 }
 
+// resetForProcess discards what is known of a kept attempt from the former process of its worker.
+func (state *attemptState) resetForProcess() {
+	if state.startOpen {
+		state.startConfirmed = clock.Never
+	}
+	if state.stopSince != clock.Never {
+		state.stopSince = clock.Now()
+	}
+	state.startQueued, state.processReplaced = false, true
+	state.stopConfirmed, state.startBroken, state.listedAt, state.runningAt = clock.Never, clock.Never, clock.Never, 0
+}
+
 // handleUnlisted records that the platform's list of workers no longer contains a worker, so that it gets no new parts.
 // Attempts on it keep running.
 func (s *Scheduler) handleUnlisted(id string) {
@@ -279,7 +288,17 @@
 	return w.refusedSince != clock.Never && clock.Since(w.refusedSince) > silentLimit
 }
 
-// unreported reports whether the worker's lease is not to be extended until it reports again.
+// unreported reports whether nothing tells what runs on the worker.
 func (w *session) unreported() bool {
 	return w.unanswered || w.refusesReports()
 }
+
+// disobeys reports whether the worker lists a part that it was asked to stop for longer than stopPatience.
+func (w *session) disobeys() bool {
+	for _, state := range w.attempts {
+		if state.stopSince != clock.Never && state.listedAt.Sub(state.stopSince) > stopPatience {
+			return true
+		}
+	}
+	return false
+}
--- a/sard/sched/waits.go
+++ b/sard/sched/waits.go
@@ -34,6 +34,8 @@
 	unexpectedParts
 	// silentWorker means that the worker leaves requests without a response, or refuses to report.
 	silentWorker
+	// keptPart means that the worker does not execute the stop of a part.
+	keptPart
 	// refusedStart means that the worker has refused a start, or that a start did not reach it.
 	refusedStart
 	// barReasons is the number of reasons.
@@ -145,6 +147,8 @@
 		return unexpectedParts
 	case w.silent():
 		return silentWorker
+	case w.disobeys():
+		return keptPart
 	}
 	return noBar
 }
--- a/sard/sched/waits_string.go
+++ b/sard/sched/waits_string.go
@@ -17,13 +17,14 @@
 	_ = x[lostWorker-6]
 	_ = x[unexpectedParts-7]
 	_ = x[silentWorker-8]
-	_ = x[refusedStart-9]
-	_ = x[barReasons-10]
+	_ = x[keptPart-9]
+	_ = x[refusedStart-10]
+	_ = x[barReasons-11]
 }
 
-const _barReason_name = "noBarunlistedleavingevacuationsUnknownevacuatedCentreunreachedlostWorkerunexpectedPartssilentWorkerrefusedStartbarReasons"
+const _barReason_name = "noBarunlistedleavingevacuationsUnknownevacuatedCentreunreachedlostWorkerunexpectedPartssilentWorkerkeptPartrefusedStartbarReasons"
 
-var _barReason_index = [...]uint8{0, 5, 13, 20, 38, 53, 62, 72, 87, 99, 111, 121}
+var _barReason_index = [...]uint8{0, 5, 13, 20, 38, 53, 62, 72, 87, 99, 107, 119, 129}
 
 func (i barReason) String() string {
 	idx := int(i) - 0
--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -185,3 +185,20 @@
 		r.waitForState("j1", ident.Succeeded, 30*time.Second)
 	})
 }
+
+// TestPartThatCantBeStopped guards against capacity that stays allocated for good, because a worker that reports never
+// executes the stop of a part, while other parts keep its lease.
+func TestPartThatCantBeStopped(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.deafen()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("j1", 5*time.Minute, work.Step{Parts: 6})
+		r.submit("j2", 5*time.Minute, work.Step{Parts: 2})
+		r.sleep(time.Second)
+		d.stops.Store(true)
+		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j2"))
+		r.submit("j3", time.Second, work.Step{Parts: 2})
+		r.waitForState("j3", ident.Succeeded, 25*time.Second)
+	})
+}
