--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -161,3 +161,44 @@
 		r.waitForState("w2", ident.Succeeded, 5*time.Second)
 	})
 }
+
+// TestVanishedPartOfEarlierHolder guards against parts that count as running for good, because an earlier lease holder has
+// started them, and they vanish from the worker's reports after the first one without an end.
+func TestVanishedPartOfEarlierHolder(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		r.disturbed.Store(true)
+		kill := r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("j1", time.Minute, work.Step{Parts: 1, Checkpoints: true})
+		r.sleep(40 * time.Second)
+		kill()
+		r.startInstance("i2")
+		r.sleep(10 * time.Second)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() {
+			started := wa.Entry.StartedMs
+			wa.Crash()
+			wa.Entry.StartedMs = started
+		})
+		r.sleep(3 * time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 2)
+		r.waitForState("j1", ident.Succeeded, 30*time.Second)
+	})
+}
+
+// TestPartThatCantBeStopped guards against capacity that stays allocated for good, because a worker that reports never
+// executes the stop of a part, while other parts keep its lease.
+func TestPartThatCantBeStopped(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.deafen()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("j1", 5*time.Minute, work.Step{Parts: 6})
+		r.submit("j2", 5*time.Minute, work.Step{Parts: 2})
+		r.sleep(time.Second)
+		d.stops.Store(true)
+		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j2"))
+		r.submit("j3", time.Second, work.Step{Parts: 2})
+		r.waitForState("j3", ident.Succeeded, 25*time.Second)
+	})
+}
