One limit for all that holds a job back in a pool with room

Headroom lasted until a job's slack was nearly used up, the preference for a rack until the rack had room, a quarantine up to 30 s and with each failure anew, whatever share of the pool was free, and each could follow the other. Nothing limited their sum.

A group that has waited for 1.5 s since its turn came, whose job has nothing running and for which the pool has room by the users' measure, is now placed in a pass of its own after the others: without headroom, then across racks, then on quarantined workers, the least failed first. A group that lasts has the same limit however full the pool is. Reservations, isolation of suspects, parts that disturb each other, labels and limits per worker stay. In a fuller pool headroom, racks and quarantines hold as before.

TestRandomWaitsInPoolWithRoom follows each group that lasts by itself now, as the rule does: it mixed up those of a job.

--- a/sard/pool/bench_test.go
+++ b/sard/pool/bench_test.go
@@ -117,6 +117,7 @@
 	e.Decide(now, now.UnixMilli())
 	now = now.Add(examinedAfter)
 	queue := e.placementQueue(now)
+	beginWaits(queue, now.Add(-examinedAfter))
 	r := newRound(e, now)
 	for b.Loop() {
 		for _, g := range queue {
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -11,6 +11,9 @@
 // have the highest priority, and other groups may be stopped to make room for them. The headroom is the capacity that
 // is kept free so that guaranteed jobs can often start without stopping others.
 //
+// Headroom, quarantines and the choice of a rack hold groups back for some time. For a job of which nothing runs, all of them
+// end after a common limit while the pool has room.
+//
 // A part may crash each worker that starts it. An attempt is on probation for some time after its start, and a crash of
 // its worker in that time makes its group a suspect. Suspects are started in isolation: while one is on probation, nothing
 // else is on its node. A group whose attempts coincide with crashes again and again is given up.
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -80,6 +80,8 @@
 	first      int
 	parts      []part
 	phase      phase
+	// wait is what is known of the group's wait since its turn came; nil if it has not come since it was last placed.
+	wait *waitState
 	// attempt is the number of the latest attempt, or 0 before the first; failures is the number of failed attempts.
 	attempt    ident.Attempt
 	failures   int
@@ -107,8 +109,6 @@
 	reserved []*node
 	// avoided holds the workers on which the group failed, stalled or ran slowly.
 	avoided map[ident.Worker]bool
-	// wait is what is known of the group's wait since its turn came.
-	wait waitState
 	// moves counts how often the group was stopped for stalling or running slowly.
 	moves int
 }
--- /dev/null
+++ b/sard/pool/patience.go
@@ -0,0 +1,95 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxHold is how long headroom, the choice of a rack and quarantines hold a group back in a pool with room.
+const maxHold = 1500 * time.Millisecond
+
+// endHolds places groups that have been held back for maxHold in a pool with room, although nothing of their job runs, as if
+// nothing was kept free for guaranteed jobs, across racks if need be, and at last on quarantined workers.
+func (r *round) endHolds(waited []*group) {
+	idle := map[*job]bool{}
+	for _, g := range waited {
+		if g.phase != waiting || r.now.Before(g.retryAt) || g.waited(r.now) < maxHold || g.awaitsProbation() {
+			continue
+		}
+		if _, known := idle[g.job]; !known {
+			idle[g.job] = g.job.attachedParts() == 0
+		}
+		if !idle[g.job] && !g.spec().Lasting || !r.hasRoom(g) {
+			continue
+		}
+		if nodes := r.packHeldBack(g); nodes != nil {
+			r.place(g, nodes)
+			idle[g.job] = false
+		}
+	}
+}
+
+// awaitsProbation reports whether the group is a suspect and waits for the probation of others on its nodes.
+func (g *group) awaitsProbation() bool {
+	return g.suspected() && len(g.reserved) > 0
+}
+
+// packHeldBack returns nodes for a group that nothing holds back any more but what would do harm, or nil.
+func (r *round) packHeldBack(g *group) []*node {
+	available := r.free
+	if g.suspected() {
+		available = r.freeIf(func(n *node) bool { return n.quiet(r.now) })
+	}
+	open := r.openNodes(g)
+	if !r.canHoldAll(g, open, available) {
+		return nil
+	}
+	healthy := slices.DeleteFunc(slices.Clone(open), func(n *node) bool { return !n.health.healthy(r.now) })
+	if nodes := r.packPreferred(g, healthy, available); nodes != nil {
+		return nodes
+	}
+	if part, _, ok := r.fastPart(g, healthy, available); ok {
+		return r.packTight(g, part, available)
+	}
+	return r.packHealthiest(g, open, available)
+}
+
+// openNodes returns the nodes that can run the group without harm to others, fastest first.
+func (r *round) openNodes(g *group) []*node {
+	open := slices.DeleteFunc(slices.Clone(r.engine.nodes), func(n *node) bool {
+		return !n.Accepting || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n)
+	})
+	if r.bands != nil {
+		r.sortFastFirst(open)
+	}
+	return open
+}
+
+// packHealthiest places a group on the nodes whose workers have failed least.
+func (r *round) packHealthiest(g *group, nodes []*node, available capacityFunc) []*node {
+	slices.SortStableFunc(nodes, func(a, b *node) int { return r.compareHealth(g, a, b) })
+	want := len(g.parts)
+	for i, n := range nodes {
+		if want -= r.maxParts(g, n, available(n)); want <= 0 {
+			return r.packTight(g, nodes[:i+1], available)
+		}
+	}
+	return nil
+}
+
+// compareHealth orders nodes by how likely they are to run a group: healthy ones first, those on which it has failed last.
+func (r *round) compareHealth(g *group, a, b *node) int {
+	avoided := func(n *node) int {
+		if g.avoided[n.WorkerProcess.Worker] {
+			return 1
+		}
+		return 0
+	}
+	left := func(n *node) time.Duration { return max(0, n.health.quarantinedUntil.Sub(r.now)) }
+	return cmp.Or(
+		cmp.Compare(avoided(a), avoided(b)),
+		cmp.Compare(a.health.quarantineLength, b.health.quarantineLength),
+		cmp.Compare(left(a), left(b)),
+	)
+}
--- /dev/null
+++ b/sard/pool/patience_test.go
@@ -0,0 +1,70 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// useAccelerators lets jobs use 5 of 8 workers' accelerators, and guaranteed ones have used those of the others, so that they
+// are kept free.
+func (h *harness) useAccelerators(cpu work.MilliCores) {
+	h.t.Helper()
+	h.addJob("peak", work.Guaranteed, work.Step{Parts: 3, Need: largePart, Gang: true})
+	h.advance(100 * time.Millisecond)
+	h.endJob("peak", Done)
+	h.addJob("runs", 1, work.Step{Parts: 10, Need: work.Resources{CPU: cpu, Accelerators: 4}, Gang: true})
+}
+
+// useRacks lets a part run on each of 3 racks.
+func (h *harness) useRacks() {
+	h.t.Helper()
+	h.addJob("on r0", 1, work.Step{Parts: 1, Need: smallPart, DataRack: "r0"})
+	h.addJob("on r1", 1, work.Step{Parts: 1, Need: smallPart, DataRack: "r1"})
+	h.addJob("on r2", 1, work.Step{Parts: 1, Need: smallPart, DataRack: "r2"})
+}
+
+// TestHoldsEndInPoolWithRoom guards against parts that can run, and are held back for 3 s and more with most of the workers' room
+// free: by headroom, for the sake of a rack or by quarantines.
+func TestHoldsEndInPoolWithRoom(t *testing.T) {
+	tests := []struct {
+		name    string
+		workers int
+		setup   func(*harness)
+		step    work.Step
+		// ends is set if the hold ends.
+		ends bool
+	}{
+		{"headroom", 8, func(h *harness) { h.useAccelerators(1000) }, work.Step{Parts: 1, Need: largePart}, true},
+		{"headroom in a fuller pool", 8, func(h *harness) { h.useAccelerators(60000) }, work.Step{Parts: 1, Need: largePart}, false},
+		{"headroom in a fuller pool, lasting", 8, func(h *harness) { h.useAccelerators(60000) }, work.Step{Parts: 1, Need: largePart, Lasting: true}, true},
+		{"rack of a gang", 24, (*harness).useRacks, work.Step{Parts: 8, Need: largePart, Gang: true, SameRack: true}, true},
+		{"rack of the data", 24, (*harness).useRacks, work.Step{Parts: 8, Need: largePart, Gang: true, DataRack: "r1"}, true},
+		{"quarantine", 4, func(h *harness) { h.quarantine(0, 1, 2, 3) }, work.Step{Parts: 2, Need: largePart, Gang: true}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, test.workers)
+			test.setup(h)
+			h.addJob("waits", 2, test.step)
+			assert.Equal(t, len(h.workersOf("waits")), 0)
+			for range 30 {
+				h.advance(100 * time.Millisecond)
+			}
+			assert.Equal(t, len(h.workersOf("waits")) == test.step.Parts, test.ends)
+		})
+	}
+}
+
+// TestLeastFailedWorkersFirst guards against groups that run into a long quarantine while others are about to end.
+func TestLeastFailedWorkersFirst(t *testing.T) {
+	h := newHarness(t, 4)
+	h.quarantine(0, 1, 2)
+	h.engine.SuspendWorker(workerID(3), h.now, 2*maxHold)
+	h.addJob("waits", 2, work.Step{Parts: 1, Need: largePart})
+	h.advance(maxHold)
+	assert.Equal(t, h.workersOf("waits")[0], workerID(3))
+}
--- a/sard/pool/room_test.go
+++ b/sard/pool/room_test.go
@@ -214,24 +214,32 @@
 // check checks that no job, and no group that lasts, is held back for maxHeldBack.
 func (w *world) check() {
 	w.t.Helper()
+	held := map[any]*group{}
 	for _, j := range w.engine.jobs {
-		var held any
-		var first *group
+		if j.state.Terminal() {
+			continue
+		}
 		for _, g := range j.placeableGroups(w.now.Add(time.Hour)) {
-			if w.couldRun(g) && (g.spec().Lasting || j.attachedParts() == 0) {
-				held, first = j.ID, g
-				break
+			switch {
+			case !w.couldRun(g):
+			case g.spec().Lasting:
+				held[g] = g
+			case j.attachedParts() == 0:
+				held[j] = g
 			}
 		}
-		if held == nil || j.state.Terminal() {
-			delete(w.heldSince, j.ID)
-			continue
+	}
+	for key := range w.heldSince {
+		if held[key] == nil {
+			delete(w.heldSince, key)
 		}
-		if w.heldSince[held].IsZero() {
-			w.heldSince[held] = w.now
+	}
+	for key, g := range held {
+		if w.heldSince[key].IsZero() {
+			w.heldSince[key] = w.now
 		}
-		d := w.now.Sub(w.heldSince[held])
-		assert.Assert(w.t, d < maxHeldBack, "%v held back for %v, %v, suspected %t, %+v", held, d, first.wait.reason, first.suspected(), *first.spec())
+		d := w.now.Sub(w.heldSince[key])
+		assert.Assert(w.t, d < maxHeldBack, "%v held back for %v, suspected %t, %+v, %+v", g.job.ID, d, g.suspected(), w.engine.WaitsOf(g.job.ID), *g.spec())
 	}
 }
 
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -23,7 +23,7 @@
 	e.moveStalledAndSlow(now)
 	e.moveOffLeavingWorkers()
 	queue := e.placementQueue(now)
-	beginWaits(queue, now)
+	waited := beginWaits(queue, now)
 	r := newRound(e, now)
 	r.holdReservations(queue)
 	var unplaceable *stepState
@@ -37,7 +37,8 @@
 			unplaceable = step
 		}
 	}
-	r.examineWaits(queue)
+	r.endHolds(waited)
+	r.examineWaits(waited)
 	decisions := e.decisions
 	e.decisions = nil
 	return decisions
@@ -233,7 +234,7 @@
 	if violated := r.checkInvariants(g, nodes); violated != "" {
 		r.engine.violations = append(r.engine.violations, Violation{Job: g.job.ID, Invariant: violated})
 		g.retryAt = r.now.Add(violationRetryDelay)
-		g.wait.reason = PlacementRejected
+		g.rejected(r.now)
 		return
 	}
 	r.reserve(g, nodes)
@@ -246,7 +247,7 @@
 	}
 	r.countChoice(g, nodes)
 	g.reserved = nil
-	g.wait = waitState{}
+	g.wait = nil
 	g.attempt++
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -59,7 +59,7 @@
 
 // waitState is what is known of a group's wait.
 type waitState struct {
-	// since is when the group's turn came; zero if it has not come since it was last placed.
+	// since is when the group's turn came.
 	since      time.Time
 	reason     WaitReason
 	examinedAt time.Time
@@ -119,7 +119,7 @@
 		return
 	}
 	j.forEachGroup(func(g *group) {
-		if g.phase == waiting && !g.wait.since.IsZero() {
+		if g.phase == waiting && g.wait != nil {
 			visit(g.currentWait(e.now))
 		}
 	})
@@ -136,22 +136,35 @@
 	return now.Sub(g.wait.since)
 }
 
-// beginWaits records which groups have their turn from now on.
-func beginWaits(queue []*group, now time.Time) {
+// beginWaits records which groups have their turn from now on, and returns those that have waited for examinedAfter.
+func beginWaits(queue []*group, now time.Time) []*group {
+	var waited []*group
 	for _, g := range queue {
-		if g.wait.since.IsZero() {
-			g.wait.since = now
+		switch {
+		case g.wait == nil:
+			g.wait = &waitState{since: now}
+		case g.waited(now) >= examinedAfter:
+			waited = append(waited, g)
 		}
 	}
+	return waited
 }
 
-// examineWaits finds out why groups wait that were not placed in the round, a few of them in each round by turns.
-func (r *round) examineWaits(queue []*group) {
+// rejected records that a placement of the group was rejected.
+func (g *group) rejected(now time.Time) {
+	if g.wait == nil {
+		g.wait = &waitState{since: now}
+	}
+	g.wait.reason = PlacementRejected
+}
+
+// examineWaits finds out why groups that have waited were not placed in the round, a few of them in each round by turns.
+func (r *round) examineWaits(waited []*group) {
 	e := r.engine
 	left := maxExamined
-	for i := range queue {
-		at := (e.examineFrom + i) % len(queue)
-		g := queue[at]
+	for i := range waited {
+		at := (e.examineFrom + i) % len(waited)
+		g := waited[at]
 		if !g.toExamine(r.now) {
 			continue
 		}
@@ -167,12 +180,12 @@
 
 // toExamine reports whether the reason of the group's wait is to be examined.
 func (g *group) toExamine(now time.Time) bool {
-	return g.phase == waiting && !now.Before(g.retryAt) && g.waited(now) >= examinedAfter && now.Sub(g.wait.examinedAt) >= examinedEvery
+	return g.phase == waiting && !now.Before(g.retryAt) && now.Sub(g.wait.examinedAt) >= examinedEvery
 }
 
 // examine finds out why a group waits, and reports it if that has lasted for long although there is room.
 func (r *round) examine(g *group) {
-	w := &g.wait
+	w := g.wait
 	w.examinedAt, w.reason = r.now, r.waitReason(g)
 	if w.reported || w.reason <= NoRoom || g.waited(r.now) < LongWait || !r.hasRoom(g) {
 		return
