Failures of one moment lengthen a worker's quarantine once

Cause: each failed attempt doubled the quarantine, also those that had been placed before it began. A worker with some parts went from 4 to 30 s within a second, for one trouble. Change: only attempts that were placed since the latest quarantine began start another, longer one.

--- a/sard/pool/health.go
+++ b/sard/pool/health.go
@@ -10,7 +10,7 @@
 	// failedJobsLimit is the number of distinct jobs that must fail on a worker, with no success in between, before it
 	// is quarantined.
 	failedJobsLimit = 2
-	// initialQuarantine is the length of a worker's first quarantine. It doubles with each further failure, up to
+	// initialQuarantine is the length of a worker's first quarantine. It doubles with each further one, up to
 	// maxQuarantine.
 	initialQuarantine = 4 * time.Second
 	maxQuarantine     = 30 * time.Second
@@ -21,8 +21,8 @@
 	// failedJobs holds the jobs that failed on the worker since its last success.
 	failedJobs       map[ident.Job]bool
 	quarantineLength time.Duration
-	// quarantinedUntil is when the quarantine ends.
-	quarantinedUntil time.Time
+	// quarantinedAt is when the latest quarantine for failures began, and quarantinedUntil when the quarantine ends.
+	quarantinedAt, quarantinedUntil time.Time
 }
 
 // healthy reports whether new parts may be placed on the worker.
@@ -36,21 +36,22 @@
 	case Done:
 		n.health = health{}
 	case Failed:
-		n.health.recordFailure(g.job.ID, now)
+		n.health.recordFailure(g.job.ID, g.startedAt, now)
 	}
 }
 
-// recordFailure records that a job failed on the worker. It quarantines the worker once failedJobsLimit jobs have.
-func (h *health) recordFailure(job ident.Job, now time.Time) {
+// recordFailure records that an attempt of a job, which was placed at startedAt, failed on the worker. It quarantines the worker
+// once failedJobsLimit jobs have. Attempts that were placed before the latest quarantine fail by what that one was for.
+func (h *health) recordFailure(job ident.Job, startedAt, now time.Time) {
 	if h.failedJobs == nil {
 		h.failedJobs = map[ident.Job]bool{}
 	}
 	h.failedJobs[job] = true
-	if len(h.failedJobs) < failedJobsLimit {
+	if len(h.failedJobs) < failedJobsLimit || !startedAt.After(h.quarantinedAt) {
 		return
 	}
 	h.quarantineLength = min(max(2*h.quarantineLength, initialQuarantine), maxQuarantine)
-	h.quarantinedUntil = now.Add(h.quarantineLength)
+	h.quarantinedAt, h.quarantinedUntil = now, now.Add(h.quarantineLength)
 }
 
 // SuspendWorker places no new parts on a worker for at least the given time.
--- a/sard/pool/recovery_test.go
+++ b/sard/pool/recovery_test.go
@@ -107,7 +107,7 @@
 		h.addJob(id, 1, work.Step{Parts: 1, Need: smallPart, Estimate: time.Millisecond})
 		a := h.starts[len(h.starts)-1]
 		h.engine.AttemptEnded(a.Attempt, Failed, "", h.now)
-		h.engine.nodesByID[a.Worker.Worker].health.recordFailure("other", h.now)
+		h.engine.nodesByID[a.Worker.Worker].health.recordFailure("other", h.now, h.now)
 		h.decide()
 		h.advance(retryDelay)
 		assert.Assert(t, !slices.Contains(h.workersOf(id), a.Worker.Worker))
