Log the first failed read of the configuration after a start too

Cause: 'store lost' was logged only after a read had succeeded. Change: the first failure is logged whether or not the store was reached before. Measured: nothing.

--- a/sard/policy/source.go
+++ b/sard/policy/source.go
@@ -44,8 +44,8 @@
 	evacuations    *Evacuations
 	// confirmed is the latest time at which the configuration in force is known to have been the newest.
 	confirmed clock.Instant
-	// reachable is set if the last read succeeded.
-	reachable bool
+	// reachable is set if the last read succeeded, and lost if the log says that it failed.
+	reachable, lost bool
 }
 
 // NewSource returns a Source that has no configuration until Run reads it.
@@ -185,19 +185,24 @@
 	defer s.mu.Unlock()
 	s.confirmed = max(s.confirmed, at)
 	if !s.reachable {
-		s.reachable = true
+		s.reachable, s.lost = true, false
 		s.config.Logger.Info("store reached")
 	}
 }
 
 // markUnreachable records that a read that was sent at the given time failed, and logs the first failure after a
-// successful read.
+// successful read, or after the start.
 func (s *Source) markUnreachable(sent clock.Instant, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reachable {
-		s.reachable = false
-		s.config.Logger.Warn("store lost", "confirmed_ago_ms", clock.Since(s.confirmed).Milliseconds(),
-			"read_ms", clock.Since(sent).Milliseconds(), "error", err)
+	s.reachable = false
+	if s.lost {
+		return
 	}
+	s.lost = true
+	fields := []any{"read_ms", clock.Since(sent).Milliseconds(), "error", err}
+	if s.confirmed != clock.Never {
+		fields = append(fields, "confirmed_ago_ms", clock.Since(s.confirmed).Milliseconds())
+	}
+	s.config.Logger.Warn("store lost", fields...)
 }
