Let answers to reads of client calls take as long as their transfer

Callers saw: counts of waiting jobs that ended with 503 on an instance with a slow link, with the store in order.

--- a/sard/entry/read.go
+++ b/sard/entry/read.go
@@ -42,21 +42,29 @@
 	err  error
 }
 
-// list reads a range. It sends the read again when it has failed or has gone unanswered for hedgeDelay, until one is
-// answered or ctx ends, which is safe because reads have no side effects. It fails at once while the partition is closed.
+// reads are the reads of one range that are under way.
+type reads struct {
+	group   errgroup.Group
+	results chan listing
+	// arrived holds a value when a part of an answer has arrived.
+	arrived chan struct{}
+}
+
+// list reads a range. It sends the read again when it has failed or nothing of its answer has arrived for hedgeDelay, until
+// one is answered or ctx ends, which is safe because reads have no side effects. It fails at once while the partition is
+// closed.
 func (j *Jobs) list(ctx context.Context, r store.Range) (store.Listing, error) {
-	var reads errgroup.Group
-	defer func() { _ = reads.Wait() }()
+	under := reads{results: make(chan listing), arrived: make(chan struct{}, 1)}
+	defer func() { _ = under.group.Wait() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan listing)
 	var failure error
 	for {
 		if err := j.admit(r.Partition); err != nil {
 			return store.Listing{}, err
 		}
-		reads.Go(func() error { return j.listOnce(ctx, r, results) })
-		result, ended := awaitListing(ctx, results)
+		under.group.Go(func() error { return j.listOnce(ctx, r, &under) })
+		result, ended := under.await(ctx)
 		if ended && (result.err == nil || fault.Is(result.err, fault.Invalid)) {
 			return result.rows, result.err
 		}
@@ -79,26 +87,35 @@
 }
 
 // listOnce reads a range and passes on the result, unless ctx ends.
-func (j *Jobs) listOnce(ctx context.Context, r store.Range, results chan<- listing) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := j.config.Store.List(callCtx, r)
+func (j *Jobs) listOnce(ctx context.Context, r store.Range, under *reads) error {
+	arriving := store.WithArrivals(ctx, func() {
+		select {
+		case under.arrived <- struct{}{}:
+		default:
+		}
+	})
+	rows, err := j.config.Store.List(arriving, r)
 	select {
-	case results <- listing{rows, err}:
+	case under.results <- listing{rows, err}:
 	case <-ctx.Done():
 	}
 	return nil
 }
 
-// awaitListing returns the next result, or false if there is none within hedgeDelay or ctx ends.
-func awaitListing(ctx context.Context, results <-chan listing) (listing, bool) {
+// await returns the next result, or false if nothing has arrived for hedgeDelay or ctx ends.
+func (u *reads) await(ctx context.Context) (listing, bool) {
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
-	select {
-	case result := <-results:
-		return result, true
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case result := <-u.results:
+			return result, true
+		case <-u.arrived:
+			timer.Reset(hedgeDelay)
+		case <-timer.C:
+			return listing{}, false
+		case <-ctx.Done():
+			return listing{}, false
+		}
 	}
-	return listing{}, false
 }
