The random tests check that no job is held back once faults have ended

The users' rule: for 3 s, nothing of a job runs while its turn has come, there is room for it twice over, and under half of the pool is in use. It is checked from 11 s after the last fault on, since callers ask for their jobs 14 s after the traffic. Not with parts that crash workers, as these are faults that go on.

--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -135,16 +135,19 @@
 	// reading, if not nil, makes the reads of the store fail at times.
 	reading *rand.Rand
 	// crashing, if not nil, makes random parts crash their workers.
-	crashing      *rand.Rand
-	submitted     []ident.Job
-	cancelled     map[ident.Job]bool
+	crashing  *rand.Rand
+	submitted []ident.Job
+	cancelled map[ident.Job]bool
+	// cleared is when all faults ended, and heldBack the jobs that are held back since.
+	cleared       time.Time
+	heldBack      map[ident.Job]heldBack
 	killInstances []context.CancelFunc
 	instanceCount int
 }
 
 // newScenario returns a scenario for a seed.
 func newScenario(r *harness, seed uint64) *scenario {
-	s := &scenario{harness: r, rng: rand.New(rand.NewPCG(seed, 7)), cancelled: map[ident.Job]bool{}}
+	s := &scenario{harness: r, rng: rand.New(rand.NewPCG(seed, 7)), cancelled: map[ident.Job]bool{}, heldBack: map[ident.Job]heldBack{}}
 	for i := range 8 {
 		s.workers = append(s.workers, workerName(i))
 	}
@@ -167,6 +170,7 @@
 		s.sleep(time.Duration(s.rng.IntN(800)) * time.Millisecond)
 	}
 	s.clearFaults()
+	s.cleared = time.Now()
 	for _, id := range s.submitted {
 		s.waitForEnd(id)
 	}
@@ -331,6 +335,35 @@
 	}
 }
 
+const (
+	// settleTime is the time from the end of all faults until no job may be held back any more.
+	settleTime = 11 * time.Second
+	// heldBackLimit is how long nothing of a job may run from then on while the pool has room for it.
+	heldBackLimit = 3 * time.Second
+)
+
+// heldBack is since when nothing of a job has run while the pool had room for it.
+type heldBack struct {
+	since   time.Time
+	attempt ident.Attempt
+}
+
+// checkHeldBack checks that no job is held back once all faults have ended.
+func (s *scenario) checkHeldBack() {
+	for _, id := range s.submitted {
+		last, known := s.heldBack[id]
+		attempt := s.fleet.HighestAttempt(id)
+		switch {
+		case !s.fleet.CouldRun(id, s.workers) || s.cancelled[id] || s.fleet.MayBeGivenUp(id):
+			delete(s.heldBack, id)
+		case !known || last.attempt != attempt:
+			s.heldBack[id] = heldBack{time.Now(), attempt}
+		case time.Since(last.since) > heldBackLimit && time.Since(s.cleared) > settleTime+heldBackLimit:
+			s.t.Fatalf("job %s is held back since %v after the end of the faults", id, last.since.Sub(s.cleared))
+		}
+	}
+}
+
 // waitForEnd waits until a job has ended.
 func (s *scenario) waitForEnd(id ident.Job) {
 	deadline := time.Now().Add(3 * time.Minute)
@@ -349,6 +382,9 @@
 		if time.Now().After(deadline) {
 			s.t.Fatalf("job %s is still %v", id, state)
 		}
+		if s.crashing == nil {
+			s.checkHeldBack()
+		}
 		s.sleep(100 * time.Millisecond)
 	}
 }
