A part whose start is never answered prefers other workers from then on

What was seen: a worker that reports, but executes no starts, got the same part again and again: 2.4 s of requests, the stop, and the next attempt 50 ms later on the same worker, though others had room. A gang waits as a whole. Cause: only attempts that were reported as failed made a group avoid a worker. Change: a group avoids a worker that left all start requests for one of its parts unanswered, as one on which it failed. Test: TestDeafWorkerIsAvoided failed before ("wj1 is Running, want Succeeded, after 6s").

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -298,8 +298,8 @@
 }
 
 // startUnanswered handles a start request that got no response. It repeats the request, which has no effect if the
-// attempt runs, until the limit is reached; then it stops the attempt, which may run. There is nothing to do if a report
-// of the worker has listed the attempt in the meantime.
+// attempt runs, until the limit is reached; then it stops the attempt, which may run, and avoids the worker. There is nothing
+// to do if a report of the worker has listed the attempt in the meantime.
 func (s *Scheduler) startUnanswered(w *session, state *attemptState, ev startResult) {
 	state.startOpen = state.startOpen || !ev.undelivered()
 	if state.startConfirmed != clock.Never {
@@ -319,6 +319,7 @@
 		s.queueStart(w, state, start)
 		return
 	}
+	s.engine.AvoidWorker(ev.attempt)
 	s.engine.StopUnconfirmed(ev.attempt)
 }
 
--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -202,3 +202,27 @@
 		r.waitForState("j3", ident.Succeeded, 25*time.Second)
 	})
 }
+
+// TestDeafWorkerIsAvoided guards against parts that are placed again and again on a worker that reports and executes no starts,
+// though other workers have room.
+func TestDeafWorkerIsAvoided(t *testing.T) {
+	tests := []struct {
+		name string
+		gang bool
+	}{
+		{"single parts", false},
+		{"gang", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 4, func(r *harness) {
+				d := r.deafen()
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				d.starts.Store(true)
+				r.submit("wj1", time.Second, work.Step{Parts: 3, Gang: test.gang})
+				r.waitForState("wj1", ident.Succeeded, 6*time.Second)
+			})
+		})
+	}
+}
