A confirmed stop is followed by a report at once

What was seen: a part that never ran counted against its worker for up to two long renewals after the worker had confirmed its stop, and its gang waited with it; 2 s, and 4 s in a large pool. Cause: the report that shows its absence has to be asked for after the stop. The renewal under way does not count, and the next one was a long one too, though no end would cut it short. Change: a renewal after a confirmed stop does not wait, until one has brought a report; a part that runs while it is being stopped still ends a long renewal. Bound: before, two long renewals; now one. Test: TestStopIsReportedSoon failed before ("wj1 is Running, want Succeeded, after 4s").

--- a/sard/sched/acks.go
+++ b/sard/sched/acks.go
@@ -14,7 +14,8 @@
 const (
 	// acksFirstLimit is how long starts wait for an acknowledgement that is due but may not be sent yet.
 	acksFirstLimit = 500 * time.Millisecond
-	// ackRetryPause is the pause between lease renewals while an acknowledgement is due that may not be sent yet.
+	// ackRetryPause is the pause between lease renewals while an acknowledgement is due that may not be sent yet, or until a
+	// report is asked for after a stop.
 	ackRetryPause = 50 * time.Millisecond
 )
 
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -108,7 +108,7 @@
 	}
 	// A renewal that waits acknowledges no ends, because it may reach a later process of the worker, whose end
 	// sequence starts again from 1.
-	if busy && w.fenced && w.seenEnd == w.ackedEnd && !w.unanswered && w.refusedSince == clock.Never && !w.slow {
+	if busy && w.fenced && w.seenEnd == w.ackedEnd && !w.unanswered && w.refusedSince == clock.Never && !w.slow && !w.awaitsReport() {
 		req.MaxWait = s.maxRenewalWait()
 	}
 	timeout := req.MaxWait + w.renewalMargin(busy)
@@ -123,6 +123,17 @@
 	})
 }
 
+// awaitsReport reports whether no lease renewal that was sent after the confirmation of a stop has brought a report. If the
+// attempt never ran, no end makes the worker report.
+func (w *session) awaitsReport() bool {
+	for _, state := range w.attempts {
+		if state.stopConfirmed != clock.Never && !state.stopConfirmed.Before(w.reportSentAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // renewalMargin returns how much longer the timeout of a lease renewal is than the time by which the worker may delay its
 // response. A worker that is only slow must not lose its parts; one without parts, or whose lease is about to expire, is
 // given up sooner.
@@ -153,7 +164,7 @@
 	first := !w.fenced
 	w.fenced, w.lost = true, false
 	w.recordReply(ev.report.Reply)
-	w.lastReport, w.failedAt, w.failureUndated = clock.Now(), clock.Never, false
+	w.lastReport, w.reportSentAt, w.failedAt, w.failureUndated = clock.Now(), ev.sentAt, clock.Never, false
 	w.otherAnswered, w.refusedSince = false, clock.Never
 	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
 	if first {
@@ -167,7 +178,7 @@
 		w.nextRenewal = clock.Now().Add(unconfirmedPause)
 	case w.unexpected > 0:
 		w.nextRenewal = clock.Now().Add(unexpectedPause)
-	case w.ackDue() && !w.mayAcknowledge():
+	case w.ackDue() && !w.mayAcknowledge() || w.awaitsReport():
 		w.nextRenewal = clock.Now().Add(ackRetryPause)
 	default:
 		s.renewSoon(w)
--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -226,3 +226,17 @@
 		})
 	}
 }
+
+// TestStopIsReportedSoon guards against parts that wait for two long renewals, because their stop was confirmed by a worker on
+// which they never ran, so that no end makes it report.
+func TestStopIsReportedSoon(t *testing.T) {
+	runTest(t, 3, func(r *harness) {
+		d := r.deafen()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		d.starts.Store(true)
+		r.submit("wj1", 500*time.Millisecond, work.Step{Parts: 1})
+		// The renewal that is under way when the stop is confirmed lasts for a second at most.
+		r.waitForState("wj1", ident.Succeeded, 2400*time.Millisecond+time.Second+600*time.Millisecond)
+	})
+}
