Random tests with workers that ignore orders, execute them late, or refuse to report

The fake workers can now ignore starts and stops for good, or execute them up to 4 s late, and refuse renewals.

--- /dev/null
+++ b/sard/fakes/orders.go
@@ -0,0 +1,49 @@
+package fakes
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/sched"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// lateTimeout limits the execution of an order that is executed late.
+const lateTimeout = time.Second
+
+// Start handles a request to start an attempt of a part.
+func (w *Worker) Start(ctx context.Context, req sched.StartRequest) (sched.Reply, error) {
+	if err := w.ignoreOrder(ctx, req.Worker, func(ctx context.Context) { _, _ = w.start(ctx, req) }); err != nil {
+		return sched.Reply{}, err
+	}
+	return w.start(ctx, req)
+}
+
+// Stop handles a request to stop an attempt of a part, which takes StopDelay.
+func (w *Worker) Stop(ctx context.Context, req sched.StopRequest) (sched.Reply, error) {
+	if err := w.ignoreOrder(ctx, req.Worker, func(ctx context.Context) { _, _ = w.stop(ctx, req) }); err != nil {
+		return sched.Reply{}, err
+	}
+	return w.stop(ctx, req)
+}
+
+// ignoreOrder returns an error once ctx ends if the worker leaves orders unanswered now. It executes the order late if the
+// worker does so.
+func (w *Worker) ignoreOrder(ctx context.Context, process work.WorkerProcess, execute func(context.Context)) error {
+	w.fleet.mu.Lock()
+	ignored, lateness, startedMs := w.IgnoresOrders, w.OrderLateness, w.Entry.StartedMs
+	w.fleet.mu.Unlock()
+	if !ignored {
+		return nil
+	}
+	if lateness > 0 {
+		time.AfterFunc(lateness, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), lateTimeout)
+			defer cancel()
+			if w.LaterProcessExecutes || w.startedMs() == startedMs {
+				execute(ctx)
+			}
+		})
+	}
+	return waitForCancel(ctx, process)
+}
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -45,6 +45,13 @@
 	EvacuatedSince time.Time
 	// RenamedByCrashes gives the worker another name, at the same address, whenever a part crashes it.
 	RenamedByCrashes bool
+	// IgnoresOrders leaves starts and stops unanswered. They are executed after OrderLateness if that isn't 0, else never.
+	IgnoresOrders bool
+	OrderLateness time.Duration
+	// LaterProcessExecutes makes a later process of the worker execute the late orders to the former one.
+	LaterProcessExecutes bool
+	// RefuseRenewals, if not nil, is the cause with which all lease renewals are refused.
+	RefuseRenewals *sched.Cause
 	// RefuseStarts, if not nil, is the cause with which all start requests are refused.
 	RefuseStarts *sched.Cause
 
@@ -110,6 +117,7 @@
 // ClearFaults clears all faults of the worker, including those of its current runs.
 func (w *Worker) ClearFaults() {
 	w.Unreachable, w.DropReplies, w.Failing, w.Stalled, w.Slowdown, w.RefuseStarts = false, false, false, false, 0, nil
+	w.IgnoresOrders, w.RefuseRenewals = false, nil
 	for _, r := range w.runs {
 		r.stalled = false
 	}
@@ -174,8 +182,8 @@
 	return f()
 }
 
-// Start handles a request to start an attempt of a part.
-func (w *Worker) Start(ctx context.Context, req sched.StartRequest) (sched.Reply, error) {
+// start handles a request to start an attempt of a part that is not ignored.
+func (w *Worker) start(ctx context.Context, req sched.StartRequest) (sched.Reply, error) {
 	var reply sched.Reply
 	err := w.call(ctx, req.Worker, req.Epoch, func() error {
 		reply = w.reply()
@@ -257,8 +265,8 @@
 	w.fleet.addViolation("runs on worker %s exceed the capacity: %+v of %+v", w.Entry.WorkerProcess.Worker, total, w.Entry.Capacity)
 }
 
-// Stop handles a request to stop an attempt of a part, which takes StopDelay.
-func (w *Worker) Stop(ctx context.Context, req sched.StopRequest) (sched.Reply, error) {
+// stop handles a request to stop an attempt of a part that is not ignored.
+func (w *Worker) stop(ctx context.Context, req sched.StopRequest) (sched.Reply, error) {
 	var reply sched.Reply
 	err := w.call(ctx, req.Worker, req.Epoch, func() error {
 		reply = w.reply()
@@ -284,6 +292,9 @@
 		var report sched.WorkerReport
 		var changed chan struct{}
 		err := w.call(ctx, req.Worker, req.Epoch, func() error {
+			if w.RefuseRenewals != nil {
+				return w.refusal(*w.RefuseRenewals)
+			}
 			w.extendLease(req.Deadline)
 			w.ackEnds(req.AckedEnd)
 			report = w.newReport()
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -465,3 +465,26 @@
 		assert.Check(t, restarted, "the part was not started elsewhere within %v", fakes.MaxLease)
 	})
 }
+
+// TestLateStartAfterEndAndRestart guards against parts that run twice, because a repeated start is executed late, by a later
+// process of the worker, after the former one has reported the end of the attempt and the part has been started elsewhere.
+func TestLateStartAfterEndAndRestart(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		r.disturbed.Store(true)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() { wa.IgnoresOrders, wa.OrderLateness, wa.LaterProcessExecutes = true, 2*time.Second, true })
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("wj1", 10*time.Second, work.Step{Parts: 1})
+		r.sleep(2100 * time.Millisecond)
+		// The first request has been executed, the second is under way.
+		r.updateFleet(func() { wa.Failing = true })
+		r.sleep(200 * time.Millisecond)
+		r.updateFleet(func() {
+			wa.Failing, wa.IgnoresOrders = false, false
+			wa.Crash()
+		})
+		r.listWorker(wa)
+		r.waitForState("wj1", ident.Succeeded, 30*time.Second)
+	})
+}
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardineline/sardineline/sard/fakes"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/sched"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -121,6 +122,21 @@
 	}
 }
 
+// TestRandomFaultsWithIgnoredOrders is like TestRandomFaults, and workers that report leave orders unanswered, execute them late
+// or never, or refuse to report. It guards against parts that are started elsewhere while an order that was given up may still
+// start them.
+func TestRandomFaultsWithIgnoredOrders(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runTest(t, 8, func(r *harness) {
+				s := newScenario(r, seed)
+				s.ignoring = rand.New(rand.NewPCG(seed, 10))
+				s.run()
+			})
+		})
+	}
+}
+
 // scenario is a random sequence of events derived from a seed.
 type scenario struct {
 	*harness
@@ -134,6 +150,8 @@
 	replaced []*fakes.Worker
 	// reading, if not nil, makes the reads of the store fail at times.
 	reading *rand.Rand
+	// ignoring, if not nil, makes random workers ignore orders or refuse to report.
+	ignoring *rand.Rand
 	// crashing, if not nil, makes random parts crash their workers.
 	crashing  *rand.Rand
 	submitted []ident.Job
@@ -164,6 +182,7 @@
 		s.step()
 		s.resizeRandom()
 		s.replaceRandom()
+		s.ignoreRandom()
 		if s.reading != nil && s.reading.IntN(12) == 0 {
 			s.readsFail.Store(!s.readsFail.Load())
 		}
@@ -275,6 +294,29 @@
 	s.setAccelerators(s.workers[s.shrinking.IntN(8)], ident.Accelerators(s.shrinking.IntN(9)))
 }
 
+// maxOrderLateness is how late orders are executed at most.
+const maxOrderLateness = 4 * time.Second
+
+// ignoreRandom may make a random worker ignore orders or refuse to report, or end that.
+func (s *scenario) ignoreRandom() {
+	if s.ignoring == nil || s.ignoring.IntN(4) > 0 {
+		return
+	}
+	w := s.fleet.Worker(s.workers[s.ignoring.IntN(8)])
+	cause := sched.Unwell
+	s.updateFleet(func() {
+		w.IgnoresOrders, w.OrderLateness, w.RefuseRenewals = false, 0, nil
+		switch s.ignoring.IntN(5) {
+		case 0:
+			w.IgnoresOrders = true
+		case 1, 2:
+			w.IgnoresOrders, w.OrderLateness = true, time.Duration(s.ignoring.Int64N(int64(maxOrderLateness)))
+		case 3:
+			w.RefuseRenewals = &cause
+		}
+	})
+}
+
 // relist writes the current entry of a worker to the worker list if the store is available.
 func (s *scenario) relist(name ident.Worker) {
 	if s.storeDown.Load() || s.dropStoreReplies.Load() {
