A refused start does not begin the wait of a group anew

A group that was placed on a quarantined worker, and refused there, was held back for 1.5 s again before the next worker was tried. Its wait now ends when it has survived its probation or has ended in another way, and after a refusal the next worker is tried 0.5 s later. TestRefusedGroupIsTriedElsewhereSoon failed before (one start of two).

A suspect with reserved nodes was left out of the pass that ends holds, as it waits for probations there. It may wait for stops as well, without an answer, so it no longer is.

The random test now answers starts and stops first, so that it sees each group on its way to a worker, also one that is refused or whose worker crashes at once.

--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -133,6 +133,7 @@
 		return
 	}
 	p.survived = true
+	p.group.wait = nil
 	if p.crashes() == 0 {
 		return
 	}
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -124,6 +124,9 @@
 	n.detach(p)
 	e.saveCheckpoint(g, checkpoint, now)
 	e.recordOutcome(n, g, end, now)
+	if end != Refused {
+		g.wait = nil
+	}
 	if g.phase != done && !g.job.state.Terminal() {
 		e.countUnprovenStart(p, n, end)
 	}
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -80,7 +80,7 @@
 	first      int
 	parts      []part
 	phase      phase
-	// wait is what is known of the group's wait since its turn came; nil if it has not come since it was last placed.
+	// wait is what is known of the group's wait since its turn came; nil if it has not come since the group last ran.
 	wait *waitState
 	// attempt is the number of the latest attempt, or 0 before the first; failures is the number of failed attempts.
 	attempt    ident.Attempt
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -6,15 +6,19 @@
 	"time"
 )
 
-// maxHold is how long headroom, the choice of a rack and quarantines hold a group back in a pool with room.
-const maxHold = 1500 * time.Millisecond
+const (
+	// maxHold is how long headroom, the choice of a rack and quarantines hold a group back in a pool with room.
+	maxHold = 1500 * time.Millisecond
+	// refusedPause is how long they do so again after a worker refused the group.
+	refusedPause = 500 * time.Millisecond
+)
 
 // endHolds places groups that have been held back for maxHold in a pool with room, although nothing of their job runs, as if
 // nothing was kept free for guaranteed jobs, across racks if need be, and at last on quarantined workers.
 func (r *round) endHolds(waited []*group) {
 	idle := map[*job]bool{}
 	for _, g := range waited {
-		if g.phase != waiting || r.now.Before(g.retryAt) || g.waited(r.now) < maxHold || g.awaitsProbation() {
+		if !g.heldForLong(r.now) {
 			continue
 		}
 		if _, known := idle[g.job]; !known {
@@ -30,9 +34,9 @@
 	}
 }
 
-// awaitsProbation reports whether the group is a suspect and waits for the probation of others on its nodes.
-func (g *group) awaitsProbation() bool {
-	return g.suspected() && len(g.reserved) > 0
+// heldForLong reports whether the group has been held back for as long as it may.
+func (g *group) heldForLong(now time.Time) bool {
+	return g.phase == waiting && !now.Before(g.retryAt) && g.waited(now) >= maxHold && now.Sub(g.wait.triedAt) >= refusedPause
 }
 
 // packHeldBack returns nodes for a group that nothing holds back any more but what would do harm, or nil.
--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -68,3 +68,20 @@
 	h.advance(maxHold)
 	assert.Equal(t, h.workersOf("waits")[0], workerID(3))
 }
+
+// TestRefusedGroupIsTriedElsewhereSoon guards against groups that wait anew for as long as before, each time that a worker refuses
+// them which was quarantined with cause.
+func TestRefusedGroupIsTriedElsewhereSoon(t *testing.T) {
+	h := newHarness(t, 4)
+	h.quarantine(0, 1, 2, 3)
+	h.addJob("waits", 2, work.Step{Parts: 1, Need: largePart})
+	h.advance(maxHold)
+	assert.Equal(t, len(h.starts), 1)
+	h.quarantine(0)
+	h.endJob("waits", Refused)
+	h.advance(retryDelay)
+	assert.Equal(t, len(h.starts), 1)
+	h.advance(refusedPause)
+	assert.Equal(t, len(h.starts), 2)
+	assert.Assert(t, h.starts[1].Worker != h.starts[0].Worker)
+}
--- a/sard/pool/room_test.go
+++ b/sard/pool/room_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxHeldBack is for how long a job may have nothing running while the pool has room for a group whose turn has come.
+	// maxHeldBack is for how long a job may have nothing running, or on its way to a worker, while the pool has room for a group whose turn has come.
 	maxHeldBack = 3 * time.Second
 	// worldStep is the time between two rounds, worldTime how long a world is played.
 	worldStep = 100 * time.Millisecond
@@ -86,14 +86,6 @@
 // play plays the world, and checks after each round that nothing is held back for too long.
 func (w *world) play() {
 	for end := w.now.Add(worldTime); w.now.Before(end); w.advance(worldStep) {
-		w.happen()
-		if left := end.Sub(w.now); left > 12*time.Second && w.oneIn(5) {
-			w.submitJob()
-		}
-		if w.oneIn(60) {
-			w.disturb()
-		}
-		w.engine.ForEachAttempt(func(a work.Attempt, _ work.WorkerProcess) { w.engine.AttemptRunning(a, 0, "", w.now) })
 		starts, stops := w.starts, w.stops
 		w.starts, w.stops = nil, nil
 		for _, s := range starts {
@@ -103,6 +95,14 @@
 			w.stop(s)
 		}
 		w.check()
+		w.happen()
+		if left := end.Sub(w.now); left > 12*time.Second && w.oneIn(5) {
+			w.submitJob()
+		}
+		if w.oneIn(60) {
+			w.disturb()
+		}
+		w.engine.ForEachAttempt(func(a work.Attempt, _ work.WorkerProcess) { w.engine.AttemptRunning(a, 0, "", w.now) })
 	}
 }
 
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -247,7 +247,7 @@
 	}
 	r.countChoice(g, nodes)
 	g.reserved = nil
-	g.wait = nil
+	g.tried(r.now)
 	g.attempt++
 	g.phase = placed
 	g.startedAt, g.savedAt = r.now, r.now
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -63,6 +63,8 @@
 	since      time.Time
 	reason     WaitReason
 	examinedAt time.Time
+	// triedAt is when the group was last placed since; zero if it was not. Its worker may refuse it.
+	triedAt time.Time
 	// reported is set once the wait has been found to be long.
 	reported bool
 }
@@ -150,6 +152,13 @@
 	return waited
 }
 
+// tried records that the group was placed. Its wait ends when it is known to run, or has run.
+func (g *group) tried(now time.Time) {
+	if g.wait != nil {
+		g.wait.triedAt = now
+	}
+}
+
 // rejected records that a placement of the group was rejected.
 func (g *group) rejected(now time.Time) {
 	if g.wait == nil {
