A suspect that was held back for long claims its workers

A suspect that was held back among quarantined workers got only one on which nothing had been started for its probation. While others were started there again and again, or others had reserved some of each worker's room, it waited without end.

When its holds end it now takes, if there is nothing better, workers with something on probation, and at last such with reservations of others. It keeps them for itself, also while they are quarantined, until the probations there are over, so within a second. Isolation itself and the limits of crashes stay as they were.

TestSuspectIsNotStarved failed before.

--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -192,7 +192,7 @@
 			continue
 		}
 		for _, n := range g.reserved {
-			if isolated[n] == nil && n.Accepting && n.health.healthy(now) {
+			if isolated[n] == nil && n.Accepting && g.mayUse(n, now) {
 				isolated[n] = g
 			}
 		}
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -18,7 +18,7 @@
 func (r *round) endHolds(waited []*group) {
 	idle := map[*job]bool{}
 	for _, g := range waited {
-		if !g.heldForLong(r.now) {
+		if !g.heldForLong(r.now) || g.wait.probationAt.Equal(r.now) {
 			continue
 		}
 		if _, known := idle[g.job]; !known {
@@ -28,23 +28,42 @@
 			continue
 		}
 		if nodes := r.packHeldBack(g); nodes != nil {
+			g.wait.holdsEnded = true
 			r.place(g, nodes)
 			idle[g.job] = false
 		}
 	}
 }
 
+// mayUse reports whether the health of a node's worker allows that the group is placed there.
+func (g *group) mayUse(n *node, now time.Time) bool {
+	return n.health.healthy(now) || g.wait != nil && g.wait.holdsEnded
+}
+
 // heldForLong reports whether the group has been held back for as long as it may.
 func (g *group) heldForLong(now time.Time) bool {
 	return g.phase == waiting && !now.Before(g.retryAt) && g.waited(now) >= maxHold && now.Sub(g.wait.triedAt) >= refusedPause
 }
 
-// packHeldBack returns nodes for a group that nothing holds back any more but what would do harm, or nil.
+// packHeldBack returns nodes for a group that nothing holds back any more but what would do harm, or nil. A suspect gets
+// nodes on which something is on probation only if there are no others, and at last such on which others reserved capacity.
 func (r *round) packHeldBack(g *group) []*node {
-	available := r.free
-	if g.suspected() {
-		available = r.freeIf(func(n *node) bool { return n.quiet(r.now) })
+	if !g.suspected() {
+		return r.packOpen(g, r.free)
+	}
+	quiet := r.freeIf(func(n *node) bool { return n.quiet(r.now) })
+	unreserved := r.freeIf(func(*node) bool { return true })
+	for _, available := range []capacityFunc{quiet, unreserved, r.free} {
+		if nodes := r.packOpen(g, available); nodes != nil {
+			return nodes
+		}
 	}
+	return nil
+}
+
+// packOpen returns nodes for a group among all that can run it without harm to others, or nil: those that suit it, or else
+// healthy ones on several racks, or else the healthiest.
+func (r *round) packOpen(g *group, available capacityFunc) []*node {
 	open := r.openNodes(g)
 	if !r.canHoldAll(g, open, available) {
 		return nil
--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -85,3 +85,24 @@
 	assert.Equal(t, len(h.starts), 2)
 	assert.Assert(t, h.starts[1].Worker != h.starts[0].Worker)
 }
+
+// TestSuspectIsNotStarved guards against suspects that wait without end for quarantined workers on which nothing is on probation,
+// while others are started there again and again.
+func TestSuspectIsNotStarved(t *testing.T) {
+	h := newHarness(t, 4)
+	h.addJob("suspect", 2, work.Step{Parts: 1, Need: smallPart})
+	h.crash("suspect")
+	h.quarantine(0, 1, 2, 3)
+	for i := range 30 {
+		h.advance(100 * time.Millisecond)
+		if i >= 25 || len(h.workersOf("suspect")) > 0 {
+			continue
+		}
+		for _, n := range h.engine.nodes {
+			if h.engine.isolatedNodes(h.now)[n] == nil {
+				n.lastStart = h.now
+			}
+		}
+	}
+	assert.Equal(t, len(h.workersOf("suspect")), 1)
+}
--- a/sard/pool/reservation.go
+++ b/sard/pool/reservation.go
@@ -64,7 +64,7 @@
 		return false
 	}
 	for _, n := range nodes {
-		if !n.Accepting || !n.health.healthy(r.now) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) {
+		if !n.Accepting || !g.mayUse(n, r.now) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) {
 			return false
 		}
 	}
--- a/sard/pool/room_test.go
+++ b/sard/pool/room_test.go
@@ -214,14 +214,14 @@
 // check checks that no job, and no group that lasts, is held back for maxHeldBack.
 func (w *world) check() {
 	w.t.Helper()
-	held := map[any]*group{}
+	held, free := map[any]*group{}, w.look()
 	for _, j := range w.engine.jobs {
 		if j.state.Terminal() {
 			continue
 		}
 		for _, g := range j.placeableGroups(w.now.Add(time.Hour)) {
 			switch {
-			case !w.couldRun(g):
+			case !w.couldRun(g, free):
 			case g.spec().Lasting:
 				held[g] = g
 			case j.attachedParts() == 0:
@@ -243,42 +243,57 @@
 	}
 }
 
+// room is the free capacity of a pool.
+type room struct {
+	isolated    map[*node]*group
+	reserved    map[*node][]*group
+	used, total int64
+}
+
+// look returns the free capacity of the pool.
+func (w *world) look() *room {
+	r := &room{isolated: w.engine.isolatedNodes(w.now), reserved: map[*node][]*group{}}
+	for _, j := range w.engine.jobs {
+		j.forEachGroup(func(g *group) {
+			for _, n := range g.reserved {
+				if g.phase == waiting {
+					r.reserved[n] = append(r.reserved[n], g)
+				}
+			}
+		})
+	}
+	for _, n := range w.engine.nodes {
+		if n.Accepting {
+			r.used, r.total = r.used+coreEquivalents(n.allocated), r.total+coreEquivalents(n.Capacity)
+		}
+	}
+	return r
+}
+
 // couldRun reports whether a group whose turn has come fits twice into the free capacity while under half of the pool is in
 // use, or at all if it lasts. What a suspect on probation has for itself, or others have reserved, does not count.
-func (w *world) couldRun(g *group) bool {
-	isolated := w.engine.isolatedNodes(w.now)
-	var used, total int64
+func (w *world) couldRun(g *group, r *room) bool {
+	if !g.spec().Lasting && r.used*2 >= r.total {
+		return false
+	}
 	parts := 0
 	for _, n := range w.engine.nodes {
-		if !n.Accepting {
+		if !n.Accepting || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolated[n] != nil && r.isolated[n] != g {
 			continue
 		}
-		used, total = used+coreEquivalents(n.allocated), total+coreEquivalents(n.Capacity)
-		if !n.eligibleFor(g) || n.conflictsWith(g.spec()) || isolated[n] != nil && isolated[n] != g {
-			continue
+		free := n.free()
+		for _, other := range r.reserved[n] {
+			if other != g {
+				free = free.Minus(other.demand())
+			}
 		}
-		fit := partsByCapacity(g.demand(), n.free().Minus(w.reservedOn(n, g)))
+		fit := partsByCapacity(g.demand(), free)
 		if limit := g.spec().MaxPerWorker; limit > 0 {
 			fit = min(fit, max(0, limit-n.countParts(g)))
 		}
 		parts += fit
 	}
-	return parts >= 2*len(g.parts) && (g.spec().Lasting || used*2 < total)
-}
-
-// reservedOn returns what is reserved on a node for other groups.
-func (w *world) reservedOn(n *node, except *group) work.Resources {
-	var sum work.Resources
-	for _, j := range w.engine.jobs {
-		j.forEachGroup(func(g *group) {
-			for _, reserved := range g.reserved {
-				if reserved == n && g != except && g.phase == waiting {
-					sum = sum.Plus(g.demand())
-				}
-			}
-		})
-	}
-	return sum
+	return parts >= 2*len(g.parts)
 }
 
 // TestRandomWaitsInPoolWithRoom guards against jobs that have nothing running for 3 s although a group's turn has come, it fits
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -242,6 +242,7 @@
 		r.isolate(g, nodes)
 		if slices.ContainsFunc(nodes, func(n *node) bool { return !n.quiet(r.now) }) {
 			g.reserved = nodes
+			g.awaitProbation(r.now)
 			return
 		}
 	}
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -35,7 +35,7 @@
 	AwaitsRack
 	// AwaitsStops means that capacity is reserved for the group, parts of which are still being stopped there.
 	AwaitsStops
-	// AwaitsProbation means that the group is a suspect and waits for workers on which nothing is on probation.
+	// AwaitsProbation means that the group is a suspect and waits until nothing is on probation on its workers.
 	AwaitsProbation
 	// PlacementRejected means that a placement was rejected by the invariant checks.
 	PlacementRejected
@@ -65,6 +65,10 @@
 	examinedAt time.Time
 	// triedAt is when the group was last placed since; zero if it was not. Its worker may refuse it.
 	triedAt time.Time
+	// probationAt is the last round in which the group, a suspect, waited for nothing but probations on its nodes.
+	probationAt time.Time
+	// holdsEnded is set once the group may use quarantined workers.
+	holdsEnded bool
 	// reported is set once the wait has been found to be long.
 	reported bool
 }
@@ -159,6 +163,13 @@
 	}
 }
 
+// awaitProbation records that the group, a suspect, waits for nothing but probations on its nodes.
+func (g *group) awaitProbation(now time.Time) {
+	if g.wait != nil {
+		g.wait.probationAt = now
+	}
+}
+
 // rejected records that a placement of the group was rejected.
 func (g *group) rejected(now time.Time) {
 	if g.wait == nil {
@@ -207,6 +218,9 @@
 
 // waitReason returns why a group is not placed: it leaves out more and more nodes, until the rest can't hold the group.
 func (r *round) waitReason(g *group) WaitReason {
+	if g.wait.probationAt.Equal(r.now) {
+		return AwaitsProbation
+	}
 	free := (*node).free
 	nodes := slices.DeleteFunc(slices.Clone(r.engine.nodes), func(n *node) bool { return !n.Accepting || !n.eligibleFor(g) })
 	if !r.canHoldAll(g, nodes, free) {
@@ -227,14 +241,12 @@
 		}
 	}
 	switch {
-	case len(g.reserved) > 0 && !g.suspected():
+	case len(g.reserved) > 0:
 		return AwaitsStops
 	case !r.canHoldAll(g, nodes, r.free):
 		return ReservedForOthers
 	case r.packByRack(g, nodes, r.free, true, r.allNodes) == nil:
 		return AwaitsRack
-	case g.suspected():
-		return AwaitsProbation
 	}
 	return PassedOver
 }
