A job without attempts left fails when its queue allows fewer failures

A part that had failed waited for its next attempt while its queue's limit was lowered to what it had used. The limit was looked at when an attempt ended, and by the invariant checks: each placement was rejected, for one second, without end, and the job was neither run nor shown as failed.

When settings with a lower limit come into force, a job with such a waiting group fails, as at the end of an attempt. What runs goes on. TestLoweredFailureLimit failed before, in the first rejected placement.

--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -13,7 +13,7 @@
 func (e *Engine) Decide(now time.Time, nowMs int64) []Decision {
 	e.now = now
 	for _, j := range e.jobs {
-		j.settings = e.config.QueueSettings(j.Job)
+		e.applySettings(j, e.config.QueueSettings(j.Job))
 		if !j.state.Terminal() {
 			e.createDueOccurrences(j, now, nowMs)
 			e.refreshLengths(j, now)
