--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -13,7 +13,7 @@
 func (e *Engine) Decide(now time.Time, nowMs int64) []Decision {
 	e.now = now
 	for _, j := range e.jobs {
-		j.settings = e.config.QueueSettings(j.Job)
+		e.applySettings(j, e.config.QueueSettings(j.Job))
 		if !j.state.Terminal() {
 			e.createDueOccurrences(j, now, nowMs)
 			e.refreshLengths(j, now)
@@ -242,6 +242,7 @@
 		r.isolate(g, nodes)
 		if slices.ContainsFunc(nodes, func(n *node) bool { return !n.quiet(r.now) }) {
 			g.reserved = nodes
+			g.awaitProbation(r.now)
 			return
 		}
 	}
