--- a/sard/reach/judge.go
+++ b/sard/reach/judge.go
@@ -2,8 +2,8 @@
 //
 // A store can fail as a whole or in parts, for all processes or for some of them. Each scope is judged by itself: it
 // serves until a call goes unanswered for too long or fails, is then suspect, and counts as closed once a probe has failed
-// too. Any answer makes it serve again. Probes are single cheap reads: one for each scope that becomes suspect, and a paced
-// sequence for all scopes that are closed.
+// too. Any answer, or a part of one that arrives, makes it serve again. Probes are single cheap reads: one for each scope
+// that becomes suspect, and a paced sequence for all scopes that are closed.
 //
 // A pause of the process itself makes scopes suspect, but does not close them, because the probe is sent after the pause.
 // The timeout of a probe must leave out the time in which the process can't run.
