--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -59,6 +59,8 @@
 	// summary, if it is not nil.
 	costOrder bool
 	announced func(summary []byte)
+	// metrics, if not nil, are the metrics of the instances.
+	metrics *sched.Metrics
 	// failingJobs holds the jobs whose attempts all fail.
 	failingJobs map[ident.Job]bool
 	// crashingParts holds the indexes of the parts of jobs that crash each worker that starts them.
@@ -238,7 +240,7 @@
 		Evacuations: r.evacuations.Load,
 		WorkerLease: 5 * time.Second, MaxWorkerLease: fakes.MaxLease, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
 		RunTimes: r.runTimes, Admission: r.costOrder, Announce: r.announced, StartLimit: startLimit,
-		Logger: r.logger.Named(name),
+		Metrics: r.metrics, Logger: r.logger.Named(name),
 	}
 }
 
--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"github.com/sardineline/sardineline/sard/fakes"
@@ -240,3 +241,40 @@
 		r.waitForState("wj1", ident.Succeeded, 2400*time.Millisecond+time.Second+600*time.Millisecond)
 	})
 }
+
+// TestWaitsAreCounted guards against waits for an order's result, and workers without new parts, that no metric tells of.
+func TestWaitsAreCounted(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		registry := prometheus.NewRegistry()
+		r.metrics = sched.NewMetrics(registry)
+		d := r.deafen()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		d.starts.Store(true)
+		d.stops.Store(true)
+		r.submit("w1", time.Second, work.Step{Parts: 2, Gang: true})
+		r.sleep(time.Second)
+		assert.Equal(t, gaugeOf(t, registry, "sardine_sched_waiting_attempts", "startWait"), 1.0)
+		r.sleep(2500 * time.Millisecond)
+		assert.Equal(t, gaugeOf(t, registry, "sardine_sched_waiting_attempts", "stopWait"), 1.0)
+		wb := r.fleet.Worker("wb")
+		r.updateFleet(func() { wb.Unreachable = true })
+		d.starts.Store(false)
+		r.sleep(6 * time.Second)
+		assert.Equal(t, gaugeOf(t, registry, "sardine_sched_barred_workers", "silentWorker"), 1.0)
+	})
+}
+
+// gaugeOf returns the value of a gauge for a reason.
+func gaugeOf(t *testing.T, registry *prometheus.Registry, name, reason string) float64 {
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			if family.GetName() == name && metric.GetLabel()[0].GetValue() == reason {
+				return metric.GetGauge().GetValue()
+			}
+		}
+	}
+	return 0
+}
