Suspect a worker only if its gang failed nowhere else

In a run of TestSystemUnderAllFaults a job whose command fails on all of its workers was reported as failed on one of two by turns, whichever ended first; after nine repeats the last one was quarantined and a guarantee was short for it. A worker is now suspected only if the gang has failed on no other worker of its parts.

--- a/sard/place/engine_test.go
+++ b/sard/place/engine_test.go
@@ -286,21 +286,41 @@
 	assert.Equal(t, e.Explain("a").State, "Waiting")
 }
 
-// TestGangThatFailsEverywhereIsRefused checks that a gang whose failures follow it to other workers isn't retried for ever.
-func TestGangThatFailsEverywhereIsRefused(t *testing.T) {
-	e := place.New(place.Config{})
-	out := applyAll(e, place.Topology{Workers: workers(32)}, place.Submit{Job: job("a", "north", 16)})
-	for range 100 {
-		placed, ok := findDecision(out, func(p place.Place) bool { return p.Job == "a" })
-		if !ok {
-			break
-		}
-		out = e.Apply(epoch, place.Ended{
-			Job: "a", Attempt: placed.Attempt, Result: place.Requeued, FailedWorkers: []ident.Worker{placed.Parts[0].Worker},
+// TestGangThatIsAtFaultIsRefused checks that a gang whose failures follow it to other workers isn't retried for ever, and that
+// no worker is quarantined for a gang that fails on all of its workers by turns.
+func TestGangThatIsAtFaultIsRefused(t *testing.T) {
+	tests := []struct {
+		name    string
+		workers int
+		// failing returns the index of the part that fails in an attempt.
+		failing     func(ident.Attempt) int
+		quarantines int
+	}{
+		{"first part", 32, func(ident.Attempt) int { return 0 }, 0},
+		{"first part, few workers", 4, func(ident.Attempt) int { return 0 }, 2},
+		{"parts by turns", 2, func(a ident.Attempt) int { return int(a) % 2 }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := place.New(place.Config{})
+			out := applyAll(e, place.Topology{Workers: workers(tt.workers)}, place.Submit{Job: job("a", "north", 16)})
+			quarantines, refused := 0, false
+			for range 100 {
+				placed, ok := findDecision(out, func(p place.Place) bool { return p.Job == "a" })
+				if !ok {
+					break
+				}
+				failed := []ident.Worker{placed.Parts[tt.failing(placed.Attempt)].Worker}
+				out = e.Apply(epoch, place.Ended{Job: "a", Attempt: placed.Attempt, Result: place.Requeued, FailedWorkers: failed})
+				if _, ok := findDecision(out, func(place.Quarantine) bool { return true }); ok {
+					quarantines++
+				}
+				_, refused = findDecision(out, func(place.Refuse) bool { return true })
+			}
+			assert.Assert(t, refused, "%v", out)
+			assert.Equal(t, quarantines, tt.quarantines)
 		})
 	}
-	_, refused := findDecision(out, func(place.Refuse) bool { return true })
-	assert.Assert(t, refused, "%v", out)
 }
 
 // TestRepeatedlyFailingJobIsRefused guards against endless retries of a job that can't be checkpointed and fails on
--- a/sard/place/health.go
+++ b/sard/place/health.go
@@ -113,11 +113,19 @@
 	}
 }
 
-// isIsolatedFailure reports whether a gang has failed so often, each time on few of its workers and on the same ones, that
-// these workers are suspected in place of the gang. A gang that other workers have been suspected for is at fault itself.
+// isIsolatedFailure reports whether a gang has failed so often, each time on the same few of its workers, that these workers
+// are suspected in place of the gang. A gang that other workers have been suspected for is at fault itself.
 func (e *Engine) isIsolatedFailure(g *gang, ev Ended) bool {
-	return e.config.QuarantineThreshold > 0 && g.repeatedFailures >= e.config.MaxRepeatedFailures &&
-		len(ev.FailedWorkers) < len(g.parts) && g.isolatedFailures < e.config.MaxFailedWorkers-1
+	if e.config.QuarantineThreshold <= 0 || g.repeatedFailures < e.config.MaxRepeatedFailures || g.isolatedFailures >= e.config.MaxFailedWorkers-1 {
+		return false
+	}
+	failed := 0
+	for _, p := range g.parts {
+		if slices.Contains(g.failedWorkers, p.worker) {
+			failed++
+		}
+	}
+	return failed < len(g.parts) && failed == len(ev.FailedWorkers)
 }
 
 // recordFailure records a failure of a gang on worker w. It quarantines the worker if the failure is isolated, or when
