A restarted instance takes over its own domains at once

Nobody had read a report of the gang's end, so it ran again.

Gangs that end meanwhile are reported to nobody.

Change: lease.Config.IsPredecessor tells holders that were earlier processes of the instance; their lease is free. Writes and calls of the earlier process are fenced by the epoch as before.

TestRestartedInstanceAcquiresAtOnce failed with the former rule. A worker that dies with an unread end while no holder is back can still cause the same.

--- a/sard/lease/lease_test.go
+++ b/sard/lease/lease_test.go
@@ -133,6 +133,26 @@
 	}
 }
 
+// TestRestartedInstanceAcquiresAtOnce guards against a restarted instance that waits for its own lease to expire, while gangs
+// that have ended meanwhile are reported to nobody.
+func TestRestartedInstanceAcquiresAtOnce(t *testing.T) {
+	runWithFixture(t, func(t *testing.T, f *fixture, ctx context.Context) {
+		killed, kill := context.WithCancel(ctx)
+		first := f.acquire(killed, f.newContender("a@1"))
+		time.Sleep(time.Minute)
+		kill()
+		restarted := lease.New(lease.Config{
+			Store: f.store, Instance: "a@2",
+			IsPredecessor: func(holder ident.Instance) bool { return holder == "a@1" },
+		})
+		start := time.Now()
+		second, err := restarted.Acquire(ctx, dc)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(start) < time.Second)
+		assert.Assert(t, second.Epoch() > first.Epoch())
+	})
+}
+
 // TestRenewalAfterOutage checks that a holder keeps its epoch after an outage of the table during which nobody else took
 // the lease over.
 func TestRenewalAfterOutage(t *testing.T) {
--- a/sard/lease/manager.go
+++ b/sard/lease/manager.go
@@ -5,7 +5,8 @@
 // which it expires unless renewed. A holder makes decisions only until the lease could have expired by its own
 // monotonic clock. A contender, which is an instance that wants to acquire the lease, takes over only after it has
 // observed the same revision for a whole term on its own monotonic clock, so no instance relies on another machine's
-// clock. Each new holder increments the epoch, which fences off the writes and calls of all earlier holders.
+// clock. Only a restarted instance need not wait for the lease of its earlier process. Each new holder increments the
+// epoch, which fences off the writes and calls of all earlier holders.
 package lease
 
 import (
@@ -51,6 +52,9 @@
 	Store table.Store
 	// Instance is the holder's name. It must be unique to each process.
 	Instance ident.Instance
+	// IsPredecessor reports whether a holder was an earlier process of the same instance, which can't be running any more.
+	// Its lease needn't expire. If nil, no holder was.
+	IsPredecessor func(holder ident.Instance) bool
 	// Term is the time after which a lease expires unless renewed; 0 means DefaultTerm.
 	Term time.Duration
 	// Logger logs each change of holder; nil disables logging.
@@ -65,6 +69,9 @@
 	if config.Term == 0 {
 		config.Term = DefaultTerm
 	}
+	if config.IsPredecessor == nil {
+		config.IsPredecessor = func(ident.Instance) bool { return false }
+	}
 	if config.Logger == nil {
 		config.Logger = hclog.NewNullLogger()
 	}
@@ -123,7 +130,7 @@
 		case current != lastSeen || unchangedSince.IsZero():
 			lastSeen, unchangedSince = current, time.Now()
 		}
-		if err == nil && (current.Holder == "" || now.Sub(unchangedSince) >= current.Term) {
+		if err == nil && (m.isFree(current) || now.Sub(unchangedSince) >= current.Term) {
 			if held := m.tryAcquire(ctx, current); held != nil {
 				return held, nil
 			}
@@ -135,6 +142,12 @@
 	}
 }
 
+// isFree reports whether a lease may be acquired without waiting for its expiry: nobody holds it, or an earlier process of
+// this instance does.
+func (m *Manager) isFree(current State) bool {
+	return current.Holder == "" || m.config.IsPredecessor(current.Holder)
+}
+
 // readStale reads a lease for a contender. Stale data is safe because the takeover is conditional on the revision read.
 func (m *Manager) readStale(ctx context.Context, dc ident.DataCentre) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Term/renewalsPerTerm)
--- a/sardined/domains.go
+++ b/sardined/domains.go
@@ -50,10 +50,14 @@
 // newDomains creates the manager that acquires the leases of domains and runs the scheduler of each domain that this
 // instance holds.
 func (d *daemon) newDomains() {
+	process := ident.Instance(d.settings.Instance + processSeparator + strconv.FormatInt(time.Now().UnixNano(), 36))
 	leaseManager := lease.New(lease.Config{
 		Store:    d.store,
-		Instance: ident.Instance(d.settings.Instance + processSeparator + strconv.FormatInt(time.Now().UnixNano(), 36)),
-		Logger:   d.log.Named("lease"),
+		Instance: process,
+		IsPredecessor: func(holder ident.Instance) bool {
+			return holder != process && instanceOf(holder) == ident.Instance(d.settings.Instance)
+		},
+		Logger: d.log.Named("lease"),
 	})
 	transport := worker.NewTransport()
 	transport.DialContext = d.traffic.dialer("worker")
@@ -71,14 +75,19 @@
 		},
 		ReadHolder: func(ctx context.Context, dc ident.DataCentre) (ident.Instance, error) {
 			record, err := leaseManager.Read(ctx, dc)
-			name, _, _ := strings.Cut(string(record.Holder), processSeparator)
-			return ident.Instance(name), err
+			return instanceOf(record.Holder), err
 		},
 		NewScheduler: factory.newScheduler,
 		Logger:       d.log.Named("domain"),
 	})
 }
 
+// instanceOf returns the name of the instance whose process holds a lease.
+func instanceOf(holder ident.Instance) ident.Instance {
+	name, _, _ := strings.Cut(string(holder), processSeparator)
+	return ident.Instance(name)
+}
+
 // schedulerFactory creates the schedulers of domains. They share one HTTP client for calls to workers.
 type schedulerFactory struct {
 	daemon *daemon
