--- a/sard/pool/health.go
+++ b/sard/pool/health.go
@@ -23,6 +23,8 @@
 	quarantineLength time.Duration
 	// quarantinedAt is when the latest quarantine for failures began, and quarantinedUntil when the quarantine ends.
 	quarantinedAt, quarantinedUntil time.Time
+	// suspendedUntil is until when the worker may be out of reach, or refuse what it is sent.
+	suspendedUntil time.Time
 }
 
 // healthy reports whether new parts may be placed on the worker.
@@ -58,5 +60,6 @@
 func (e *Engine) SuspendWorker(id ident.Worker, now time.Time, pause time.Duration) {
 	if n := e.nodesByID[id]; n != nil && n.health.quarantinedUntil.Before(now.Add(pause)) {
 		n.health.quarantinedUntil = now.Add(pause)
+		n.health.suspendedUntil = now.Add(pause)
 	}
 }
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -62,7 +62,7 @@
 }
 
 // packOpen returns nodes for a group among all that can run it without harm to others, or nil: those that suit it, or else
-// healthy ones on several racks, or else the healthiest.
+// healthy ones on several racks, or else the healthiest. A suspect may crash a worker that is out of reach unnoticed.
 func (r *round) packOpen(g *group, available capacityFunc) []*node {
 	open := r.openNodes(g)
 	if !r.canHoldAll(g, open, available) {
@@ -75,7 +75,8 @@
 	if part, _, ok := r.fastPart(g, healthy, available); ok {
 		return r.packTight(g, part, available)
 	}
-	return r.packHealthiest(g, open, available)
+	usable := slices.DeleteFunc(open, func(n *node) bool { return g.suspected() && r.now.Before(n.health.suspendedUntil) })
+	return r.packHealthiest(g, usable, available)
 }
 
 // openNodes returns the nodes that can run the group without harm to others, fastest first.
