Failing tests of a late start after its deadline and of a reserved worker

A start whose deadline has passed on its worker's clock ends its part since. The next process of the worker, whose clock starts anew, may still execute it while the part runs elsewhere: two runs at 11.0 s in TestLateStartAfterDeadlineAndRestart.

Since, a suspect that was held back takes a worker with reservations of others, at last, and has it for itself: a guaranteed gang of another account can't start when its stops are confirmed, in TestSuspectTakesNoReservedWorker.

--- a/sard/pool/reservation_test.go
+++ b/sard/pool/reservation_test.go
@@ -127,3 +127,22 @@
 	h.advance(2 * time.Second)
 	assert.Equal(t, len(h.workersOf("quote")), 2)
 }
+
+// TestSuspectTakesNoReservedWorker guards against guaranteed gangs that wait for longer than for the stops they have claimed,
+// because a suspect of another account has one of their reserved workers for itself.
+func TestSuspectTakesNoReservedWorker(t *testing.T) {
+	h := newHarness(t, 3)
+	h.submit("b", "suspect", 1, work.Step{Parts: 1, Need: smallPart})
+	h.decide()
+	h.crash("suspect")
+	h.engine.DropWorker(h.starts[0].Worker.Worker)
+	h.submit("b", "low", 2, work.Step{Parts: 1, Need: largePart, Estimate: time.Millisecond})
+	h.decide()
+	h.addJob("quote", work.Guaranteed, work.Step{Parts: 2, Need: work.Resources{CPU: 50000, Memory: 100000, Accelerators: 4}, Gang: true, MaxPerWorker: 1})
+	assert.Equal(t, len(h.stops), 1)
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+	}
+	h.confirmStops()
+	assert.Equal(t, len(h.workersOf("quote")), 2)
+}
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -488,3 +488,23 @@
 		r.waitForState("wj1", ident.Succeeded, 30*time.Second)
 	})
 }
+
+// TestLateStartAfterDeadlineAndRestart guards against parts that run twice, because a start whose deadline has passed is executed
+// by a later process of the worker, whose clock starts anew, after the part was started elsewhere.
+func TestLateStartAfterDeadlineAndRestart(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		r.disturbed.Store(true)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() { wa.IgnoresOrders, wa.OrderLateness, wa.LaterProcessExecutes = true, 9*time.Second, true })
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("wj1", 10*time.Second, work.Step{Parts: 1})
+		r.sleep(8500 * time.Millisecond)
+		r.updateFleet(func() {
+			wa.IgnoresOrders = false
+			wa.Crash()
+		})
+		r.listWorker(wa)
+		r.waitForState("wj1", ident.Succeeded, 40*time.Second)
+	})
+}
