A failing test of cancellations over a slow link

Those of a cancellation run within retryUntilKnown, which limits read and write together to 800 ms: an answer that arrives bit by bit for 1 s is cut off each time, and the cancellation ends without an outcome (the test's error: context deadline exceeded).

--- a/sard/entry/read_test.go
+++ b/sard/entry/read_test.go
@@ -121,3 +121,31 @@
 		})
 	}
 }
+
+// arrivingReads is a Store whose answers to reads arrive bit by bit for 1 s.
+type arrivingReads struct{ store.Store }
+
+// List returns the rows of a range.
+func (s arrivingReads) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	for range 10 {
+		select {
+		case <-time.After(100 * time.Millisecond):
+			store.Arrived(ctx)
+		case <-ctx.Done():
+			return store.Listing{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "read rows", "store")
+		}
+	}
+	return s.Store.List(ctx, r)
+}
+
+// TestCancellationOverSlowLink guards against cancellations that never succeed, because the job's row takes longer to arrive
+// than one call to the store may take.
+func TestCancellationOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := &store.Memory{}
+		assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		assert.Check(t, entry.New(entry.Config{Store: arrivingReads{memory}}).Cancel(ctx, "a", storedJob))
+	})
+}
