A held-back suspect takes no worker that is reserved for others

What was seen: a suspect that had waited for long took, at last, workers whose capacity a guaranteed gang had reserved, and isolated them, so that the gang could not start until the suspect had survived, or the worker crashed under it. Cause: the last choice of the pass that ends holds left reservations out. Change: that choice is gone.

--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -46,14 +46,14 @@
 }
 
 // packHeldBack returns nodes for a group that nothing holds back any more but what would do harm, or nil. A suspect gets
-// nodes on which something is on probation only if there are no others, and at last such on which others reserved capacity.
+// nodes on which something is on probation only if there are no others, and none on which others reserved capacity.
 func (r *round) packHeldBack(g *group) []*node {
 	if !g.suspected() {
 		return r.packOpen(g, r.free)
 	}
 	quiet := r.freeIf(func(n *node) bool { return n.quiet(r.now) })
 	unreserved := r.freeIf(func(*node) bool { return true })
-	for _, available := range []capacityFunc{quiet, unreserved, r.free} {
+	for _, available := range []capacityFunc{quiet, unreserved} {
 		if nodes := r.packOpen(g, available); nodes != nil {
 			return nodes
 		}
