A start that was sent may be executed by the worker's next process

What was seen: two runs of a part at the same time, in a test of the review: an attempt counted as ended once its start's deadline had passed on the worker's clock and a report lacked it; the worker's next process, whose clock begins anew, executed the late start beside the part's next attempt. Cause: took the deadline of a start for the end of what the start can do, which holds for the present process only. Change: only attempts of which this instance has sent no start end in that way, as refused, so that they count as no crash and do not begin the wait of their group anew.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -18,9 +18,6 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
-	// startDeadline is the latest deadline of the start requests on the clock of the worker process, which refuses them from
-	// then on.
-	startDeadline WorkerClock
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
 	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -34,10 +34,10 @@
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
-	case s.cannotStart(w, a, state, ev.report.Clock):
-		s.config.Logger.Info("part is not started any more", "part", a.Part, "attempt", a.Number, "worker", w.id(), "sent", state.startsSent)
+	case s.cannotStart(w, a, state):
+		s.config.Logger.Info("part is not started any more", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
-		s.engine.AttemptEnded(a, pool.Stopped, "", time.Now())
+		s.engine.AttemptEnded(a, pool.Refused, "", time.Now())
 	case state.startInFlight || state.stopPending || state.unrecorded:
 		// The result of the request or of the write tells more.
 	case state.startConfirmed != clock.Never || state.stopConfirmed != clock.Never:
@@ -55,14 +55,14 @@
 	return state.startsSent == 0 && state.listedAt != clock.Never
 }
 
-// cannotStart reports whether an attempt that is being stopped, and that a report lacks, has certainly ended though its stop
-// has no response: either this instance has sent no start request, and the worker refuses those of earlier ones, or the
-// deadline of each had passed on the worker's clock when it reported.
-func (s *Scheduler) cannotStart(w *session, a work.Attempt, state *attemptState, reportedAt WorkerClock) bool {
+// cannotStart reports whether an attempt that is being stopped, and that a report lacks, can't be started any more though its
+// stop has no response: this instance has sent no start request, and the worker refuses those of earlier ones. A request
+// that was sent may still be executed by the worker's next process, whatever its deadline was.
+func (s *Scheduler) cannotStart(w *session, a work.Attempt, state *attemptState) bool {
 	if s.engine.ShouldRun(a, w.id()) || state.unrecorded || state.startInFlight || state.processReplaced {
 		return false
 	}
-	return state.startsSent == 0 || state.startDeadline > 0 && reportedAt > state.startDeadline
+	return state.startsSent == 0
 }
 
 // resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
--- a/sard/sched/sends.go
+++ b/sard/sched/sends.go
@@ -65,7 +65,6 @@
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
 		Epoch: s.lease.Epoch(), Deadline: s.extendLease(w),
 	}
-	state.startDeadline = max(state.startDeadline, req.Deadline)
 	client, sentAt := w.client, clock.Now()
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
