A stop's patience begins when the stop may have taken its time

What was seen (by the review, in the code): with a setting of 10 s or more for the time that a stop takes, an ordinary stop would have cost all other parts of its worker. Cause: the 10 s after which a worker that keeps a stopped part loses its lease counted from when the stop was queued. Change: they count from then plus the setting.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -7,7 +7,7 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// stopPatience is how long a worker may list a part that it was asked to stop. Its lease is not extended any more after
+// stopPatience is how long a worker may list a part that it should have stopped. Its lease is not extended any more after
 // that, which ends all parts on it.
 const stopPatience = 10 * time.Second
 
@@ -38,8 +38,9 @@
 	// startQueued indicates that a start request is queued, and startInFlight that one is in flight.
 	startQueued   bool
 	startInFlight bool
-	// stopSince is when the first stop request was queued.
-	stopSince clock.Instant
+	// stopDue is when the worker should have stopped the attempt at the latest, had it got the first stop request when that
+	// was queued.
+	stopDue clock.Instant
 	// stopPending indicates that a stop request is queued or in flight.
 	stopPending bool
 	// wait is what the attempt waits for.
--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -196,8 +196,8 @@
 		return
 	}
 	state.stopPending = true
-	if state.stopSince == clock.Never {
-		state.stopSince = clock.Now()
+	if state.stopDue == clock.Never {
+		state.stopDue = clock.Now().Add(s.config.MaxStopTime)
 	}
 	s.commands.add(w, stopClass, stopCommand{attempt: a})
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -218,7 +218,7 @@
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
 		if state.startInFlight || state.processUnknown || state.startOpen || slices.Contains(reported, a) {
-			state.resetForProcess()
+			state.resetForProcess(s.config.MaxStopTime)
 			kept[a] = state
 		}
 	}
@@ -237,12 +237,12 @@
 }
 
 // resetForProcess discards what is known of a kept attempt from the former process of its worker.
-func (state *attemptState) resetForProcess() {
+func (state *attemptState) resetForProcess(maxStopTime time.Duration) {
 	if state.startOpen {
 		state.startConfirmed = clock.Never
 	}
-	if state.stopSince != clock.Never {
-		state.stopSince = clock.Now()
+	if state.stopDue != clock.Never {
+		state.stopDue = clock.Now().Add(maxStopTime)
 	}
 	state.startQueued, state.processReplaced = false, true
 	state.stopConfirmed, state.startBroken, state.listedAt, state.runningAt = clock.Never, clock.Never, clock.Never, 0
@@ -295,10 +295,10 @@
 	return w.unanswered || w.refusesReports()
 }
 
-// disobeys reports whether the worker lists a part that it was asked to stop for longer than stopPatience.
+// disobeys reports whether the worker lists a part for longer than stopPatience after it should have stopped it.
 func (w *session) disobeys() bool {
 	for _, state := range w.attempts {
-		if state.stopSince != clock.Never && state.listedAt.Sub(state.stopSince) > stopPatience {
+		if state.stopDue != clock.Never && state.listedAt.Sub(state.stopDue) > stopPatience {
 			return true
 		}
 	}
