--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -110,46 +110,54 @@
 
 // handleJobRow adds a new job to the engine, or cancels an open job that was cancelled by its account.
 func (s *Scheduler) handleJobRow(row store.Row) {
+	job := s.changedJob(row)
+	if job == nil {
+		return
+	}
+	if s.engine.HasOpenJob(job.ID) {
+		if job.Cancelled {
+			s.engine.CancelJob(job.ID)
+		}
+		return
+	}
+	now := time.Now()
+	s.engine.AddJob(job, s.loadedProgress[job.ID], now, now.UnixMilli())
+	delete(s.loadedProgress, job.ID)
+	s.config.Logger.Info("job taken in", "job", job.ID, "account", job.Account, "queue", job.Queue,
+		"priority", s.queueSettings(job).Priority, "steps", len(job.Steps), "parts", job.Steps[0].Parts, "need", job.Steps[0].Need,
+		"estimate_ms", job.Steps[0].Estimate.Milliseconds(), "gang", job.Steps[0].Gang, "checkpoints", job.Steps[0].Checkpoints, "same_rack", job.Steps[0].SameRack,
+		"row_version", row.Version, "cancelled", job.Cancelled)
+}
+
+// changedJob returns the job of a row that has changed, or nil if the row holds none that can be used.
+func (s *Scheduler) changedJob(row store.Row) *work.Job {
 	id := ident.Job(row.Key.Name)
 	if row.Deleted {
 		delete(s.jobVersions, id)
 		delete(s.refusals, id)
-		return
+		return nil
 	}
 	if s.jobVersions[id] >= row.Version {
-		return
+		return nil
 	}
 	s.jobVersions[id] = row.Version
 	var record work.JobRow
 	if err := work.Decode(row.Value, &record); err != nil {
-		s.config.Logger.Error("job record not decoded, job ignored", "job", row.Key.Name, "error", err)
-		return
+		s.config.Logger.Error("job record not decoded, job ignored", "job", id, "error", err)
+		return nil
 	}
 	s.refusals.update(row, record.Refused, s.config.JobRetention)
 	if record.Refused || record.Job == nil {
-		return
+		return nil
 	}
-	job := record.Job
-	if _, ended := s.ended[job.ID]; ended {
-		return
+	if _, ended := s.ended[record.Job.ID]; ended {
+		return nil
 	}
-	if err := s.validateJob(id, job); err != nil {
+	if err := s.validateJob(id, record.Job); err != nil {
 		s.config.Logger.Error("job record malformed, job ignored", "job", id, "error", err)
-		return
-	}
-	if s.engine.HasOpenJob(job.ID) {
-		if job.Cancelled {
-			s.engine.CancelJob(job.ID)
-		}
-		return
+		return nil
 	}
-	now := time.Now()
-	s.engine.AddJob(job, s.loadedProgress[job.ID], now, now.UnixMilli())
-	delete(s.loadedProgress, job.ID)
-	s.config.Logger.Info("job taken in", "job", job.ID, "account", job.Account, "queue", job.Queue,
-		"priority", s.queueSettings(job).Priority, "steps", len(job.Steps), "parts", job.Steps[0].Parts, "need", job.Steps[0].Need,
-		"estimate_ms", job.Steps[0].Estimate.Milliseconds(), "gang", job.Steps[0].Gang, "checkpoints", job.Steps[0].Checkpoints, "same_rack", job.Steps[0].SameRack,
-		"row_version", row.Version, "cancelled", job.Cancelled)
+	return record.Job
 }
 
 // validateJob returns an error if the record of a job, or that of its progress, is malformed.
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -24,7 +24,8 @@
 
 // resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal. It has ended
 // as stopped or lost if the worker had confirmed its stop or start before, or had listed it. On the worker's first report, an
-// attempt that an earlier holder of the scheduler lease placed is started if it is meant to run.
+// attempt that an earlier holder of the scheduler lease placed is started if it is meant to run. The order of the cases matters:
+// what the worker has confirmed comes before what it can't do any more, and both before requests without a result.
 func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, ev renewalResult, first bool) {
 	switch {
 	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(ev.sentAt):
