The test of a restarted instance kills its first process between two renewals

Cause: the first process was killed a minute after its acquisition, which is when a renewal is due. If that one still went through, in the same instant, the lease had changed since it was read, and the restarted instance tried again a second later, as it should. Change: the test kills it 100 ms later; the bound stays.

--- a/sard/lease/lease_test.go
+++ b/sard/lease/lease_test.go
@@ -139,7 +139,8 @@
 	runWithFixture(t, func(t *testing.T, f *fixture, ctx context.Context) {
 		killed, kill := context.WithCancel(ctx)
 		first := f.acquire(killed, f.newContender("a@1"))
-		time.Sleep(time.Minute)
+		// The process is killed between two renewals.
+		time.Sleep(time.Minute + 100*time.Millisecond)
 		kill()
 		restarted := lease.New(lease.Config{
 			Store: f.store, Instance: "a@2",
