The end of holds is bounded in work, and searches once for equal groups

Cause: for each group that had waited for 1.5 s, in each round, endHolds copied, filtered and sorted all nodes anew, and nothing remembered that an equal group did not fit.

Change: the nodes that are open to groups with an equal key are found once for a round, and again only after nodes were isolated; nodes are sorted by health once for a round; a group is skipped if an equal one with as many parts did not fit. A round searches for 128 groups at most, the most urgent first; the others have their turn in the next rounds, before any group has its second one. 1,000 groups of which no two are equal have their turn in 8 rounds, so 0.8 s with rounds of 100 ms, at most 2.3 s after their turn to run came (TestHoldsOfManyGroupsEnd; it fails with a limit of 40).

TestHoldsEndByTurns fails if each round begins with the most urgent group again.

For who changes the semantics of suspects: what decides whether a suspect can be placed by packHeldBack must be in holdKey, or equal suspects are skipped wrongly; suspects that have nodes for themselves are never equal.

--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -84,13 +84,15 @@
 	// longWaits holds the groups to return by TakeLongWaits, and examineFrom where in the queue examineWaits goes on.
 	longWaits   []Wait
 	examineFrom int
+	// holdTurn counts the turns, which may last for several rounds, in which endHolds examines each group once.
+	holdTurn int
 }
 
 // New returns an Engine without jobs or workers.
 func New(config Config) *Engine {
 	e := &Engine{
 		config: config, jobs: map[ident.Job]*job{}, suspects: map[*group]bool{}, nodesByID: map[ident.Worker]*node{},
-		estimateErrors: map[work.QueueName]*estimateErrors{},
+		estimateErrors: map[work.QueueName]*estimateErrors{}, holdTurn: 1,
 	}
 	if config.WorkerSpeeds {
 		e.speeds = speed.New()
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -11,30 +10,98 @@
 	maxHold = 1500 * time.Millisecond
 	// refusedPause is how long they do so again after a worker refused the group.
 	refusedPause = 500 * time.Millisecond
+	// maxHoldSearches limits the groups for which a round searches for nodes when holds end.
+	maxHoldSearches = 128
 )
 
+// holdKey holds the properties of a group that determine whether it can be placed when holds end, apart from the number of
+// its parts.
+type holdKey struct {
+	openKey
+	// limited is the step of a group that is limited in its parts on each worker, since those of its own step count.
+	limited *stepState
+	// suspected is set for suspects, and isolating is a suspect that has nodes for itself.
+	suspected bool
+	isolating *group
+	lasting   bool
+}
+
+// holdKey returns the properties of g that determine whether it can be placed when holds end.
+func (r *round) holdKey(g *group) holdKey {
+	key := holdKey{openKey: r.openKey(g), suspected: g.suspected(), lasting: g.spec().Lasting}
+	if g.spec().MaxPerWorker > 0 {
+		key.limited = g.stepState()
+	}
+	if r.isolating[g] {
+		key.isolating = g
+	}
+	return key
+}
+
 // endHolds places groups that have been held back for maxHold in a pool with room, although nothing of their job runs, as if
 // nothing was kept free for guaranteed jobs, across racks if need be, and at last on quarantined workers.
+//
+// A round searches for the nodes of maxHoldSearches groups at most, the most urgent first. Those for which that does not
+// suffice have their turn in the next rounds, before any other group has its second one.
 func (r *round) endHolds(waited []*group) {
-	idle := map[*job]bool{}
+	e := r.engine
+	running := map[*job]bool{}
+	// stillHeld holds, for each key, the smallest number of parts of a group that can't be placed in this round.
+	stillHeld := map[holdKey]int{}
+	searches, postponed := 0, false
 	for _, g := range waited {
-		if !g.heldForLong(r.now) || g.wait.probationAt.Equal(r.now) {
+		if !g.heldForLong(r.now) || g.wait.probationAt.Equal(r.now) || g.wait.holdTurn == e.holdTurn || !r.mayEndHolds(g, running) {
 			continue
 		}
-		if _, known := idle[g.job]; !known {
-			idle[g.job] = g.job.attachedParts() == 0
-		}
-		if !idle[g.job] && !g.spec().Lasting || !r.hasRoom(g) {
-			continue
-		}
-		if nodes := r.packHeldBack(g); nodes != nil {
-			g.wait.holdsEnded = true
-			r.place(g, nodes)
-			idle[g.job] = false
+		key := r.holdKey(g)
+		if parts, known := stillHeld[key]; !known || len(g.parts) < parts {
+			if searches == maxHoldSearches {
+				postponed = true
+				continue
+			}
+			searches++
+			if r.placeHeldBack(g) {
+				running[g.job] = true
+			} else {
+				stillHeld[key] = len(g.parts)
+			}
 		}
+		g.wait.holdTurn = e.holdTurn
+	}
+	if !postponed {
+		e.holdTurn++
 	}
 }
 
+// mayEndHolds reports whether a group that has waited for long may be placed in spite of holds: if it lasts, or nothing of
+// its job runs. It notes in running which jobs run.
+func (r *round) mayEndHolds(g *group, running map[*job]bool) bool {
+	if g.spec().Lasting {
+		return true
+	}
+	runs, known := running[g.job]
+	if !known {
+		runs = g.job.attachedParts() > 0
+		running[g.job] = runs
+	}
+	return !runs
+}
+
+// placeHeldBack places a group that nothing holds back any more but what would do harm. It reports false if that is not
+// possible, or if there is not room enough.
+func (r *round) placeHeldBack(g *group) bool {
+	if !r.hasRoom(g) {
+		return false
+	}
+	nodes := r.packHeldBack(g)
+	if nodes == nil {
+		return false
+	}
+	g.wait.holdsEnded = true
+	r.place(g, nodes)
+	return true
+}
+
 // mayUse reports whether the health of a node's worker allows that the group is placed there.
 func (g *group) mayUse(n *node, now time.Time) bool {
 	return n.health.healthy(now) || g.wait != nil && g.wait.holdsEnded
@@ -64,35 +131,26 @@
 // packOpen returns nodes for a group among all that can run it without harm to others, or nil: those that suit it, or else
 // healthy ones on several racks, or else the healthiest. A suspect may crash a worker that is out of reach unnoticed.
 func (r *round) packOpen(g *group, available capacityFunc) []*node {
-	open := r.openNodes(g)
-	if !r.canHoldAll(g, open, available) {
+	open := r.openTo(g)
+	if !r.canHoldAll(g, open.all, available) {
 		return nil
 	}
-	healthy := slices.DeleteFunc(slices.Clone(open), func(n *node) bool { return !n.health.healthy(r.now) })
-	if nodes := r.packPreferred(g, healthy, available); nodes != nil {
-		return nodes
-	}
-	if part, _, ok := r.fastPart(g, healthy, available); ok {
+	if r.canHoldAll(g, open.healthy, available) {
+		if nodes := r.packPreferred(g, open.healthy, available); nodes != nil {
+			return nodes
+		}
+		part, _, _ := r.fastPart(g, open.healthy, available)
 		return r.packTight(g, part, available)
 	}
-	usable := slices.DeleteFunc(open, func(n *node) bool { return g.suspected() && r.now.Before(n.health.suspendedUntil) })
-	return r.packHealthiest(g, usable, available)
-}
-
-// openNodes returns the nodes that can run the group without harm to others, fastest first.
-func (r *round) openNodes(g *group) []*node {
-	open := slices.DeleteFunc(slices.Clone(r.engine.nodes), func(n *node) bool {
-		return !n.Accepting || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n)
-	})
-	if r.bands != nil {
-		r.sortFastFirst(open)
-	}
-	return open
+	usable := g.avoidedLast(open.healthiestFirst)
+	if g.suspected() {
+		usable = slices.DeleteFunc(slices.Clone(usable), func(n *node) bool { return r.now.Before(n.health.suspendedUntil) })
+	}
+	return r.packLeading(g, usable, available)
 }
 
-// packHealthiest places a group on the nodes whose workers have failed least.
-func (r *round) packHealthiest(g *group, nodes []*node, available capacityFunc) []*node {
-	slices.SortStableFunc(nodes, func(a, b *node) int { return r.compareHealth(g, a, b) })
+// packLeading places a group on the first of the nodes that can hold it.
+func (r *round) packLeading(g *group, nodes []*node, available capacityFunc) []*node {
 	want := len(g.parts)
 	for i, n := range nodes {
 		if want -= r.maxParts(g, n, available(n)); want <= 0 {
@@ -102,18 +160,19 @@
 	return nil
 }
 
-// compareHealth orders nodes by how likely they are to run a group: healthy ones first, those on which it has failed last.
-func (r *round) compareHealth(g *group, a, b *node) int {
-	avoided := func(n *node) int {
+// avoidedLast returns the nodes with those that the group avoids at the end.
+func (g *group) avoidedLast(nodes []*node) []*node {
+	if len(g.avoided) == 0 {
+		return nodes
+	}
+	sorted := make([]*node, 0, len(nodes))
+	var avoided []*node
+	for _, n := range nodes {
 		if g.avoided[n.WorkerProcess.Worker] {
-			return 1
+			avoided = append(avoided, n)
+			continue
 		}
-		return 0
-	}
-	left := func(n *node) time.Duration { return max(0, n.health.quarantinedUntil.Sub(r.now)) }
-	return cmp.Or(
-		cmp.Compare(avoided(a), avoided(b)),
-		cmp.Compare(a.health.quarantineLength, b.health.quarantineLength),
-		cmp.Compare(left(a), left(b)),
-	)
+		sorted = append(sorted, n)
+	}
+	return append(sorted, avoided...)
 }
--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -1,11 +1,13 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -108,3 +110,51 @@
 	}
 	assert.Equal(t, len(h.workersOf("suspect")), 1)
 }
+
+// quarantineAll quarantines all workers for good.
+func (h *harness) quarantineAll() {
+	for _, n := range h.engine.nodes {
+		n.health.quarantinedUntil = h.now.Add(time.Hour)
+	}
+}
+
+// placedBy returns the number of attempts that are placed after the given time in rounds of 100 ms.
+func (h *harness) placedBy(d time.Duration) int {
+	h.t.Helper()
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.advance(100 * time.Millisecond)
+	}
+	return len(h.starts)
+}
+
+// TestHoldsOfManyGroupsEnd guards against a limit on the work of a round by which groups of which no two are equal are held back
+// for 3 s and more in a pool with room.
+func TestHoldsOfManyGroupsEnd(t *testing.T) {
+	const jobs = 1000
+	h := newHarness(t, jobs/5)
+	h.quarantineAll()
+	for i := range jobs {
+		step := work.Step{Parts: 1, Need: work.Resources{CPU: work.MilliCores(10_000 + i), Memory: 1000}}
+		h.submit("a", ident.Job(fmt.Sprintf("j%04d", i)), 2, step)
+	}
+	assert.Equal(t, h.placedBy(maxHold-100*time.Millisecond), 0)
+	assert.Equal(t, h.placedBy(maxHeldBack-maxHold-100*time.Millisecond), jobs)
+}
+
+// TestHoldsEndByTurns guards against a group that is held back for good, because more urgent ones, which fit nowhere, use up the
+// work that a round does for such groups.
+func TestHoldsEndByTurns(t *testing.T) {
+	h := newHarness(t, 16)
+	for _, n := range h.engine.nodes[:8] {
+		n.Labels = []string{"kind"}
+	}
+	h.addJob("serves", 1, work.Step{Parts: 8, Need: smallPart, Label: "kind", Latency: time.Second, Lasting: true, MaxPerWorker: 1})
+	h.quarantineAll()
+	for i := range 2 * maxHoldSearches {
+		step := work.Step{Parts: 1, Need: work.Resources{Memory: work.MiB(1000 + i)}, Label: "kind", Fills: true, Estimate: time.Second}
+		h.submit("a", ident.Job(fmt.Sprintf("fills%04d", i)), 1, step)
+	}
+	h.submit("a", "waits", 2, work.Step{Parts: 1, Need: largePart, Estimate: time.Minute})
+	h.placedBy(maxHeldBack - 100*time.Millisecond)
+	assert.Equal(t, len(h.workersOf("waits")), 1)
+}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -78,8 +78,12 @@
 	victimLists map[preemptorClass][]*victimList
 	// held holds the reservations that are set aside for groups that were not scheduled yet.
 	held map[*group][]*node
-	// isolated holds the nodes on which only the given suspect may be placed.
-	isolated map[*node]*group
+	// isolated holds the nodes on which only the given suspect may be placed, and isolating holds these suspects.
+	isolated  map[*node]*group
+	isolating map[*group]bool
+	// disturbing counts the groups placed in this round that some others would disturb.
+	disturbing int
+	lists      nodeLists
 	// stopCosts caches the cost of stopping placed groups, outlooks what is expected of occurrences, and endings the parts
 	// that are expected to end soon; endings is valid if endingsKnown is set.
 	stopCosts    map[*group]time.Duration
@@ -151,7 +155,7 @@
 	r := &round{
 		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
 		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
-		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{},
+		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{}, isolating: map[*group]bool{}, lists: newNodeLists(),
 	}
 	for i, n := range e.nodes {
 		free := n.free()
@@ -166,6 +170,9 @@
 	}
 	r.headroom = e.headroomNodes(now)
 	r.isolated = e.isolatedNodes(now)
+	for _, g := range r.isolated {
+		r.isolating[g] = true
+	}
 	return r
 }
 
@@ -240,6 +247,7 @@
 	r.reserve(g, nodes)
 	if g.suspected() {
 		r.isolate(g, nodes)
+		r.isolating[g] = true
 		if slices.ContainsFunc(nodes, func(n *node) bool { return !n.quiet(r.now) }) {
 			g.reserved = nodes
 			g.awaitProbation(r.now)
@@ -247,6 +255,9 @@
 		}
 	}
 	r.countChoice(g, nodes)
+	if step := g.spec(); step.Fills || step.Latency > 0 {
+		r.disturbing++
+	}
 	g.reserved = nil
 	g.tried(r.now)
 	g.attempt++
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -69,6 +69,8 @@
 	probationAt time.Time
 	// holdsEnded is set once the group may use quarantined workers.
 	holdsEnded bool
+	// holdTurn is the turn of Engine.holdTurn in which the group was last examined by endHolds.
+	holdTurn int
 	// reported is set once the wait has been found to be long.
 	reported bool
 }
