Suspects are examined once for equal demands, and lists of candidates outlive an isolation

Cause: while any suspect was on probation, each search copied the list of eligible nodes and looked each of them up among the isolated ones; a suspect that fitted nowhere was searched for three times over in each round, however many equal ones there were.

Change: the candidates of groups with an equal key are found once in a round and again, from the former list, only after further nodes were isolated or a part was placed that the groups would disturb. A suspect that has no nodes for itself is skipped if an equal one with as many parts did not fit in the round. packIsolated returns at once if all nodes that it may use can't hold the suspect.

TestEqualSuspectHoldsNoOtherBack fails without the exception for suspects that have nodes for themselves.

For who changes the semantics of suspects (crash.go is changed in packIsolated alone): schedule skips a suspect without reserved or isolated nodes if one with an equal demandKey did not fit; what else decides whether it fits belongs into demandKey (here) and holdKey (packHeldBack). round.isolated may only grow within a round, and only by isolate; round.isolating holds the suspects among its values.

--- a/sard/pool/candidates.go
+++ b/sard/pool/candidates.go
@@ -10,31 +10,125 @@
 	// fastFirst holds all nodes sorted by sortFastFirst, and healthiestFirst the same sorted by compareHealth; nil if not
 	// known.
 	fastFirst, healthiestFirst []*node
+	// eligible holds, for each key, the nodes that can run the groups with that key.
+	eligible map[eligibilityKey]*nodeList
+	// candidates holds, for each key, those of them that may run the groups with that key.
+	candidates map[candidateKey]*nodeList
 	// open holds, for each key, the nodes that are open to the groups with that key.
-	open map[openKey]*openNodes
+	open map[candidateKey]*openNodes
 }
 
 // newNodeLists returns lists of which none is known.
 func newNodeLists() nodeLists {
-	return nodeLists{open: map[openKey]*openNodes{}}
+	return nodeLists{eligible: map[eligibilityKey]*nodeList{}, candidates: map[candidateKey]*nodeList{}, open: map[candidateKey]*openNodes{}}
 }
 
-// openKey holds all properties of a group that determine which nodes can run its parts if nothing is kept free and workers
-// need not be healthy. Only a suspect that has nodes for itself can run on others too.
-type openKey struct {
+// candidateKey holds all properties of a group that determine which nodes may run its parts without harm to others. Only
+// a suspect that has nodes for itself may run on others too.
+type candidateKey struct {
 	eligibilityKey
 	// fills and serves tell which parts the group's parts would disturb.
 	fills, serves bool
 }
 
+// nodeList is a list of nodes, sorted by sortFastFirst.
+type nodeList struct {
+	nodes []*node
+	// racks holds the nodes by rack; nil if not known.
+	racks [][]*node
+	basis listBasis
+}
+
+// listBasis is what the nodes without harm to others depend on in a round. Both counts only grow, and groups without nodes for
+// themselves only lose nodes by that.
+type listBasis struct {
+	// isolated is the number of isolated nodes, and disturbing that of round.disturbing.
+	isolated, disturbing int
+}
+
+// listBasis returns the current basis of lists for the groups with a key.
+func (r *round) listBasis(key candidateKey) listBasis {
+	basis := listBasis{isolated: len(r.isolated)}
+	if key.fills || key.serves {
+		basis.disturbing = r.disturbing
+	}
+	return basis
+}
+
+// byRack returns the nodes by rack.
+func (l *nodeList) byRack() [][]*node {
+	if l.racks == nil {
+		l.racks = groupByRack(l.nodes)
+	}
+	return l.racks
+}
+
+// candidates returns the nodes that may run parts of a group.
+func (r *round) candidates(g *group) []*node { return r.candidateList(g).nodes }
+
+// candidateRacks returns the nodes that may run parts of a group by rack.
+func (r *round) candidateRacks(g *group) [][]*node { return r.candidateList(g).byRack() }
+
+// candidateList returns the nodes that may run parts of a group. It computes them once per round for all groups with an
+// equal key, and again after nodes were isolated.
+func (r *round) candidateList(g *group) *nodeList {
+	step := g.spec()
+	key := candidateKey{eligibilityKey: r.eligibilityKey(g), fills: step.Fills, serves: step.Latency > 0}
+	eligible := r.eligibleNodes(g, key.eligibilityKey)
+	if !key.fills && !key.serves && len(r.isolated) == 0 {
+		return eligible
+	}
+	if r.isolating[g] {
+		return &nodeList{nodes: r.harmless(g, eligible.nodes)}
+	}
+	basis, found := r.listBasis(key), r.lists.candidates[key]
+	switch {
+	case found == nil:
+		found = &nodeList{nodes: r.harmless(g, eligible.nodes), basis: basis}
+		r.lists.candidates[key] = found
+	case found.basis != basis:
+		found = &nodeList{nodes: r.harmless(g, found.nodes), basis: basis}
+		r.lists.candidates[key] = found
+	}
+	return found
+}
+
+// harmless returns those of the nodes on which a group harms no other one.
+func (r *round) harmless(g *group, nodes []*node) []*node {
+	step := g.spec()
+	found := make([]*node, 0, len(nodes))
+	for _, n := range nodes {
+		if !n.conflictsWith(step) && !r.isolatedFrom(g, n) {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
+// eligibleNodes returns the accepting, healthy nodes that can run a group, without the headroom nodes if the key leaves
+// them. It computes them once per round for all groups with an equal key.
+func (r *round) eligibleNodes(g *group, key eligibilityKey) *nodeList {
+	found := r.lists.eligible[key]
+	if found != nil {
+		return found
+	}
+	found = &nodeList{nodes: make([]*node, 0, len(r.engine.nodes))}
+	for _, n := range r.fastFirst() {
+		if !n.Accepting || !n.eligibleFor(g) || !n.health.healthy(r.now) || key.leavesHeadroom && r.headroom[n.index] {
+			continue
+		}
+		found.nodes = append(found.nodes, n)
+	}
+	r.lists.eligible[key] = found
+	return found
+}
+
 // openNodes holds the nodes that can run some groups without harm to others.
 type openNodes struct {
 	// all is sorted by sortFastFirst, and healthy holds those of them whose workers are healthy. healthiestFirst holds all in
 	// the order of compareHealth; nil if all are healthy.
 	all, healthy, healthiestFirst []*node
-	// isolated and disturbing are the values of len(round.isolated) and round.disturbing for which the lists hold. Both only
-	// grow, and the lists only lose nodes by that.
-	isolated, disturbing int
+	basis                         listBasis
 }
 
 // fastFirst returns all nodes sorted by sortFastFirst.
@@ -67,24 +161,25 @@
 }
 
 // openKey returns the properties of g that determine which nodes are open to it.
-func (r *round) openKey(g *group) openKey {
+func (r *round) openKey(g *group) candidateKey {
 	step := g.spec()
-	return openKey{
+	return candidateKey{
 		eligibilityKey: eligibilityKey{service: g.job.settings.Service, label: step.Label, need: g.demand()},
 		fills:          step.Fills, serves: step.Latency > 0,
 	}
 }
 
-// openTo returns the nodes that can run a group without harm to others. It computes them once per round for all groups
-// with an equal key, and again after nodes were isolated.
+// openTo returns the nodes that can run a group without harm to others, if nothing is kept free and workers need not be healthy.
+// It computes them once per round for all groups with an equal key, and again after nodes were isolated.
 func (r *round) openTo(g *group) *openNodes {
 	if r.isolating[g] {
 		return r.findOpen(g)
 	}
 	key := r.openKey(g)
-	open := r.lists.open[key]
-	if open == nil || open.isolated != len(r.isolated) || (key.fills || key.serves) && open.disturbing != r.disturbing {
+	basis, open := r.listBasis(key), r.lists.open[key]
+	if open == nil || open.basis != basis {
 		open = r.findOpen(g)
+		open.basis = basis
 		r.lists.open[key] = open
 	}
 	return open
@@ -92,7 +187,7 @@
 
 // findOpen returns the nodes that can run a group without harm to others.
 func (r *round) findOpen(g *group) *openNodes {
-	open := &openNodes{isolated: len(r.isolated), disturbing: r.disturbing}
+	open := &openNodes{}
 	isOpen := make([]bool, len(r.engine.nodes))
 	for _, n := range r.fastFirst() {
 		if !n.Accepting || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) {
--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -230,7 +230,11 @@
 	}
 	quiet := func(n *node) bool { return n.quiet(r.now) }
 	idle := func(n *node) bool { return quiet(n) && len(n.parts) == 0 }
-	for _, accept := range []func(*node) bool{idle, quiet, func(*node) bool { return true }} {
+	all := func(*node) bool { return true }
+	if !r.mayFit(g, r.freeIf(all)) {
+		return nil
+	}
+	for _, accept := range []func(*node) bool{idle, quiet, all} {
 		if nodes := r.pack(g, r.freeIf(accept)); nodes != nil {
 			return nodes
 		}
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -15,10 +15,10 @@
 // pack returns a node for each part of a group, or nil if the group does not fit. Slow nodes and nodes that the group
 // avoids are used only if the others do not suffice.
 func (r *round) pack(g *group, available capacityFunc) []*node {
-	candidates := r.candidates(g)
-	if !r.mayFit(g, candidates, available) {
+	if !r.mayFit(g, available) {
 		return nil
 	}
+	candidates := r.candidates(g)
 	avoided := func(n *node) bool { return r.slow[n.index] || g.avoided[n.WorkerProcess.Worker] }
 	if slices.ContainsFunc(candidates, avoided) {
 		others := slices.DeleteFunc(slices.Clone(candidates), avoided)
@@ -37,16 +37,16 @@
 	return r.packFastest(g, candidates, available)
 }
 
-// mayFit reports whether a group fits on the candidates if no preference among them counts. It is cheaper than a search.
-func (r *round) mayFit(g *group, candidates []*node, available capacityFunc) bool {
-	if !r.canHoldAll(g, candidates, available) {
+// mayFit reports whether a group fits on its candidates if no preference among them counts. It is cheaper than a search.
+func (r *round) mayFit(g *group, available capacityFunc) bool {
+	if !r.canHoldAll(g, r.candidates(g), available) {
 		return false
 	}
 	step := g.spec()
 	if step.DataRack == "" && !step.SameRack {
 		return true
 	}
-	for _, rack := range r.racksOf(g, candidates) {
+	for _, rack := range r.candidateRacks(g) {
 		if (step.DataRack == "" || rack[0].Rack == step.DataRack) && r.canHoldAll(g, rack, available) {
 			return true
 		}
@@ -104,47 +104,6 @@
 	return r.packTight(g, selected, available)
 }
 
-// candidates returns the nodes that may run parts of a group.
-func (r *round) candidates(g *group) []*node {
-	found := r.cachedEligibleNodes(g, r.eligibilityKey(g))
-	if r.cachesCandidates(g) {
-		return found
-	}
-	return slices.DeleteFunc(slices.Clone(found), func(n *node) bool { return n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) })
-}
-
-// cachesCandidates reports whether all eligible nodes may run parts of the group.
-func (r *round) cachesCandidates(g *group) bool {
-	step := g.spec()
-	return !step.Fills && step.Latency == 0 && len(r.isolated) == 0
-}
-
-// cachedEligibleNodes returns the eligible nodes for the group's key, computing them once per round.
-func (r *round) cachedEligibleNodes(g *group, key eligibilityKey) []*node {
-	found, ok := r.eligible[key]
-	if !ok {
-		found = r.eligibleNodes(g, key.leavesHeadroom)
-		r.eligible[key] = found
-	}
-	return found
-}
-
-// eligibleNodes returns the accepting, healthy nodes that can run the group, without the headroom nodes if
-// leavesHeadroom is set.
-func (r *round) eligibleNodes(g *group, leavesHeadroom bool) []*node {
-	found := make([]*node, 0, len(r.engine.nodes))
-	for _, n := range r.engine.nodes {
-		if !n.Accepting || !n.eligibleFor(g) || !n.health.healthy(r.now) || leavesHeadroom && r.headroom[n.index] {
-			continue
-		}
-		found = append(found, n)
-	}
-	if r.bands != nil {
-		r.sortFastFirst(found)
-	}
-	return found
-}
-
 // packOneRack places all parts of a group on a single rack. It picks the rack with the highest band, and among those the
 // one with the least free capacity.
 func (r *round) packOneRack(g *group, candidates []*node, available capacityFunc, choose selector) []*node {
@@ -171,24 +130,6 @@
 	return best
 }
 
-// racksOf returns the candidates of a group, which must be all of them, by rack.
-func (r *round) racksOf(g *group, candidates []*node) [][]*node {
-	if !r.cachesCandidates(g) {
-		return groupByRack(candidates)
-	}
-	return r.cachedRacks(g, r.eligibilityKey(g))
-}
-
-// cachedRacks returns the eligible nodes for the group's key by rack, computing them once per round.
-func (r *round) cachedRacks(g *group, key eligibilityKey) [][]*node {
-	racks, ok := r.racks[key]
-	if !ok {
-		racks = groupByRack(r.cachedEligibleNodes(g, key))
-		r.racks[key] = racks
-	}
-	return racks
-}
-
 // nodesOnRack returns the nodes of one rack.
 func nodesOnRack(nodes []*node, rack ident.Rack) []*node {
 	return slices.DeleteFunc(slices.Clone(nodes), func(n *node) bool { return n.Rack != rack })
@@ -216,7 +157,7 @@
 func (r *round) mayPlaceRemotely(g *group) bool {
 	key := r.eligibilityKey(g)
 	key.leavesHeadroom = false
-	for _, rack := range r.cachedRacks(g, key) {
+	for _, rack := range r.eligibleNodes(g, key).byRack() {
 		if data := g.spec().DataRack; data != "" && rack[0].Rack != data {
 			continue
 		}
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -17,7 +17,7 @@
 // holdKey holds the properties of a group that determine whether it can be placed when holds end, apart from the number of
 // its parts.
 type holdKey struct {
-	openKey
+	candidateKey
 	// limited is the step of a group that is limited in its parts on each worker, since those of its own step count.
 	limited *stepState
 	// suspected is set for suspects, and isolating is a suspect that has nodes for itself.
@@ -28,7 +28,7 @@
 
 // holdKey returns the properties of g that determine whether it can be placed when holds end.
 func (r *round) holdKey(g *group) holdKey {
-	key := holdKey{openKey: r.openKey(g), suspected: g.suspected(), lasting: g.spec().Lasting}
+	key := holdKey{candidateKey: r.openKey(g), suspected: g.suspected(), lasting: g.spec().Lasting}
 	if g.spec().MaxPerWorker > 0 {
 		key.limited = g.stepState()
 	}
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -65,7 +65,7 @@
 	}
 	racks := [][]*node{candidates}
 	if step.DataRack == "" {
-		racks = r.racksOf(g, candidates)
+		racks = r.candidateRacks(g)
 	}
 	var best *claim
 	for _, rack := range racks {
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -71,9 +71,6 @@
 	// unplaceable holds, for each key, the smallest number of parts of a group that did not fit, so that later groups
 	// with an equal key and as many parts or more are skipped.
 	unplaceable map[demandKey]int
-	// eligible caches, for each key, the nodes that can run the groups with that key, and racks groups them by rack.
-	eligible map[eligibilityKey][]*node
-	racks    map[eligibilityKey][][]*node
 	// victimLists caches, for each class of groups that may preempt others, the victims on each node; nil if not known.
 	victimLists map[preemptorClass][]*victimList
 	// held holds the reservations that are set aside for groups that were not scheduled yet.
@@ -117,6 +114,8 @@
 	limited *stepState
 	// fills and serves tell which parts the group's parts would disturb.
 	fills, serves bool
+	// suspected is set for suspects, which have fewer nodes to choose from than other groups.
+	suspected bool
 }
 
 // demandKey returns the properties of g that determine whether it can be placed.
@@ -125,6 +124,7 @@
 	key := demandKey{
 		eligibilityKey: r.eligibilityKey(g), sameRack: step.SameRack, rack: step.DataRack,
 		withinGuarantee: g.job.withinGuarantee, fills: step.Fills, serves: step.Latency > 0,
+		suspected: g.suspected(),
 	}
 	if step.MaxPerWorker > 0 {
 		key.limited = g.stepState()
@@ -136,8 +136,12 @@
 }
 
 // knownUnplaceable reports whether a group with an equal key and at most as many parts did not fit in this round. Except
-// for the capacity of released reservations, the available capacity only decreases in a round.
+// for the capacity of released reservations, the available capacity only decreases in a round. A suspect that has nodes for
+// itself, or waits for some, may be placed where an equal one can't.
 func (r *round) knownUnplaceable(g *group, key demandKey) bool {
+	if key.suspected && (len(g.reserved) > 0 || r.isolating[g]) {
+		return false
+	}
 	parts, ok := r.unplaceable[key]
 	return ok && len(g.parts) >= parts
 }
@@ -154,7 +158,7 @@
 func newRound(e *Engine, now time.Time) *round {
 	r := &round{
 		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
-		eligible: map[eligibilityKey][]*node{}, racks: map[eligibilityKey][][]*node{}, victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
+		victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
 		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{}, isolating: map[*group]bool{}, lists: newNodeLists(),
 	}
 	for i, n := range e.nodes {
@@ -181,7 +185,7 @@
 func (r *round) schedule(g *group) bool {
 	key := r.demandKey(g)
 	released := r.releaseReservation(g)
-	if !released && !g.suspected() && r.knownUnplaceable(g, key) {
+	if !released && r.knownUnplaceable(g, key) {
 		return false
 	}
 	if r.tryToSchedule(g) {
@@ -193,10 +197,7 @@
 			return true
 		}
 	}
-	if !g.suspected() {
-		// Suspects have fewer nodes to choose from than other groups.
-		r.unplaceable[key] = len(g.parts)
-	}
+	r.unplaceable[key] = len(g.parts)
 	return false
 }
 
--- a/sard/pool/unplaceable_test.go
+++ b/sard/pool/unplaceable_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -33,3 +34,24 @@
 	assert.Equal(t, len(h.workersOf("fills")), 0)
 	assert.Equal(t, len(h.workersOf("plain")), 1)
 }
+
+// TestEqualSuspectHoldsNoOtherBack guards against a suspect that does not get the worker which it has for itself, because a more
+// urgent one with equal demand fits nowhere.
+func TestEqualSuspectHoldsNoOtherBack(t *testing.T) {
+	h := newHarness(t, 1)
+	step := work.Step{Parts: 1, Need: smallPart}
+	h.addJob("first", 2, step)
+	h.crash("first")
+	h.addJob("second", 2, step)
+	h.crash("second")
+	h.advance(retryDelay)
+	assert.Equal(t, len(h.engine.suspects), 2)
+	owner := h.engine.isolatedNodes(h.now)[h.engine.nodes[0]]
+	for _, id := range []ident.Job{"first", "second"} {
+		if j := h.engine.jobs[id]; j != owner.job {
+			j.occurrences[0].dueAt = h.now.Add(-4 * time.Second)
+		}
+	}
+	h.advance(Probation)
+	assert.Equal(t, len(h.workersOf(owner.job.ID)), 1)
+}
