Tell operators why a job waits, without logs: sardctl waits

Cause: why a job waits was known to the scheduler, by reason and age, and told only by metrics without the job and by log lines after 2.5 s; WaitsOf was called by tests alone. During an incident nobody could ask.

Change: the instance that schedules the pool answers GET /waits/JOB beside its metrics, through the scheduler loop, in a second at most; sardctl waits asks the given instances in turn. The answer has each group's reason, its age, what ends it and after how long at the latest, and the attempts that wait for an order's result. Other instances answer 503, so that the next one is asked.

Result: the tests of sched, platform, sardctl pass; before, the question could not be asked.

--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -93,6 +93,8 @@
 		s.handleCleanup(ev)
 	case refusalsDeleted:
 		s.handleRefusalsDeleted(ev)
+	case waitsQuestion:
+		s.handleQuestion(ev)
 	}
 }
 
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -59,6 +59,8 @@
 	// summary, if it is not nil.
 	costOrder bool
 	announced func(summary []byte)
+	// inspector, if not nil, answers questions about what the instances schedule.
+	inspector *sched.Inspector
 	// metrics, if not nil, are the metrics of the instances.
 	metrics *sched.Metrics
 	// failingJobs holds the jobs whose attempts all fail.
@@ -240,7 +242,7 @@
 		Evacuations: r.evacuations.Load,
 		WorkerLease: 5 * time.Second, MaxWorkerLease: fakes.MaxLease, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
 		RunTimes: r.runTimes, Admission: r.costOrder, Announce: r.announced, StartLimit: startLimit,
-		Metrics: r.metrics, Logger: r.logger.Named(name),
+		Inspector: r.inspector, Metrics: r.metrics, Logger: r.logger.Named(name),
 	}
 }
 
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -93,8 +93,10 @@
 	Announce func(summary []byte)
 	// StartLimit is the time limit on the start of a guaranteed job that its account's guarantee covers; 0 for none.
 	StartLimit time.Duration
-	Metrics    *Metrics
-	Logger     hclog.Logger
+	// Inspector answers operators' questions; nil answers none.
+	Inspector *Inspector
+	Metrics   *Metrics
+	Logger    hclog.Logger
 }
 
 const (
@@ -195,6 +197,7 @@
 		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds, MinSpeedRacks: config.MinSpeedRacks,
 		CostOrder: config.Admission, StartLimit: config.StartLimit,
 	})
+	defer config.Inspector.attach(s)()
 	group.Go(func() error { return s.stalls.Run(ctx) })
 	group.Go(func() error {
 		defer cancel()
--- a/sard/work/job.go
+++ b/sard/work/job.go
@@ -199,6 +199,15 @@
 	return []byte(p.String()), nil
 }
 
+// UnmarshalText parses the text form that MarshalText returns.
+func (p *Part) UnmarshalText(text []byte) error {
+	part, err := ParsePart(string(text))
+	if err == nil {
+		*p = part
+	}
+	return err
+}
+
 // ParsePart parses the text form that Part.String returns.
 func ParsePart(text string) (Part, error) {
 	fields := strings.Split(text, partSeparator)
--- a/sardctl/options.go
+++ b/sardctl/options.go
@@ -45,6 +45,7 @@
 		{"explain", "Explain why a job waits or where it was placed", "Explains why a job waits, or where and why it was placed.", &explainCommand{session: s}},
 		{"trace", "Show the log lines of a job", "Reads the JSON logs of all instances from files or standard input and prints the lines that contain the given id, sorted by time.", &traceCommand{session: s}},
 		{"causes", "Analyse logs for the causes of late jobs", "Reads the JSON logs of all instances from files or standard input and prints the number of jobs per priority and cause of delay, and the lost work per reason.", &causesCommand{session: s}},
+		{"waits", "Tell why a job of the pool waits", "Asks the instances at --address, which is that of their metrics, for the one that schedules the pool, and prints why the groups of a job wait, since when, and what ends that.", &waitsCommand{session: s}},
 		{"wait", "Wait until jobs have ended", "Waits until all given jobs have ended. Fails if a job did not succeed.", &waitCommand{session: s}},
 		{"request", "Send a short request", "Sends a request to a backend server and prints the response. Does not retry a request that may have been received.", &requestCommand{session: s}},
 		{"completion", "Print the shell completion script", "Prints a completion script for bash. Load it with: source <(sardctl completion)", &completionCommand{session: s}},
