Limit the write of a cancellation by itself, not its read and its write as a whole

A cancellation whose row arrives bit by bit for 1 s never succeeded: its caller got no answer in time, on each try.

Cause: retryUntilKnown gave 800 ms to the read and the write as a whole, and began again with the read. The read has limits of its own since it became list: it is sent again after 400 ms in which nothing has arrived, and the store client ends it after 900 ms of silence.

Change: the limit of 800 ms now holds for each transaction. A submission that finds a refusal under its ID no longer shares it between its two transactions. What follows an unknown outcome is as before: the cancellation reads the row again before it writes.

--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// callTimeout limits the duration of one call to the store.
-	callTimeout = 800 * time.Millisecond
+	// writeTimeout limits the duration of one transaction.
+	writeTimeout = 800 * time.Millisecond
 	// retryDelay is the wait after a failed call to the store.
 	retryDelay = 50 * time.Millisecond
 	// submitPercent is the percentage of the caller's remaining time that is spent on a submission or a cancellation. If the
@@ -96,9 +96,7 @@
 // closed for some time.
 func (j *Jobs) retryUntilKnown(ctx context.Context, partition string, call func(context.Context) error) error {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := call(callCtx)
-		cancel()
+		err := call(ctx)
 		if !fault.Is(err, fault.OutcomeUnknown) {
 			return err
 		}
@@ -108,6 +106,13 @@
 	}
 }
 
+// apply runs a transaction. Its outcome is unknown if the store does not answer within writeTimeout.
+func (j *Jobs) apply(ctx context.Context, tx store.Tx) (store.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return j.config.Store.Apply(ctx, tx)
+}
+
 // hadNoEffect reports whether err means that the call did not change the store.
 func hadNoEffect(err error) bool {
 	return fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Throttled)
@@ -124,7 +129,7 @@
 		Preconditions: []store.Precondition{{Key: work.JobKey(job.ID)}},
 		Put:           []store.Put{{Key: work.JobKey(job.ID), Value: value}, {Key: work.WaitKey(job.Queue, job.ID)}},
 	}
-	result, err := j.config.Store.Apply(ctx, tx)
+	result, err := j.apply(ctx, tx)
 	if !fault.Is(err, fault.Conflict) {
 		return err
 	}
@@ -133,7 +138,7 @@
 		return err
 	}
 	tx.Preconditions[0].Version = refusal
-	_, err = j.config.Store.Apply(ctx, tx)
+	_, err = j.apply(ctx, tx)
 	if fault.Is(err, fault.Conflict) {
 		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
 	}
@@ -190,7 +195,7 @@
 	}
 	var result store.Result
 	err = j.retryUntilKnown(ctx, work.ShardOf(job.ID), func(ctx context.Context) error {
-		result, err = j.config.Store.Apply(ctx, tx)
+		result, err = j.apply(ctx, tx)
 		return err
 	})
 	if err == nil {
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = j.config.Store.Apply(ctx, store.Tx{
+	_, err = j.apply(ctx, store.Tx{
 		Preconditions: []store.Precondition{{Key: work.JobKey(job.ID), Version: version}},
 		Put:           []store.Put{{Key: work.JobKey(job.ID), Value: value}},
 	})
