An arriving answer to a transaction is no silence

A submission that was accepted without an answer is found out by its repetition, whose transaction fails with the current row. If that row arrives bit by bit for longer than 800 ms, the outcome stayed unknown on each try, and the store check took the transaction for silence and closed the partition.

Reads report what arrives, transactions did not.

Change: the store client reports the parts of an answer to a transaction, the check takes note of them, and the limit of 800 ms for a transaction of a client holds for silence (store.WithSilenceLimit). The time until an answer begins is limited as before, and the caller's deadline holds for the whole.

--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// writeTimeout limits the duration of one transaction.
+	// writeTimeout is how long the store may send nothing of its answer to a transaction.
 	writeTimeout = 800 * time.Millisecond
 	// retryDelay is the wait after a failed call to the store.
 	retryDelay = 50 * time.Millisecond
@@ -106,9 +106,9 @@
 	}
 }
 
-// apply runs a transaction. Its outcome is unknown if the store does not answer within writeTimeout.
+// apply runs a transaction. Its outcome is unknown if nothing of the answer arrives for writeTimeout.
 func (j *Jobs) apply(ctx context.Context, tx store.Tx) (store.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := store.WithSilenceLimit(ctx, writeTimeout)
 	defer cancel()
 	return j.config.Store.Apply(ctx, tx)
 }
--- a/sard/entry/read_test.go
+++ b/sard/entry/read_test.go
@@ -122,19 +122,27 @@
 	}
 }
 
-// arrivingReads is a Store whose answers to reads arrive bit by bit for 1 s.
-type arrivingReads struct{ store.Store }
-
-// List returns the rows of a range.
-func (s arrivingReads) List(ctx context.Context, r store.Range) (store.Listing, error) {
+// receive waits while an answer of the store arrives bit by bit for 1 s.
+func receive(ctx context.Context) error {
 	for range 10 {
 		select {
 		case <-time.After(100 * time.Millisecond):
 			store.Arrived(ctx)
 		case <-ctx.Done():
-			return store.Listing{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "read rows", "store")
+			return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "receive", "store")
 		}
 	}
+	return nil
+}
+
+// arrivingReads is a Store whose answers to reads arrive bit by bit.
+type arrivingReads struct{ store.Store }
+
+// List returns the rows of a range.
+func (s arrivingReads) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	if err := receive(ctx); err != nil {
+		return store.Listing{}, err
+	}
 	return s.Store.List(ctx, r)
 }
 
@@ -149,3 +157,28 @@
 		assert.Check(t, entry.New(entry.Config{Store: arrivingReads{memory}}).Cancel(ctx, "a", storedJob))
 	})
 }
+
+// arrivingConflicts is a Store whose answers to transactions that fail, which hold the current rows, arrive bit by bit.
+type arrivingConflicts struct{ store.Store }
+
+// Apply runs a transaction.
+func (s arrivingConflicts) Apply(ctx context.Context, tx store.Tx) (store.Result, error) {
+	result, err := s.Store.Apply(ctx, tx)
+	if err == nil {
+		return result, nil
+	}
+	if err := receive(ctx); err != nil {
+		return store.Result{}, err
+	}
+	return result, err
+}
+
+// TestRepeatedSubmissionOverSlowLink guards against submissions of unknown outcome whose repetition never finds out that the
+// job was accepted, because the job's row takes longer to arrive than the store may be silent.
+func TestRepeatedSubmissionOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := &store.Memory{}
+		assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
+		assert.NilError(t, submit(t, entry.New(entry.Config{Store: arrivingConflicts{memory}})))
+	})
+}
--- a/sard/store/arrival.go
+++ b/sard/store/arrival.go
@@ -5,7 +5,7 @@
 // arrivalKey is the key of the function of WithArrivals in a context.
 type arrivalKey struct{}
 
-// WithArrivals returns a context whose reads call arrived for each part of their answer that arrives, as well as the
+// WithArrivals returns a context whose calls call arrived for each part of their answer that arrives, as well as the
 // functions of ctx.
 func WithArrivals(ctx context.Context, arrived func()) context.Context {
 	return context.WithValue(ctx, arrivalKey{}, func() {
--- a/sard/store/check.go
+++ b/sard/store/check.go
@@ -65,7 +65,7 @@
 // Apply runs a transaction.
 func (c *Check) Apply(ctx context.Context, tx Tx) (Result, error) {
 	id := c.sent(txPartition(tx))
-	result, err := c.store.Apply(ctx, tx)
+	result, err := c.store.Apply(WithArrivals(ctx, func() { c.arrived(id) }), tx)
 	c.ended(id, err)
 	return result, err
 }
@@ -138,6 +138,13 @@
 	})
 }
 
+// arrived takes note of a part of the answer to a transaction.
+func (c *Check) arrived(id reach.CallID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.judged(func(now clock.Instant) { c.judge.Arrived(now, id) })
+}
+
 // readEnded takes note of the end of a read and returns its error.
 func (c *Check) readEnded(ctx context.Context, id reach.CallID, err error) error {
 	c.ended(id, err)
--- a/sard/store/check_test.go
+++ b/sard/store/check_test.go
@@ -87,3 +87,43 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// arrivingConflicts is a Store whose answers to transactions arrive bit by bit for 2 s, and which answers nothing else.
+type arrivingConflicts struct{ store.Store }
+
+// Apply fails with a conflict.
+func (arrivingConflicts) Apply(ctx context.Context, _ store.Tx) (store.Result, error) {
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		store.Arrived(ctx)
+	}
+	return store.Result{}, fault.New(fault.Conflict, "apply", "store", "row version precondition failed")
+}
+
+// List waits for the end of ctx.
+func (arrivingConflicts) List(ctx context.Context, _ store.Range) (store.Listing, error) {
+	<-ctx.Done()
+	return store.Listing{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "read rows", "store")
+}
+
+// TestArrivingAnswerToTransactionIsNoSilence guards against partitions that count as closed while the store answers a
+// transaction over a slow link.
+func TestArrivingAnswerToTransactionIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := store.NewCheck(arrivingConflicts{}, store.CheckConfig{ProbeTable: "t", Logger: hclog.NewNullLogger()})
+		ctx, stop := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return check.Run(ctx) })
+		group.Go(func() error {
+			_, err := check.Apply(ctx, store.Tx{Put: []store.Put{{Key: store.Key{Table: "t", Partition: "s0"}}}})
+			assert.Check(t, fault.Is(err, fault.Conflict), "%v", err)
+			return nil
+		})
+		for range 19 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Check(t, check.Admit("s0"))
+		}
+		stop()
+		assert.NilError(t, group.Wait())
+	})
+}
