A new holder takes over the learned state however long the takeover lasts

A new holder of the scheduler lease started without what its predecessor had learned, and replaced it by little, in two cases: the row arrived over a slow link for longer than 400 ms, or the rest of the takeover lasted longer than that. In the second case the row was there, but the wait had ended as well, and the choice between the two was random.

Cause: a time limit on a whole answer, counted from the start of the takeover. Change: the limit holds for silence; a row that has arrived is used.

--- a/sard/sched/learned.go
+++ b/sard/sched/learned.go
@@ -24,7 +24,7 @@
 	minNewEnds = 8
 	// maxLearnedBytes limits the size of the row.
 	maxLearnedBytes = 60 << 10
-	// learnedReadTimeout limits how long a new holder waits for the learned state.
+	// learnedReadTimeout is how long a new holder waits for the learned state while nothing of it arrives.
 	learnedReadTimeout = 400 * time.Millisecond
 )
 
@@ -125,44 +125,44 @@
 	s.config.Metrics.learned.bytes.Set(float64(ev.size))
 }
 
-// readLearned reads the row at learnedKey in the background. The channel is closed if it can't be read.
-func (s *Scheduler) readLearned(ctx context.Context) <-chan store.Listing {
-	read := make(chan store.Listing, 1)
-	if !s.learns() {
-		close(read)
-		return read
-	}
+// learnedRead is a read of the row at learnedKey under way.
+type learnedRead struct {
+	// result gets the listing if the read succeeds.
+	result chan store.Listing
+	// ended is closed when the read has ended, or is given up because nothing arrives.
+	ended <-chan struct{}
+}
+
+// readLearned reads the row at learnedKey in the background.
+func (s *Scheduler) readLearned(ctx context.Context) learnedRead {
+	ctx, cancel := store.WithSilenceLimit(ctx, learnedReadTimeout)
+	read := learnedRead{result: make(chan store.Listing, 1), ended: ctx.Done()}
 	s.group.Go(func() error {
-		defer close(read)
-		ctx, cancel := context.WithTimeout(ctx, learnedReadTimeout)
 		defer cancel()
+		if !s.learns() {
+			return nil
+		}
 		if listing, err := s.config.Store.List(ctx, store.KeyRange(learnedKey)); err == nil {
-			read <- listing
+			read.result <- listing
 		}
 		return nil
 	})
 	return read
 }
 
-// takeLearned waits for the row that readLearned reads, at most until its timeout, and takes over what a former holder has
-// learned.
-func (s *Scheduler) takeLearned(ctx context.Context, read <-chan store.Listing) {
+// takeLearned waits until the read of the learned state has ended, and takes over what a former holder has learned.
+func (s *Scheduler) takeLearned(read learnedRead) {
 	if !s.learns() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(0, learnedReadTimeout-clock.Since(s.started)))
-	defer cancel()
+	<-read.ended
 	select {
-	case listing, ok := <-read:
-		if !ok {
-			s.config.Logger.Warn("learned state not read, starting without")
-			return
-		}
+	case listing := <-read.result:
 		for _, row := range listing.Rows {
 			s.restoreLearned(row.Value)
 		}
-	case <-ctx.Done():
-		s.config.Logger.Warn("learned state not read in time, starting without")
+	default:
+		s.config.Logger.Warn("learned state not read, starting without")
 	}
 }
 
--- a/sard/sched/takeover_test.go
+++ b/sard/sched/takeover_test.go
@@ -1,12 +1,16 @@
 package sched_test
 
 import (
+	"bytes"
 	"context"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
@@ -73,3 +77,71 @@
 		assert.Assert(t, time.Since(started) < 3*time.Second, "%v", time.Since(started))
 	})
 }
+
+// logBuffer holds what was logged.
+type logBuffer struct {
+	mu     sync.Mutex
+	logged bytes.Buffer
+}
+
+// Write adds what was logged.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.logged.Write(p)
+}
+
+// String returns what was logged.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.logged.String()
+}
+
+// arrivingLearnedStore is a store whose answers about the learned state arrive bit by bit for 600 ms.
+type arrivingLearnedStore struct{ store.Store }
+
+// List lists a range.
+func (s arrivingLearnedStore) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	if r.Table != work.LearnedTable {
+		return s.Store.List(ctx, r)
+	}
+	for range 6 {
+		if !clock.Sleep(ctx, 100*time.Millisecond) {
+			return store.Listing{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "list", "store")
+		}
+		store.Arrived(ctx)
+	}
+	return s.Store.List(ctx, r)
+}
+
+// TestLearnedStateIsTakenOverSlowly guards against new holders that start without the learned state, and replace it by
+// little, because it arrives over a slow link, or because the rest of the takeover takes longer than the learned state.
+func TestLearnedStateIsTakenOverSlowly(t *testing.T) {
+	tests := []struct {
+		name      string
+		wrapStore func(store.Store) store.Store
+		slowLists time.Duration
+	}{
+		{"it arrives slowly", func(s store.Store) store.Store { return arrivingLearnedStore{s} }, 0},
+		{"the jobs arrive slowly", nil, 300 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				value, err := work.Encode(struct{ Version int }{})
+				assert.NilError(t, err)
+				key := store.Key{Table: work.LearnedTable, Partition: work.MainPartition, Name: "state"}
+				_, err = r.store.Apply(r.ctx, store.Tx{Put: []store.Put{{Key: key, Value: value}}})
+				assert.NilError(t, err)
+				r.runTimes, r.wrapStore, r.slowLists = true, test.wrapStore, test.slowLists
+				var logged logBuffer
+				r.logger = hclog.New(&hclog.LoggerOptions{Output: &logged})
+				r.startInstance("i1")
+				r.sleep(10 * time.Second)
+				// A row of another version is read, but not used.
+				assert.Check(t, is.Contains(logged.String(), "learned state ignored"))
+			})
+		})
+	}
+}
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -46,7 +46,7 @@
 		s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: readAt})
 		s.group.Go(func() error { return s.watchTable(ctx, table, listing.Version, readAt) })
 	}
-	s.takeLearned(ctx, learned)
+	s.takeLearned(learned)
 	s.loadedProgress = nil
 	s.adoptPlacements()
 	s.config.Logger.Info("pool taken over", "epoch", s.lease.Epoch(), "workers", len(s.sessions),
