Suspects may use suspended workers that answer

What callers saw: jobs with nothing running for 3 s and more in a pool with most of its room free, all of them under crash suspicion: a part of theirs had been on probation when a worker crashed.

Cause: a worker is suspended both when it refuses a start and when a start does not reach it. At the limit of all holds (1.5 s) other groups may use such workers, suspects none of them, since a crash on a worker out of reach goes unnoticed. While workers refuse, each refusal extends the suspension, so that all of a small service, or of a label, stay closed to suspects without end. A suspension also hid behind a longer quarantine: a worker that was quarantined and then out of reach was open to suspects.

Change: SuspendWorker is for workers that answer, SuspendUnreached for those that a start did not reach; the latter alone stay closed to suspects.

TestSuspectsUseSuspendedWorkersThatAnswer failed before in case "refused" ("out of reach" guards what must stay).

--- a/sard/pool/health.go
+++ b/sard/pool/health.go
@@ -23,8 +23,8 @@
 	quarantineLength time.Duration
 	// quarantinedAt is when the latest quarantine for failures began, and quarantinedUntil when the quarantine ends.
 	quarantinedAt, quarantinedUntil time.Time
-	// suspendedUntil is until when the worker may be out of reach, or refuse what it is sent.
-	suspendedUntil time.Time
+	// unreachedUntil is until when the worker may be out of reach, so that its crash may go unnoticed.
+	unreachedUntil time.Time
 }
 
 // healthy reports whether new parts may be placed on the worker.
@@ -56,10 +56,26 @@
 	h.quarantinedAt, h.quarantinedUntil = now, now.Add(h.quarantineLength)
 }
 
-// SuspendWorker places no new parts on a worker for at least the given time.
+// SuspendWorker places no new parts on a worker that can be reached for at least the given time, unless they have been held
+// back for as long as they may.
 func (e *Engine) SuspendWorker(id ident.Worker, now time.Time, pause time.Duration) {
-	if n := e.nodesByID[id]; n != nil && n.health.quarantinedUntil.Before(now.Add(pause)) {
-		n.health.quarantinedUntil = now.Add(pause)
-		n.health.suspendedUntil = now.Add(pause)
+	if n := e.nodesByID[id]; n != nil {
+		n.health.quarantinedUntil = latest(n.health.quarantinedUntil, now.Add(pause))
 	}
 }
+
+// SuspendUnreached suspends a worker that could not be reached. Suspects keep off it for all of the given time.
+func (e *Engine) SuspendUnreached(id ident.Worker, now time.Time, pause time.Duration) {
+	e.SuspendWorker(id, now, pause)
+	if n := e.nodesByID[id]; n != nil {
+		n.health.unreachedUntil = latest(n.health.unreachedUntil, now.Add(pause))
+	}
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -75,7 +75,7 @@
 	if part, _, ok := r.fastPart(g, healthy, available); ok {
 		return r.packTight(g, part, available)
 	}
-	usable := slices.DeleteFunc(open, func(n *node) bool { return g.suspected() && r.now.Before(n.health.suspendedUntil) })
+	usable := slices.DeleteFunc(open, func(n *node) bool { return g.suspected() && r.now.Before(n.health.unreachedUntil) })
 	return r.packHealthiest(g, usable, available)
 }
 
--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -69,6 +70,41 @@
 	assert.Equal(t, h.workersOf("waits")[0], workerID(3))
 }
 
+// TestSuspectsUseSuspendedWorkersThatAnswer guards against suspects that wait without end, or for as long as refusals go on, for
+// suspended workers that can be reached, and against ones whose crash goes unnoticed on a worker that can't.
+func TestSuspectsUseSuspendedWorkersThatAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		suspend func(*Engine, ident.Worker, time.Time, time.Duration)
+		waits   bool
+	}{
+		{"refused", (*Engine).SuspendWorker, false},
+		{"out of reach", (*Engine).SuspendUnreached, true},
+		{"out of reach, then refused", func(e *Engine, id ident.Worker, now time.Time, pause time.Duration) {
+			e.SuspendUnreached(id, now, pause)
+			e.SuspendWorker(id, now, 2*pause)
+		}, true},
+		{"refused, then out of reach", func(e *Engine, id ident.Worker, now time.Time, pause time.Duration) {
+			e.SuspendWorker(id, now, 2*pause)
+			e.SuspendUnreached(id, now, pause)
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.addJob("suspect", 2, work.Step{Parts: 1, Need: smallPart})
+			h.crash("suspect")
+			for i := range 4 {
+				test.suspend(h.engine, workerID(i), h.now, maxQuarantine)
+			}
+			for range 30 {
+				h.advance(100 * time.Millisecond)
+			}
+			assert.Equal(t, len(h.workersOf("suspect")) == 0, test.waits)
+		})
+	}
+}
+
 // TestRefusedGroupIsTriedElsewhereSoon guards against groups that wait anew for as long as before, each time that a worker refuses
 // them which was quarantined with cause.
 func TestRefusedGroupIsTriedElsewhereSoon(t *testing.T) {
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -107,7 +107,7 @@
 		s.lease.MarkLost()
 		return
 	case Unwell, NoRoom, OtherLife:
-		s.suspend(w)
+		s.suspendRefusing(w)
 	}
 	if state.startsSent > 1 {
 		s.startRetryRefused(state, ev.attempt, refusal.Cause)
@@ -137,7 +137,7 @@
 // have started it.
 func (s *Scheduler) startUndelivered(w *session, ev startResult) {
 	s.config.Logger.Warn("start not delivered", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(), "error", ev.err)
-	s.suspend(w)
+	s.suspendUnreached(w)
 	delete(w.attempts, ev.attempt)
 	s.engine.AttemptEnded(ev.attempt, pool.Refused, "", time.Now())
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -268,12 +268,18 @@
 	return view
 }
 
-// suspend places no new parts on a worker for a while.
-func (s *Scheduler) suspend(w *session) {
+// suspendRefusing places no new parts for a while on a worker that has refused one.
+func (s *Scheduler) suspendRefusing(w *session) {
 	w.suspendedUntil = clock.Now().Add(unwellSuspension)
 	s.engine.SuspendWorker(w.id(), time.Now(), unwellSuspension)
 }
 
+// suspendUnreached places no new parts for a while on a worker that a start did not reach.
+func (s *Scheduler) suspendUnreached(w *session) {
+	w.suspendedUntil = clock.Now().Add(unwellSuspension)
+	s.engine.SuspendUnreached(w.id(), time.Now(), unwellSuspension)
+}
+
 // listedForStarts reports whether the worker is listed as accepting new parts, in a data centre that is not being evacuated.
 func (s *Scheduler) listedForStarts(w *session) bool {
 	return w.listed && w.entry.Accepting && !s.evacuated(w)
