Count what workers run in the check of waits, and all room that the promise counts

The promise: for 3 s, a job has nothing running while a part's turn has come, there is capacity for it twice over, and under half of the service's capacity is in use; for each part that lasts, however full the service is. TestRandomWaitsInPoolWithRoom was weaker:

- Nodes that a suspect has for itself, and what others have reserved, did not count as room.
- A start on its way counted as running, so that a group passed which one worker after another refused.
- Parts whose stop has no answer, and attempts that are known to the engine only, counted as in use and as running.
What the workers run counts now.

Narrowed, each by its trace:

- Where a group fits twice only if workers count that fail or refuse what they get, a refused start is all that can be done, and counts as running as before.
- As before, parts that would disturb others there, and workers that accept nothing, leave no room.

--- /dev/null
+++ b/sard/pool/runs_test.go
@@ -0,0 +1,92 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// run is what a worker runs, whatever the engine knows of it.
+type run struct {
+	attempt work.Attempt
+	process work.WorkerProcess
+	step    *work.Step
+}
+
+// begin begins the run of a start that has reached its worker.
+func (w *world) begin(s Start) {
+	delete(w.ordered, s.Attempt)
+	w.note(s.Attempt, "starts on "+string(s.Worker.Worker))
+	if j := w.engine.jobs[s.Attempt.Part.Job]; j != nil {
+		w.runs[s.Attempt] = &run{attempt: s.Attempt, process: s.Worker, step: &j.Steps[s.Attempt.Part.Step]}
+	}
+}
+
+// refuse lets a worker refuse a start.
+func (w *world) refuse(s Start) {
+	delete(w.runs, s.Attempt)
+	w.ordered[s.Attempt] = true
+	w.note(s.Attempt, "refused by "+string(s.Worker.Worker))
+}
+
+// end ends the run of an attempt, and tells the engine how.
+func (w *world) end(a work.Attempt, how End) {
+	if w.ordered[a] || w.runs[a] != nil {
+		w.note(a, how.String())
+	}
+	delete(w.runs, a)
+	delete(w.ordered, a)
+	w.engine.AttemptEnded(a, how, "", w.now)
+}
+
+// endRunsOf ends what runs in a worker process.
+func (w *world) endRunsOf(process work.WorkerProcess) {
+	for a, r := range w.runs {
+		if r.process == process {
+			delete(w.runs, a)
+			w.note(a, "ends with its worker")
+		}
+	}
+}
+
+// note adds what has happened to an attempt to the history of its job.
+func (w *world) note(a work.Attempt, what string) {
+	id := a.Part.Job
+	w.history[id] = append(w.history[id], fmt.Sprintf("%v %d/%d %s", w.now.Sub(w.began), a.Part.Index, a.Number, what))
+}
+
+// running reports whether a worker runs a part of a job.
+func (w *world) running(id ident.Job) bool {
+	for a := range w.runs {
+		if a.Part.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// groupRuns reports whether a worker runs a part of a group.
+func (w *world) groupRuns(g *group) bool {
+	for i := range g.parts {
+		if w.runs[g.parts[i].attemptID()] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// usedOn returns what the runs on each worker need together.
+func (w *world) usedOn() map[ident.Worker]work.Resources {
+	used := map[ident.Worker]work.Resources{}
+	for _, r := range w.runs {
+		used[r.process.Worker] = used[r.process.Worker].Plus(r.step.Demand())
+	}
+	return used
+}
+
+// isOrdered reports whether the start of a group is on its way, or was refused and the engine does not know.
+func (w *world) isOrdered(g *group) bool {
+	return slices.ContainsFunc(g.parts, func(p part) bool { return w.ordered[p.attemptID()] })
+}
