--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -144,7 +144,7 @@
 	}
 	usable := g.avoidedLast(open.healthiestFirst)
 	if g.suspected() {
-		usable = slices.DeleteFunc(slices.Clone(usable), func(n *node) bool { return r.now.Before(n.health.suspendedUntil) })
+		usable = slices.DeleteFunc(slices.Clone(usable), func(n *node) bool { return r.now.Before(n.health.unreachedUntil) })
 	}
 	return r.packLeading(g, usable, available)
 }
