A later process of a worker refuses late requests to a former one

What callers may see: a part that is done runs again, or a part runs twice (TWICE). A request without a response may be executed seconds later, by the next process of the worker, which has seen no epoch: an acknowledgement then discards an end that no report has listed, and a repeated start begins beside the part's next attempt.

Cause: a request names no worker process, and all processes of a worker got the same epoch from one holder.

Change: a later process gets a lease renewal with a higher epoch first, and starts only when it has responded to that. The epoch is the version that the store reported at the last renewal but one of the scheduler lease, so it takes no call of the store. It belongs to this holder alone: the renewal after it succeeded on condition of the owner row, so each later holder has a higher one, an older program included. A refusal of a request with a lower epoch than the worker process has got is no sign of another holder. A process that finds the owner row naming itself writes it again in place of adopting it (one write, as before), since its former holding may have used higher epochs.

Left: a late request that is executed before the holder has reached the new process, and starts that are late by that much. Acknowledgements are harmless then, as the process has no ends.

--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -274,12 +274,9 @@
 	}
 }
 
-// tryAcquire writes the owner row, on condition that the lease hasn't changed since it was read.
+// tryAcquire writes the owner row, on condition that the lease hasn't changed since it was read. It does so too if the row
+// names this process, whose requests as an earlier holder must be superseded.
 func (c *Candidate) tryAcquire(ctx context.Context, view leaseView) (*Lease, error) {
-	if view.holder == c.holder {
-		// An earlier attempt took effect, but its response was lost.
-		return c.adoptLease(ctx, view.owner)
-	}
 	sent := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -292,23 +289,7 @@
 		clock.Sleep(ctx, retryInterval)
 		return nil, err
 	}
-	return c.newLease(result.Version, sent), nil
-}
-
-// adoptLease returns a Lease for an owner row that already names this process.
-func (c *Candidate) adoptLease(ctx context.Context, owner store.Version) (*Lease, error) {
-	lease := c.newLease(owner, clock.Never)
-	if err := lease.renew(ctx); err != nil {
-		clock.Sleep(ctx, retryInterval)
-		return nil, err
-	}
-	return lease, nil
-}
-
-// newLease returns a Lease for an owner row written by this process. It isn't valid before a renewal if renewedAt is
-// Never.
-func (c *Candidate) newLease(owner store.Version, renewedAt clock.Instant) *Lease {
-	return &Lease{candidate: c, owner: owner, renewedAt: renewedAt}
+	return &Lease{candidate: c, owner: result.Version, renewedAt: sent}, nil
 }
 
 // rowKey returns the key of a row of the lease.
--- a/sard/elect/candidate_test.go
+++ b/sard/elect/candidate_test.go
@@ -253,6 +253,43 @@
 	})
 }
 
+// TestLatestEpoch guards against requests of a holder that a later holder can't supersede, and against a holder that can't
+// supersede its own: its latest epoch rises with its renewals and stays below the epoch of each later holder, which may be
+// the same process.
+func TestLatestEpoch(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(*fixture, *process) *process
+	}{
+		{"another instance", func(f *fixture, p *process) *process {
+			next := f.start("b", "1")
+			time.Sleep(time.Second)
+			p.store.unavailable.Store(true)
+			return next
+		}},
+		{"same process", func(_ *fixture, p *process) *process {
+			p.lease.Load().MarkLost()
+			return p
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runWithFixture(t, func(f *fixture) {
+				p := f.start("a", "1")
+				time.Sleep(time.Second)
+				lease := p.lease.Load()
+				latest := lease.LatestEpoch()
+				assert.Check(t, latest > lease.Epoch())
+				time.Sleep(time.Second)
+				assert.Check(t, lease.LatestEpoch() > latest)
+				next := test.lose(f, p)
+				time.Sleep(4 * time.Second)
+				assert.Check(t, next.lease.Load().Epoch() > lease.LatestEpoch())
+			})
+		})
+	}
+}
+
 // TestWatchPause checks that a candidate which pauses between its reads of the lease makes fewer of them, notices a release
 // within a pause, and takes over from a killed holder at most a pause later.
 func TestWatchPause(t *testing.T) {
--- a/sard/elect/lease.go
+++ b/sard/elect/lease.go
@@ -21,6 +21,9 @@
 	renewedAt clock.Instant
 	// heartbeats counts the attempted renewals.
 	heartbeats uint64
+	// renewedEpoch is the store's version at the last successful renewal, and latestEpoch that at the one before, which no
+	// later holder can have as its epoch.
+	renewedEpoch, latestEpoch store.Version
 	// notice is to be written with the next renewal; nil for none.
 	notice []byte
 	// lost is set when the lease was released or another instance acquired it.
@@ -32,6 +35,14 @@
 	return ident.Epoch(l.owner)
 }
 
+// LatestEpoch returns the highest number that belongs to this holder for certain. It is at least Epoch, lower than the epoch
+// of each later holder, and increases with the renewals, so that a holder can supersede its own requests.
+func (l *Lease) LatestEpoch() ident.Epoch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ident.Epoch(max(l.owner, l.latestEpoch))
+}
+
 // Fence returns a precondition that fails once another instance has acquired the lease.
 func (l *Lease) Fence() store.Precondition {
 	return store.Precondition{Key: rowKey(ownerName), Version: l.owner}
@@ -116,7 +127,7 @@
 	if notice != nil {
 		tx.Put = append(tx.Put, store.Put{Key: rowKey(noticeName), Value: notice})
 	}
-	_, err := l.candidate.config.Store.Apply(ctx, tx)
+	result, err := l.candidate.config.Store.Apply(ctx, tx)
 	if fault.Is(err, fault.Conflict) {
 		l.MarkLost()
 	}
@@ -126,6 +137,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.renewedAt = max(l.renewedAt, sent)
+	l.latestEpoch, l.renewedEpoch = l.renewedEpoch, max(l.renewedEpoch, result.Version)
 	return nil
 }
 
--- /dev/null
+++ b/sard/sched/epoch.go
@@ -0,0 +1,26 @@
+package sched
+
+import "github.com/sardineline/sardineline/sard/ident"
+
+// A request names no worker process. One that is executed late may reach a later process of the worker than the one that it
+// was sent to, which has seen no epoch. So a later process first gets a lease renewal with a higher epoch than all requests to
+// its former ones, and starts only when it has responded to that.
+
+// raiseEpoch makes sure that the worker process gets requests with a higher epoch than its former ones. It returns false while
+// the scheduler lease has not been renewed often enough for that.
+func (s *Scheduler) raiseEpoch(w *session) bool {
+	if w.epoch <= w.formerEpoch {
+		w.epoch = max(w.epoch, s.lease.LatestEpoch())
+	}
+	return w.epoch > w.formerEpoch
+}
+
+// superseded handles the refusal of a request because of its epoch. It returns whether another instance holds the scheduler
+// lease. Otherwise, the request was sent to a former process of the worker, and has reached a later one.
+func (s *Scheduler) superseded(w *session, epoch ident.Epoch) bool {
+	if epoch < w.epoch {
+		return false
+	}
+	s.lease.MarkLost()
+	return true
+}
--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -35,6 +35,7 @@
 type startResult struct {
 	attempt work.Attempt
 	process work.WorkerProcess
+	epoch   ident.Epoch
 	flight  *flight
 	sentAt  clock.Instant
 	// first indicates that no earlier request may have started the attempt.
@@ -51,6 +52,7 @@
 type stopResult struct {
 	attempt work.Attempt
 	process work.WorkerProcess
+	epoch   ident.Epoch
 	flight  *flight
 	reply   Reply
 	err     error
@@ -59,6 +61,7 @@
 // renewalResult is the result of a lease renewal.
 type renewalResult struct {
 	process  work.WorkerProcess
+	epoch    ident.Epoch
 	sentAt   clock.Instant
 	ackedEnd EndSequence
 	report   WorkerReport
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -25,9 +25,9 @@
 type disturbances struct {
 	// renewalsFail makes renewals fail before they are sent.
 	renewalsFail atomic.Bool
-	// startDelay is how long starts take to arrive; their responses are lost if it is set. responseDelay is how long the
-	// responses to starts take.
-	startDelay, responseDelay atomic.Int64
+	// startDelay is how long starts take to arrive; their responses are lost if it is set. requestDelay is how long starts and
+	// stops take to arrive, with a response. responseDelay is how long the responses to starts take.
+	startDelay, requestDelay, responseDelay atomic.Int64
 	// startLateness and ackLateness are how late the next start and the next acknowledgement of ends are executed, without a
 	// response.
 	startLateness, ackLateness atomic.Int64
@@ -76,11 +76,20 @@
 		_, _ = c.WorkerClient.Start(ctx, o)
 		return sched.Reply{}, fault.New(fault.OutcomeUnknown, "start", "wa", "lost")
 	}
+	time.Sleep(time.Duration(c.requestDelay.Load()))
 	reply, err := c.WorkerClient.Start(ctx, o)
 	time.Sleep(time.Duration(c.responseDelay.Load()))
 	return reply, err
 }
 
+// Stop sends a stop request.
+func (c *disturbedClient) Stop(ctx context.Context, o sched.StopRequest) (sched.Reply, error) {
+	if o.Worker.Worker == "wa" {
+		time.Sleep(time.Duration(c.requestDelay.Load()))
+	}
+	return c.WorkerClient.Stop(ctx, o)
+}
+
 // executeLate schedules the execution of a request, and returns the error of its sender, which gets no response.
 func executeLate(ctx context.Context, late int64, request func()) error {
 	time.AfterFunc(time.Duration(late), request)
@@ -128,6 +137,29 @@
 	})
 }
 
+// TestLateAcknowledgementAfterUnlistedRestart is like TestLateAcknowledgementAfterRestart, but a report is the first to name
+// the later process.
+func TestLateAcknowledgementAfterUnlistedRestart(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		d.ackLateness.Store(int64(2500 * time.Millisecond))
+		r.submit("j1", 100*time.Millisecond, work.Step{Parts: 1})
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		// The crash interrupts the next lease renewal, and the one after that finds the later process.
+		r.submit("j2", 1200*time.Millisecond, work.Step{Parts: 1})
+		r.sleep(800 * time.Millisecond)
+		r.updateFleet(r.fleet.Worker("wa").Crash)
+		r.sleep(800 * time.Millisecond)
+		d.renewalsFail.Store(true)
+		r.sleep(1200 * time.Millisecond)
+		d.renewalsFail.Store(false)
+		r.waitForState("j2", ident.Succeeded, 30*time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 3)
+	})
+}
+
 // TestLateAcknowledgementInFlightAtRestart is like TestLateAcknowledgementAfterRestart, but the acknowledgement is in flight
 // when the list names the later process, and its sender is killed before it learns that there is no response.
 func TestLateAcknowledgementInFlightAtRestart(t *testing.T) {
@@ -508,3 +540,57 @@
 		r.waitForState("wj1", ident.Succeeded, 40*time.Second)
 	})
 }
+
+// TestRequestSupersededByLaterProcess guards against holders that give up the scheduler lease, because a request to the former
+// process of a worker reaches the later one, which has got one with a higher epoch.
+func TestRequestSupersededByLaterProcess(t *testing.T) {
+	tests := []struct {
+		name   string
+		cancel bool
+	}{
+		{"start", false},
+		{"stop", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				d := r.disturb()
+				var lost atomic.Bool
+				r.wrapLease = func(l sched.Lease) sched.Lease { return &watchedLease{l, &lost} }
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				wa := r.fleet.Worker("wa")
+				if test.cancel {
+					r.submit("j0", 10*time.Second, work.Step{Parts: 1})
+					r.sleep(500 * time.Millisecond)
+				}
+				d.requestDelay.Store(int64(400 * time.Millisecond))
+				if test.cancel {
+					assert.NilError(t, r.api.Cancel(r.ctx, "a", "j0"))
+				} else {
+					r.submit("j0", time.Second, work.Step{Parts: 1})
+				}
+				r.sleep(100 * time.Millisecond)
+				r.updateFleet(wa.Crash)
+				r.listWorker(wa)
+				r.sleep(600 * time.Millisecond)
+				d.requestDelay.Store(0)
+				r.submit("j1", time.Second, work.Step{Parts: 1})
+				r.waitForState("j1", ident.Succeeded, 5*time.Second)
+				assert.Check(t, !lost.Load())
+			})
+		})
+	}
+}
+
+// watchedLease is a scheduler lease that notes when its holder marks it as lost.
+type watchedLease struct {
+	sched.Lease
+	lost *atomic.Bool
+}
+
+// MarkLost marks the lease as lost.
+func (l *watchedLease) MarkLost() {
+	l.lost.Store(true)
+	l.Lease.MarkLost()
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -71,6 +72,9 @@
 	if w.awaitsStartBeforeAck() {
 		return
 	}
+	if !w.fenced && !s.raiseEpoch(w) {
+		return
+	}
 	s.sendRenewal(ctx, w, busy)
 }
 
@@ -98,7 +102,7 @@
 // sendRenewal sends a lease renewal in the background. It extends the lease if the worker is busy or has not been
 // contacted yet, unless the last renewal got no report or the worker disobeys.
 func (s *Scheduler) sendRenewal(ctx context.Context, w *session, busy bool) {
-	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: s.lease.Epoch()}
+	req := RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: w.epoch}
 	if w.ackDue() && w.mayAcknowledge() {
 		req.AckedEnd = w.confirmedEnd
 		w.acknowledging = true
@@ -119,7 +123,7 @@
 		ctx, cancel := s.stalls.WithTimeout(ctx, timeout)
 		defer cancel()
 		report, err := client.RenewLease(ctx, req)
-		return renewalResult{process: process, sentAt: sentAt, ackedEnd: req.AckedEnd, report: report, timedOut: ctx.Err() != nil, err: err}
+		return renewalResult{process: process, epoch: req.Epoch, sentAt: sentAt, ackedEnd: req.AckedEnd, report: report, timedOut: ctx.Err() != nil, err: err}
 	})
 }
 
@@ -161,8 +165,8 @@
 	if startedMs := ev.report.StartedMs; startedMs != 0 && startedMs != ev.process.StartedMs {
 		s.replaceProcess(w, work.WorkerProcess{Worker: ev.process.Worker, StartedMs: startedMs}, ev.report.attempts()...)
 	}
-	first := !w.fenced
-	w.fenced, w.lost = true, false
+	first := !w.fenced && ev.epoch > w.formerEpoch
+	w.fenced, w.lost = w.fenced || first, false
 	w.recordReply(ev.report.Reply)
 	w.lastReport, w.reportSentAt, w.failedAt, w.failureUndated = clock.Now(), ev.sentAt, clock.Never, false
 	w.otherAnswered, w.refusedSince = false, clock.Never
@@ -174,6 +178,8 @@
 	s.handleRunning(w, ev.report)
 	s.handleMissing(w, ev, first)
 	switch {
+	case !w.fenced:
+		s.renewSoon(w)
 	case w.seenEnd > w.confirmedEnd:
 		w.nextRenewal = clock.Now().Add(unconfirmedPause)
 	case w.unexpected > 0:
@@ -190,7 +196,7 @@
 func (s *Scheduler) renewalFailed(w *session, ev renewalResult) {
 	var refusal *RefusalError
 	if errors.As(ev.err, &refusal) {
-		s.renewalRefused(w, refusal)
+		s.renewalRefused(w, refusal, ev.epoch)
 		return
 	}
 	if !w.unanswered {
@@ -202,11 +208,11 @@
 }
 
 // renewalRefused handles the refusal of a lease renewal.
-func (s *Scheduler) renewalRefused(w *session, refusal *RefusalError) {
+func (s *Scheduler) renewalRefused(w *session, refusal *RefusalError, epoch ident.Epoch) {
 	s.config.Logger.Warn("worker refused lease renewal", "worker", w.id(), "cause", refusal.Cause.String())
 	switch refusal.Cause {
 	case Superseded:
-		s.lease.MarkLost()
+		s.superseded(w, epoch)
 	case OtherLife:
 		s.otherLifeResponded(w, refusal.Reply.StartedMs)
 	default:
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -102,10 +102,10 @@
 	s.config.Logger.Warn("start refused", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(),
 		"cause", refusal.Cause.String())
 	w.recordReply(refusal.Reply)
-	switch refusal.Cause {
-	case Superseded:
-		s.lease.MarkLost()
+	if refusal.Cause == Superseded && s.superseded(w, ev.epoch) {
 		return
+	}
+	switch refusal.Cause {
 	case Unwell, NoRoom, OtherLife:
 		s.suspend(w)
 	}
@@ -177,8 +177,7 @@
 	}
 	state.stopPending = false
 	var refusal *RefusalError
-	if errors.As(ev.err, &refusal) && refusal.Cause == Superseded {
-		s.lease.MarkLost()
+	if errors.As(ev.err, &refusal) && refusal.Cause == Superseded && s.superseded(w, ev.epoch) {
 		return
 	}
 	if ev.err != nil {
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -7,8 +7,9 @@
 //   - A part is the unit of a job that runs on a worker. An attempt is one run of a part. A worker process is one
 //     process of a worker; a restarted worker is another process.
 //   - The scheduler lease lets one instance at a time schedule the pool. Each holder has a higher epoch, and workers
-//     refuse requests with an epoch lower than the highest that they have seen. A worker is fenced once it has
-//     responded under the current epoch.
+//     refuse requests with an epoch lower than the highest that they have seen. A holder uses a higher epoch for each later
+//     process of a worker, so that the process refuses late requests that were sent to a former one. A worker is fenced
+//     once it has responded under the epoch of its process.
 //   - A worker lease lets a worker run its attempts until a deadline, which requests extend. A worker stops its
 //     attempts at the deadline, so that after the lease has expired they can be started elsewhere.
 //   - A report is a worker's response to a lease renewal. It lists the running attempts and the ended ones. Each end
@@ -44,6 +45,9 @@
 // Lease is the lease that lets this instance schedule the pool.
 type Lease interface {
 	Epoch() ident.Epoch
+	// LatestEpoch returns the highest number that belongs to this holder for certain. It is at least Epoch, lower than the
+	// epoch of each later holder, and increases with the renewals of the lease.
+	LatestEpoch() ident.Epoch
 	// Fence returns a precondition that holds until another instance takes the lease.
 	Fence() store.Precondition
 	// Check returns an error if the lease is not known to be held. It must be called immediately before each decision
--- a/sard/sched/sends.go
+++ b/sard/sched/sends.go
@@ -63,13 +63,13 @@
 	flight := s.commands.depart(w)
 	req := StartRequest{
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
-		Epoch: s.lease.Epoch(), Deadline: s.extendLease(w),
+		Epoch: w.epoch, Deadline: s.extendLease(w),
 	}
 	client, sentAt := w.client, clock.Now()
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
 		defer cancel()
-		result := startResult{attempt: start.Attempt, process: start.Worker, flight: flight, sentAt: sentAt, first: first}
+		result := startResult{attempt: start.Attempt, process: start.Worker, epoch: req.Epoch, flight: flight, sentAt: sentAt, first: first}
 		if s.lease.Check() != nil {
 			result.unsent = true
 			return result
@@ -140,7 +140,7 @@
 		return
 	}
 	flight := s.commands.depart(w)
-	req := StopRequest{Worker: w.entry.WorkerProcess, Attempt: a, Epoch: s.lease.Epoch()}
+	req := StopRequest{Worker: w.entry.WorkerProcess, Attempt: a, Epoch: w.epoch}
 	client := w.client
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, requestTimeout)
@@ -149,6 +149,6 @@
 		if err != nil {
 			clock.Sleep(ctx, stopRetryPause)
 		}
-		return stopResult{attempt: a, process: req.Worker, flight: flight, reply: reply, err: err}
+		return stopResult{attempt: a, process: req.Worker, epoch: req.Epoch, flight: flight, reply: reply, err: err}
 	})
 }
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -27,6 +27,9 @@
 	listed bool
 	// successor is the session with a later worker on the same host, or nil.
 	successor *session
+	// epoch is that of the requests to the worker process, and formerEpoch the highest one of requests to a former process,
+	// or 0.
+	epoch, formerEpoch ident.Epoch
 	// fenced indicates that the worker has responded under this epoch, so it refuses requests of earlier epochs.
 	fenced bool
 	// clock is the last time reported by the worker's clock. It was received at clockReadAt, so it was read before.
@@ -193,7 +196,9 @@
 func (s *Scheduler) newSession(entry ListedWorker) *session {
 	now := clock.Now()
 	expiry := max(s.inheritedLeaseExpiry(), now.Add(s.maxLeaseDuration()))
-	return &session{entry: entry, lastAnswer: now, leaseExpiry: expiry, attempts: map[work.Attempt]*attemptState{}}
+	return &session{
+		entry: entry, epoch: s.lease.Epoch(), lastAnswer: now, leaseExpiry: expiry, attempts: map[work.Attempt]*attemptState{},
+	}
 }
 
 // inheritedLeaseExpiry returns when the worker leases that an earlier holder of the scheduler lease granted have
@@ -230,6 +235,7 @@
 	next := s.newSession(entry)
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
+	next.epoch, next.formerEpoch = w.epoch, w.epoch
 	next.bar = w.bar
 	next.formerStartsMs = append(w.formerStartsMs[max(0, len(w.formerStartsMs)+1-maxFormerStarts):], w.entry.StartedMs)
 	*w = *next
