A round computes once what the groups of a job and nodes with equal properties share

Cause: a round computed the urgency of a job anew for each list of nodes that it looked up for each of its groups, shuffled all jobs by iterating over a map before it sorted them, summed up the accounts' use by one look-up for each part that runs, and looked at all parts of all nodes for each list of a group that others may disturb.

Change: whether a job leaves the headroom is computed once in a round; the order of the last round is kept and sorted again; the use is summed up by job; what would be disturbed on a node is found once in a round; the nodes that could run a group if they were empty are found once for all lists made of them; what a round knows of a demand is one record, which the end of holds finds without a second look-up.

TestDisturbingPartsOfOneRound fails if a placement is not recorded.

--- a/sard/pool/candidates.go
+++ b/sard/pool/candidates.go
@@ -10,7 +10,9 @@
 	// fastFirst holds all nodes sorted by sortFastFirst, and healthiestFirst the same sorted by compareHealth; nil if not
 	// known.
 	fastFirst, healthiestFirst []*node
-	// eligible holds, for each key, the nodes that can run the groups with that key.
+	// able holds, for each key, the accepting nodes that could run the groups with that key if they were empty, whether healthy
+	// and kept free or not; eligible holds those of them that are eligible.
+	able     map[eligibilityKey][]*node
 	eligible map[eligibilityKey]*nodeList
 	// candidates holds, for each key, those of them that may run the groups with that key.
 	candidates map[candidateKey]*nodeList
@@ -20,7 +22,10 @@
 
 // newNodeLists returns lists of which none is known.
 func newNodeLists() nodeLists {
-	return nodeLists{eligible: map[eligibilityKey]*nodeList{}, candidates: map[candidateKey]*nodeList{}, open: map[candidateKey]*openNodes{}}
+	return nodeLists{
+		able: map[eligibilityKey][]*node{}, eligible: map[eligibilityKey]*nodeList{}, candidates: map[candidateKey]*nodeList{},
+		open: map[candidateKey]*openNodes{},
+	}
 }
 
 // candidateKey holds all properties of a group that determine which nodes may run its parts without harm to others. Only
@@ -98,7 +103,7 @@
 	step := g.spec()
 	found := make([]*node, 0, len(nodes))
 	for _, n := range nodes {
-		if !n.conflictsWith(step) && !r.isolatedFrom(g, n) {
+		if !r.conflicts(step, n) && !r.isolatedFrom(g, n) {
 			found = append(found, n)
 		}
 	}
@@ -112,9 +117,10 @@
 	if found != nil {
 		return found
 	}
-	found = &nodeList{nodes: make([]*node, 0, len(r.engine.nodes))}
-	for _, n := range r.fastFirst() {
-		if !n.Accepting || !n.eligibleFor(g) || !n.health.healthy(r.now) || key.leavesHeadroom && r.headroom[n.index] {
+	able := r.ableNodes(g)
+	found = &nodeList{nodes: make([]*node, 0, len(able))}
+	for _, n := range able {
+		if !n.health.healthy(r.now) || key.leavesHeadroom && r.headroom[n.index] {
 			continue
 		}
 		found.nodes = append(found.nodes, n)
@@ -123,6 +129,29 @@
 	return found
 }
 
+// ableNodes returns the accepting nodes that could run a group if they were empty, sorted by sortFastFirst. It computes them
+// once per round for all groups with equal needs.
+func (r *round) ableNodes(g *group) []*node {
+	key := ableKey(g)
+	found, known := r.lists.able[key]
+	if known {
+		return found
+	}
+	found = make([]*node, 0, len(r.engine.nodes))
+	for _, n := range r.fastFirst() {
+		if n.Accepting && n.eligibleFor(g) {
+			found = append(found, n)
+		}
+	}
+	r.lists.able[key] = found
+	return found
+}
+
+// ableKey returns the properties of g that determine which nodes could run its parts if they were empty.
+func ableKey(g *group) eligibilityKey {
+	return eligibilityKey{service: g.job.settings.Service, label: g.spec().Label, need: g.demand()}
+}
+
 // openNodes holds the nodes that can run some groups without harm to others.
 type openNodes struct {
 	// all is sorted by sortFastFirst, and healthy holds those of them whose workers are healthy. healthiestFirst holds all in
@@ -163,10 +192,7 @@
 // openKey returns the properties of g that determine which nodes are open to it.
 func (r *round) openKey(g *group) candidateKey {
 	step := g.spec()
-	return candidateKey{
-		eligibilityKey: eligibilityKey{service: g.job.settings.Service, label: step.Label, need: g.demand()},
-		fills:          step.Fills, serves: step.Latency > 0,
-	}
+	return candidateKey{eligibilityKey: ableKey(g), fills: step.Fills, serves: step.Latency > 0}
 }
 
 // openTo returns the nodes that can run a group without harm to others, if nothing is kept free and workers need not be healthy.
@@ -189,8 +215,8 @@
 func (r *round) findOpen(g *group) *openNodes {
 	open := &openNodes{}
 	isOpen := make([]bool, len(r.engine.nodes))
-	for _, n := range r.fastFirst() {
-		if !n.Accepting || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || r.isolatedFrom(g, n) {
+	for _, n := range r.ableNodes(g) {
+		if r.conflicts(g.spec(), n) || r.isolatedFrom(g, n) {
 			continue
 		}
 		isOpen[n.index] = true
--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -47,9 +47,12 @@
 
 // suspected reports whether a part of the group is likely to be the cause of a crash, so that it is started in isolation.
 func (g *group) suspected() bool {
-	return slices.ContainsFunc(g.parts, func(p part) bool {
-		return p.likelyCrashes > 0 || p.possibleCrashes >= isolationPossible
-	})
+	for i := range g.parts {
+		if p := &g.parts[i]; p.likelyCrashes > 0 || p.possibleCrashes >= isolationPossible {
+			return true
+		}
+	}
+	return false
 }
 
 // crashesTooOften reports whether a part of the group has crashed so many workers that its job fails.
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -86,6 +86,10 @@
 	examineFrom int
 	// holdTurn counts the turns, which may last for several rounds, in which endHolds examines each group once.
 	holdTurn int
+	// open holds the jobs that have not ended, in the order of the latest round; others may be left until the next one.
+	open []jobUrgency
+	// rounds is the number of rounds so far.
+	rounds roundNumber
 }
 
 // New returns an Engine without jobs or workers.
@@ -190,6 +194,7 @@
 	}
 	j.settings = e.config.QueueSettings(spec)
 	e.jobs[spec.ID] = j
+	e.open = append(e.open, jobUrgency{job: j})
 	e.createDueOccurrences(j, now, nowMs)
 	if recorded != nil {
 		e.restore(j, recorded, now)
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -107,6 +107,8 @@
 	// reserved holds the nodes whose capacity is reserved for the group while it waits for stops to complete, or for the
 	// probation of the attempts that were started there.
 	reserved []*node
+	// latestDemand is what was known of groups with the same demand when the group was last scheduled.
+	latestDemand *demand
 	// avoided holds the workers on which the group failed, stalled or ran slowly.
 	avoided map[ident.Worker]bool
 	// moves counts how often the group was stopped for stalling or running slowly.
--- a/sard/pool/headroom.go
+++ b/sard/pool/headroom.go
@@ -43,13 +43,14 @@
 	return max(d.peak, d.previousPeak)
 }
 
-// leavesHeadroom reports whether the job has so much slack that it should not use the capacity that is kept free for
-// guaranteed jobs.
-func (j *job) leavesHeadroom(now time.Time) bool {
-	if j.settings.Priority == work.Guaranteed {
-		return false
+// leavesHeadroom reports whether a job has so much slack that it should not use the capacity that is kept free for
+// guaranteed jobs. It computes that once per round.
+func (r *round) leavesHeadroom(j *job) bool {
+	if j.leavesHeadroomIn != r.number {
+		j.leavesHeadroomIn = r.number
+		j.leavesHeadroom = j.settings.Priority != work.Guaranteed && j.urgency(r.now).slack*100 > j.objective()*headroomSlackPercent
 	}
-	return j.urgency(now).slack*100 > j.objective()*headroomSlackPercent
+	return j.leavesHeadroom
 }
 
 // headroomNodes returns, for each node, whether it is kept free so that guaranteed jobs can start without stopping
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -23,6 +23,11 @@
 	// lengths holds how long each step takes by the forecasts as of lengthsAt; nil if the estimates are used.
 	lengths   []time.Duration
 	lengthsAt time.Time
+	// runningCores is the work of the job that runs, in coreEquivalents, as of the latest accountUse.
+	runningCores int64
+	// leavesHeadroom caches whether the job leaves the headroom free, as of the round with the number leavesHeadroomIn.
+	leavesHeadroom   bool
+	leavesHeadroomIn roundNumber
 	// dirty is set while the stored record is out of date.
 	dirty bool
 }
--- a/sard/pool/order.go
+++ b/sard/pool/order.go
@@ -15,17 +15,19 @@
 
 // accountUse returns the work that runs now. Accounts whose work only waits have an entry too.
 func (e *Engine) accountUse() accountUse {
-	use := accountUse{byAccount: map[ident.Account]int64{}}
 	for _, j := range e.jobs {
-		if !j.state.Terminal() {
-			use.byAccount[j.Account] += 0
-		}
+		j.runningCores = 0
 	}
 	for _, n := range e.nodes {
 		for p := range n.parts {
-			cores := coreEquivalents(p.group.demand())
-			use.byAccount[p.group.job.Account] += cores
-			use.total += cores
+			p.group.job.runningCores += coreEquivalents(p.group.demand())
+		}
+	}
+	use := accountUse{byAccount: map[ident.Account]int64{}}
+	for _, j := range e.jobs {
+		if !j.state.Terminal() || j.runningCores > 0 {
+			use.byAccount[j.Account] += j.runningCores
+			use.total += j.runningCores
 		}
 	}
 	return use
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -38,6 +38,31 @@
 	return key
 }
 
+// holdDemand is what is known in a round of the groups with an equal holdKey.
+type holdDemand struct {
+	// stillHeld is the number of parts from which on groups can't be placed when holds end; 0 if not known.
+	stillHeld int
+}
+
+// holdDemand returns what is known of the end of holds for groups like g.
+func (r *round) holdDemand(g *group) *holdDemand {
+	d := g.latestDemand
+	sameDemand := d != nil && d.round == r.number && !g.spec().Lasting && !r.isolating[g]
+	if sameDemand && d.hold != nil {
+		return d.hold
+	}
+	key := r.holdKey(g)
+	found := r.holds[key]
+	if found == nil {
+		found = &holdDemand{}
+		r.holds[key] = found
+	}
+	if sameDemand {
+		d.hold = found
+	}
+	return found
+}
+
 // endHolds places groups that have been held back for maxHold in a pool with room, although nothing of their job runs, as if
 // nothing was kept free for guaranteed jobs, across racks if need be, and at last on quarantined workers.
 //
@@ -46,27 +71,30 @@
 func (r *round) endHolds(waited []*group) {
 	e := r.engine
 	running := map[*job]bool{}
-	// stillHeld holds, for each key, the smallest number of parts of a group that can't be placed in this round.
-	stillHeld := map[holdKey]int{}
 	searches, postponed := 0, false
 	for _, g := range waited {
-		if !g.heldForLong(r.now) || g.wait.probationAt.Equal(r.now) || g.wait.holdTurn == e.holdTurn || !r.mayEndHolds(g, running) {
+		if g.wait.holdTurn == e.holdTurn || !g.heldForLong(r.now) || g.wait.probationAt.Equal(r.now) {
+			continue
+		}
+		hold := r.holdDemand(g)
+		if hold.stillHeld > 0 && len(g.parts) >= hold.stillHeld {
+			g.wait.holdTurn = e.holdTurn
 			continue
 		}
-		key := r.holdKey(g)
-		if parts, known := stillHeld[key]; !known || len(g.parts) < parts {
-			if searches == maxHoldSearches {
-				postponed = true
-				continue
-			}
-			searches++
-			if r.placeHeldBack(g) {
-				running[g.job] = true
-			} else {
-				stillHeld[key] = len(g.parts)
-			}
+		if !r.mayEndHolds(g, running) {
+			continue
 		}
+		if searches == maxHoldSearches {
+			postponed = true
+			continue
+		}
+		searches++
 		g.wait.holdTurn = e.holdTurn
+		if r.placeHeldBack(g) {
+			running[g.job] = true
+		} else {
+			hold.stillHeld = len(g.parts)
+		}
 	}
 	if !postponed {
 		e.holdTurn++
--- a/sard/pool/room.go
+++ b/sard/pool/room.go
@@ -24,10 +24,7 @@
 		}
 	}
 	want := roomFactor * len(g.parts)
-	for _, n := range r.engine.nodes {
-		if !n.Accepting || !n.eligibleFor(g) {
-			continue
-		}
+	for _, n := range r.ableNodes(g) {
 		if want -= r.maxParts(g, n, n.free()); want <= 0 {
 			return true
 		}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -52,9 +52,13 @@
 	freeSoon work.Resources
 }
 
+// roundNumber is the number of a round, from 1.
+type roundNumber uint64
+
 // round is one pass over the waiting groups, which are placed in order of urgency.
 type round struct {
 	engine    *Engine
+	number    roundNumber
 	now       time.Time
 	available []availability
 	// speeds holds the speed class of each node, and slow whether its current rate is slow.
@@ -68,9 +72,10 @@
 	explorable []bool
 	// headroom marks the nodes that are kept free for guaranteed jobs.
 	headroom []bool
-	// unplaceable holds, for each key, the smallest number of parts of a group that did not fit, so that later groups
-	// with an equal key and as many parts or more are skipped.
-	unplaceable map[demandKey]int
+	// demands holds what is known of groups with each key.
+	demands map[demandKey]*demand
+	// holds holds what is known of the end of holds for groups with each key.
+	holds map[holdKey]*holdDemand
 	// victimLists caches, for each class of groups that may preempt others, the victims on each node; nil if not known.
 	victimLists map[preemptorClass][]*victimList
 	// held holds the reservations that are set aside for groups that were not scheduled yet.
@@ -78,7 +83,9 @@
 	// isolated holds the nodes on which only the given suspect may be placed, and isolating holds these suspects.
 	isolated  map[*node]*group
 	isolating map[*group]bool
-	// disturbing counts the groups placed in this round that some others would disturb.
+	// disturbed tells which nodes run parts that others would disturb; nil if not known. disturbing counts the groups with such
+	// parts that were placed in this round.
+	disturbed  []disturbance
 	disturbing int
 	lists      nodeLists
 	// stopCosts caches the cost of stopping placed groups, outlooks what is expected of occurrences, and endings the parts
@@ -135,29 +142,51 @@
 	return key
 }
 
-// knownUnplaceable reports whether a group with an equal key and at most as many parts did not fit in this round. Except
+// demand is what is known in a round of the groups with an equal demandKey.
+type demand struct {
+	round roundNumber
+	// unplaceable is the number of parts from which on groups do not fit; 0 if not known.
+	unplaceable int
+	// hold is what is known of the end of holds for these groups; nil if not known.
+	hold *holdDemand
+}
+
+// demand returns what is known of groups with the same demand as g.
+func (r *round) demand(g *group) *demand {
+	key := r.demandKey(g)
+	found := r.demands[key]
+	if found == nil {
+		found = &demand{round: r.number}
+		r.demands[key] = found
+	}
+	g.latestDemand = found
+	return found
+}
+
+// knownUnplaceable reports whether a group with the same demand and at most as many parts did not fit in this round. Except
 // for the capacity of released reservations, the available capacity only decreases in a round. A suspect that has nodes for
 // itself, or waits for some, may be placed where an equal one can't.
-func (r *round) knownUnplaceable(g *group, key demandKey) bool {
-	if key.suspected && (len(g.reserved) > 0 || r.isolating[g]) {
+func (r *round) knownUnplaceable(g *group, d *demand) bool {
+	if (len(g.reserved) > 0 || r.isolating[g]) && g.suspected() {
 		return false
 	}
-	parts, ok := r.unplaceable[key]
-	return ok && len(g.parts) >= parts
+	return d.unplaceable > 0 && len(g.parts) >= d.unplaceable
 }
 
 // eligibilityKey returns the properties of g that determine which nodes can run its parts.
 func (r *round) eligibilityKey(g *group) eligibilityKey {
 	return eligibilityKey{
 		service: g.job.settings.Service, label: g.spec().Label, need: g.demand(),
-		leavesHeadroom: g.job.leavesHeadroom(r.now),
+		leavesHeadroom: r.leavesHeadroom(g.job),
 	}
 }
 
 // newRound returns a round with the current free capacity of all nodes.
 func newRound(e *Engine, now time.Time) *round {
+	e.rounds++
 	r := &round{
-		engine: e, now: now, available: make([]availability, len(e.nodes)), unplaceable: map[demandKey]int{},
+		engine: e, number: e.rounds, now: now, available: make([]availability, len(e.nodes)), demands: map[demandKey]*demand{},
+		holds:       map[holdKey]*holdDemand{},
 		victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
 		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{}, isolating: map[*group]bool{}, lists: newNodeLists(),
 	}
@@ -183,9 +212,9 @@
 // schedule places a group or reserves capacity for it. A group that its account's guarantee covers may use the
 // reservations of others if there is no other way. It reports false if neither is possible.
 func (r *round) schedule(g *group) bool {
-	key := r.demandKey(g)
+	d := r.demand(g)
 	released := r.releaseReservation(g)
-	if !released && r.knownUnplaceable(g, key) {
+	if !released && r.knownUnplaceable(g, d) {
 		return false
 	}
 	if r.tryToSchedule(g) {
@@ -197,7 +226,7 @@
 			return true
 		}
 	}
-	r.unplaceable[key] = len(g.parts)
+	d.unplaceable = len(g.parts)
 	return false
 }
 
@@ -256,9 +285,7 @@
 		}
 	}
 	r.countChoice(g, nodes)
-	if step := g.spec(); step.Fills || step.Latency > 0 {
-		r.disturbing++
-	}
+	r.countDisturbing(g, nodes)
 	g.reserved = nil
 	g.tried(r.now)
 	g.attempt++
@@ -281,20 +308,19 @@
 	}
 }
 
-// placementQueue returns the groups that can be placed, in order of urgency.
+// placementQueue returns the groups that can be placed, in order of urgency. The order of the last round, which is much the
+// same, is soon sorted.
 func (e *Engine) placementQueue(now time.Time) []*group {
 	e.applyGuarantees()
-	urgencies := make([]jobUrgency, 0, len(e.jobs))
-	for _, j := range e.jobs {
-		if !j.state.Terminal() {
-			urgencies = append(urgencies, jobUrgency{job: j, urgency: j.urgency(now)})
-		}
+	e.open = slices.DeleteFunc(e.open, func(u jobUrgency) bool { return u.job.state.Terminal() })
+	for i := range e.open {
+		e.open[i].urgency = e.open[i].job.urgency(now)
 	}
-	e.weighUrgencies(urgencies, now)
-	slices.SortFunc(urgencies, func(a, b jobUrgency) int { return a.urgency.compare(b.urgency) })
+	e.weighUrgencies(e.open, now)
+	slices.SortFunc(e.open, func(a, b jobUrgency) int { return a.urgency.compare(b.urgency) })
 	var placeable []*group
-	for _, u := range urgencies {
-		placeable = append(placeable, u.job.placeableGroups(now)...)
+	for _, u := range e.open {
+		placeable = u.job.appendPlaceable(placeable, now)
 	}
 	return placeable
 }
@@ -307,8 +333,10 @@
 
 // placeableGroups returns the job's waiting groups whose step is ready and whose retry delay has passed, ordered by
 // occurrence, step and first part.
-func (j *job) placeableGroups(now time.Time) []*group {
-	var found []*group
+func (j *job) placeableGroups(now time.Time) []*group { return j.appendPlaceable(nil, now) }
+
+// appendPlaceable appends the result of placeableGroups to found.
+func (j *job) appendPlaceable(found []*group, now time.Time) []*group {
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			if o.steps[s].unfinished == 0 || !o.stepReady(j, s) {
@@ -327,10 +355,10 @@
 // applyGuarantees determines which guaranteed jobs are covered by their account's guarantee, oldest first.
 func (e *Engine) applyGuarantees() {
 	var guaranteed []*job
-	for _, j := range e.jobs {
-		j.withinGuarantee = false
-		if j.settings.Priority == work.Guaranteed && !j.state.Terminal() {
-			guaranteed = append(guaranteed, j)
+	for _, u := range e.open {
+		u.job.withinGuarantee = false
+		if u.job.settings.Priority == work.Guaranteed && !u.job.state.Terminal() {
+			guaranteed = append(guaranteed, u.job)
 		}
 	}
 	slices.SortFunc(guaranteed, compareAcceptance)
--- a/sard/pool/unplaceable_test.go
+++ b/sard/pool/unplaceable_test.go
@@ -55,3 +55,13 @@
 	h.advance(Probation)
 	assert.Equal(t, len(h.workersOf(owner.job.ID)), 1)
 }
+
+// TestDisturbingPartsOfOneRound guards against parts that are placed in one round on a worker where they disturb each other.
+func TestDisturbingPartsOfOneRound(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("a", "fills", 1, work.Step{Parts: 2, Need: smallPart, Fills: true})
+	h.submit("a", "serves", 1, work.Step{Parts: 2, Need: smallPart, Latency: time.Second})
+	h.decide()
+	assert.Equal(t, len(h.starts), 2)
+	assert.Equal(t, h.starts[0].Attempt.Part.Job, h.starts[1].Attempt.Part.Job)
+}
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -224,7 +224,7 @@
 		return AwaitsProbation
 	}
 	free := (*node).free
-	nodes := slices.DeleteFunc(slices.Clone(r.engine.nodes), func(n *node) bool { return !n.Accepting || !n.eligibleFor(g) })
+	nodes := slices.Clone(r.ableNodes(g))
 	if !r.canHoldAll(g, nodes, free) {
 		return r.lackOfRoom(g, nodes)
 	}
@@ -232,10 +232,10 @@
 		reason WaitReason
 		holds  func(*node) bool
 	}{
-		{KeptApart, func(n *node) bool { return n.conflictsWith(g.spec()) }},
+		{KeptApart, func(n *node) bool { return r.conflicts(g.spec(), n) }},
 		{IsolatedForSuspects, func(n *node) bool { return r.isolatedFrom(g, n) }},
 		{Quarantined, func(n *node) bool { return !n.health.healthy(r.now) }},
-		{KeptForGuaranteed, func(n *node) bool { return r.headroom[n.index] && g.job.leavesHeadroom(r.now) }},
+		{KeptForGuaranteed, func(n *node) bool { return r.headroom[n.index] && r.leavesHeadroom(g.job) }},
 	} {
 		nodes = slices.DeleteFunc(nodes, hold.holds)
 		if !r.canHoldAll(g, nodes, free) {
