Workers that have just refused a start are tried last

What callers saw: a job with nothing running for 3 s and more, with most of the workers' room free, whose starts were refused again and again.

Cause: when all workers that suit a group are quarantined, it is tried on the one that has failed least and whose quarantine ends soonest. A refusal suspends a worker for 2 s, less than most quarantines for failures: the worker that refused stays the next choice, each 0.5 s, while others would run the group. A start that is refused is no run.

Change: a worker keeps when it last refused a start, and for 2 s others come first, also ones that the group avoids.

TestRefusingWorkersAreTriedLast failed before ("w00 is tried again").

--- a/sard/pool/health.go
+++ b/sard/pool/health.go
@@ -23,6 +23,8 @@
 	quarantineLength time.Duration
 	// quarantinedAt is when the latest quarantine for failures began, and quarantinedUntil when the quarantine ends.
 	quarantinedAt, quarantinedUntil time.Time
+	// refusedAt is when the worker last refused a start.
+	refusedAt time.Time
 	// unreachedUntil is until when the worker may be out of reach, so that its crash may go unnoticed.
 	unreachedUntil time.Time
 }
@@ -39,6 +41,8 @@
 		n.health = health{}
 	case Failed:
 		n.health.recordFailure(g.job.ID, g.startedAt, now)
+	case Refused:
+		n.health.refusedAt = now
 	}
 }
 
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -11,6 +11,8 @@
 	maxHold = 1500 * time.Millisecond
 	// refusedPause is how long they do so again after a worker refused the group.
 	refusedPause = 500 * time.Millisecond
+	// refusalMemory is for how long after a refusal other workers are tried first.
+	refusalMemory = 2 * time.Second
 )
 
 // endHolds places groups that have been held back for maxHold in a pool with room, although nothing of their job runs, as if
@@ -102,8 +104,15 @@
 	return nil
 }
 
-// compareHealth orders nodes by how likely they are to run a group: healthy ones first, those on which it has failed last.
+// compareHealth orders nodes by how likely they are to run a group: healthy ones first, those on which it has failed last, and
+// behind them all that have just refused a start.
 func (r *round) compareHealth(g *group, a, b *node) int {
+	refused := func(n *node) int {
+		if r.now.Sub(n.health.refusedAt) < refusalMemory {
+			return 1
+		}
+		return 0
+	}
 	avoided := func(n *node) int {
 		if g.avoided[n.WorkerProcess.Worker] {
 			return 1
@@ -112,6 +121,7 @@
 	}
 	left := func(n *node) time.Duration { return max(0, n.health.quarantinedUntil.Sub(r.now)) }
 	return cmp.Or(
+		cmp.Compare(refused(a), refused(b)),
 		cmp.Compare(avoided(a), avoided(b)),
 		cmp.Compare(a.health.quarantineLength, b.health.quarantineLength),
 		cmp.Compare(left(a), left(b)),
--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -122,6 +122,26 @@
 	assert.Assert(t, h.starts[1].Worker != h.starts[0].Worker)
 }
 
+// TestRefusingWorkersAreTriedLast guards against groups that are refused by one worker again and again, as its suspension ends
+// soonest, while others would run them.
+func TestRefusingWorkersAreTriedLast(t *testing.T) {
+	h := newHarness(t, 4)
+	for i := range 4 {
+		h.engine.SuspendWorker(workerID(i), h.now, maxQuarantine)
+	}
+	h.addJob("waits", 2, work.Step{Parts: 1, Need: largePart})
+	h.advance(maxHold)
+	tried := map[ident.Worker]bool{}
+	for range 4 {
+		w := h.starts[len(h.starts)-1].Worker.Worker
+		assert.Assert(t, !tried[w], "%s is tried again", w)
+		tried[w] = true
+		h.engine.nodesByID[w].health.quarantinedUntil = h.now.Add(initialQuarantine)
+		h.endJob("waits", Refused)
+		h.advance(refusedPause)
+	}
+}
+
 // TestSuspectIsNotStarved guards against suspects that wait without end for quarantined workers on which nothing is on probation,
 // while others are started there again and again.
 func TestSuspectIsNotStarved(t *testing.T) {
