Random worlds of waits learn takeovers, crashes and trouble of workers

TestRandomWaitsInPoolWithRoom played one engine for ever, orders that took no time, and jobs of which each part crashes its workers. Four worlds join the plain one, whose seeds keep their meaning:

- takeovers: a new engine takes the place of the current one, alone and in series (a lease term apart or more), from the records as they are written; the last writes may be lost.
Workers then report as to the scheduler: attempts run, have ended, are unknown or lost.
- crashes: bursts of jobs with one part that crashes its workers, gangs among them, likely and possible crashes, workers back at once or 3 s later.
- workers: they shrink and grow, leave, are evacuated, restart, are cut off, refuse for long.
- all: all of these.

In each of the new worlds starts are sent when they are recorded, take a while, and may have no answer, executed or not; so may stops.

Checked beside waits, in all worlds: no part starts more than twice after three crashes under it (as fakes has it), no worker runs over its capacity, no job fails but by failed attempts or by a part that crashes its workers.

Narrowed in the check: capacity is not room that an attempt may use whose start or stop has no answer, or is on its way; to start there could bring the worker over its capacity. It counts neither as running nor as in use.

--- a/sard/pool/harness_test.go
+++ b/sard/pool/harness_test.go
@@ -18,6 +18,8 @@
 	now    time.Time
 	starts []Start
 	stops  []Stop
+	// write takes the changed records, if it is not nil, and confirms them once they are written.
+	write func([]Change)
 	// resized holds the workers whose capacity was changed while parts ran there.
 	resized map[ident.Worker]bool
 }
@@ -90,7 +92,7 @@
 		}
 	}
 	assert.Equal(h.t, len(h.engine.Violations()), 0)
-	h.engine.ChangesWritten(h.engine.TakeChanges(1<<20, h.now))
+	h.writeChanges(h.engine.TakeChanges(1<<20, h.now))
 	startedOn := map[ident.Worker]bool{}
 	for _, start := range h.starts[started:] {
 		startedOn[start.Worker.Worker] = true
@@ -103,6 +105,15 @@
 	}
 }
 
+// writeChanges writes changed records at once, unless write takes them.
+func (h *harness) writeChanges(changes []Change) {
+	if h.write != nil {
+		h.write(changes)
+		return
+	}
+	h.engine.ChangesWritten(changes)
+}
+
 // advance moves the clock forward, then runs decide.
 func (h *harness) advance(d time.Duration) {
 	h.t.Helper()
--- a/sard/pool/promise_test.go
+++ b/sard/pool/promise_test.go
@@ -70,7 +70,12 @@
 	}
 }
 
-// heldBack returns the first group of each job, and each group that lasts, that could run now and does not.
+// waitsLonger reports whether the group has waited for longer than another one, which may be nil.
+func (g *group) waitsLonger(other *group) bool {
+	return other == nil || g.wait != nil && (other.wait == nil || g.wait.since.Before(other.wait.since))
+}
+
+// heldBack returns the group of each job that has waited longest, and each group that lasts, that could run now and does not.
 func (w *world) heldBack() map[heldKey]*group {
 	held, free := map[heldKey]*group{}, w.look()
 	for _, j := range w.engine.jobs {
@@ -79,7 +84,7 @@
 		}
 		idle := !w.running(j.ID)
 		for _, g := range w.startable(j) {
-			if key := keyOf(g); held[key] == nil && (idle || key.lasting) && w.missed(g, free) {
+			if key := keyOf(g); (idle || key.lasting) && w.missed(g, free) && g.waitsLonger(held[key]) {
 				held[key] = g
 			}
 		}
@@ -95,9 +100,9 @@
 	}
 	r, use := w.look(), newRound(w.engine, w.now).useOf("s")
 	step := g.spec()
-	return fmt.Sprintf("%v, suspected %t, lasting %t, %v from part %d, %d of job attached, %d of %d used, by the engine %d, %d workers fail, need %+v x %d, gang %t, limit %d, label %q: %q",
-		reason, g.suspected(), step.Lasting, g.job.ID, g.first, g.job.attachedParts(), r.used, r.total, use.used, len(w.failing), g.demand(),
-		step.Parts, step.Gang, step.MaxPerWorker, step.Label, w.history[g.job.ID])
+	return fmt.Sprintf("%v, suspected %t, lasting %t, at %v, %v from part %d, %d of job attached, %d of %d used, by the engine %d, %d workers fail, need %+v x %d, gang %t, limit %d, label %q, %v: %q",
+		reason, g.suspected(), step.Lasting, w.now.Sub(w.began), g.job.ID, g.first, g.job.attachedParts(), r.used, r.total, use.used, len(w.failing), g.demand(),
+		step.Parts, step.Gang, step.MaxPerWorker, step.Label, w.engine.WaitsOf(g.job.ID), w.history[g.job.ID])
 }
 
 // missed reports whether a group that does not run could run. The start of a group that a worker refused is no run, but where
@@ -134,16 +139,16 @@
 
 // room is the capacity of a pool that nothing runs on.
 type room struct {
-	usedOn      map[ident.Worker]work.Resources
+	takenOn     map[ident.Worker]work.Resources
 	used, total int64
 }
 
 // look returns the free capacity of the pool.
 func (w *world) look() *room {
-	r := &room{usedOn: w.usedOn()}
+	r, usedOn := &room{takenOn: w.takenOn()}, w.usedOn()
 	for _, n := range w.engine.nodes {
-		if n.Accepting {
-			r.used += coreEquivalents(r.usedOn[n.WorkerProcess.Worker])
+		if n.Accepting && !w.away[n.WorkerProcess.Worker] {
+			r.used += coreEquivalents(usedOn[n.WorkerProcess.Worker])
 			r.total += coreEquivalents(n.Capacity)
 		}
 	}
@@ -158,10 +163,10 @@
 	}
 	parts := 0
 	for _, n := range w.engine.nodes {
-		if !n.Accepting || !usable(n) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) {
+		if !n.Accepting || w.away[n.WorkerProcess.Worker] || !usable(n) || !n.eligibleFor(g) || n.conflictsWith(g.spec()) {
 			continue
 		}
-		fit := partsByCapacity(g.demand(), n.Capacity.Minus(r.usedOn[n.WorkerProcess.Worker]))
+		fit := partsByCapacity(g.demand(), n.Capacity.Minus(r.takenOn[n.WorkerProcess.Worker]).Plus(w.orderedOn(g, n)))
 		if limit := g.spec().MaxPerWorker; limit > 0 {
 			fit = min(fit, max(0, limit-n.countParts(g)))
 		}
--- a/sard/pool/runs_test.go
+++ b/sard/pool/runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
@@ -13,6 +14,9 @@
 	attempt work.Attempt
 	process work.WorkerProcess
 	step    *work.Step
+	// began is when the run began, and length how long it takes; 0 if it has no end.
+	began  time.Time
+	length time.Duration
 }
 
 // begin begins the run of a start that has reached its worker.
@@ -20,8 +24,9 @@
 	delete(w.ordered, s.Attempt)
 	w.note(s.Attempt, "starts on "+string(s.Worker.Worker))
 	if j := w.engine.jobs[s.Attempt.Part.Job]; j != nil {
-		w.runs[s.Attempt] = &run{attempt: s.Attempt, process: s.Worker, step: &j.Steps[s.Attempt.Part.Step]}
+		w.runs[s.Attempt] = &run{attempt: s.Attempt, process: s.Worker, step: &j.Steps[s.Attempt.Part.Step], began: w.now}
 	}
+	w.countStart(s.Attempt)
 }
 
 // refuse lets a worker refuse a start.
@@ -36,6 +41,9 @@
 	if w.ordered[a] || w.runs[a] != nil {
 		w.note(a, how.String())
 	}
+	if how == Failed && w.runs[a] != nil {
+		w.countFailure(a)
+	}
 	delete(w.runs, a)
 	delete(w.ordered, a)
 	w.engine.AttemptEnded(a, how, "", w.now)
@@ -86,7 +94,35 @@
 	return used
 }
 
+// takenOn returns what the runs on each worker need together, and the attempts that are on their way there or may run there by
+// what is known, as their start or stop has no answer.
+func (w *world) takenOn() map[ident.Worker]work.Resources {
+	taken := w.usedOn()
+	w.engine.ForEachAttempt(func(a work.Attempt, process work.WorkerProcess) {
+		if w.runs[a] == nil {
+			taken[process.Worker] = taken[process.Worker].Plus(w.demandOf(a))
+		}
+	})
+	return taken
+}
+
+// demandOf returns what an attempt needs on its worker.
+func (w *world) demandOf(a work.Attempt) work.Resources {
+	return w.engine.jobs[a.Part.Job].Steps[a.Part.Step].Demand()
+}
+
 // isOrdered reports whether the start of a group is on its way, or was refused and the engine does not know.
 func (w *world) isOrdered(g *group) bool {
 	return slices.ContainsFunc(g.parts, func(p part) bool { return w.ordered[p.attemptID()] })
 }
+
+// orderedOn returns what the parts of a group need whose starts are on their way to a node, or were refused there.
+func (w *world) orderedOn(g *group, n *node) work.Resources {
+	var sum work.Resources
+	for i := range g.parts {
+		if p := &g.parts[i]; p.node == n && w.ordered[p.attemptID()] {
+			sum = sum.Plus(g.demand())
+		}
+	}
+	return sum
+}
--- a/sard/pool/world_test.go
+++ b/sard/pool/world_test.go
@@ -32,10 +32,13 @@
 	// runs holds what the workers run, and ordered the starts that are on their way, or were refused.
 	runs    map[work.Attempt]*run
 	ordered map[work.Attempt]bool
+	// away holds the workers that can't be reached, and failures the attempts of each group that have failed.
+	away     map[ident.Worker]bool
+	failures map[groupKey]map[ident.Attempt]bool
 	// heldSince is since when a job, or a group that lasts, has been held back in a pool with room.
 	heldSince map[heldKey]time.Time
-	// crashes counts the workers that have crashed under a start of each part.
-	crashes map[work.Part]int
+	// crashes counts the workers that have crashed under a start of each part, and startsSince its starts after maxCrashes.
+	crashes, startsSince map[work.Part]int
 	// began is when the world began, and history tells what happened to each job since.
 	began   time.Time
 	history map[ident.Job][]string
@@ -47,14 +50,18 @@
 	do func()
 }
 
-// newWorld returns a world of the given seed.
-func newWorld(t *testing.T, seed uint64) *world {
+// plainSpace is the space of the seeds of the plain world.
+const plainSpace = 36
+
+// newWorld returns a world of the given seed in a space of seeds.
+func newWorld(t *testing.T, seed, space uint64) *world {
 	w := &world{
-		harness: newHarness(t, 0), rng: rand.New(rand.NewPCG(seed, 36)), failing: map[ident.Worker]bool{},
+		harness: newHarness(t, 0), rng: rand.New(rand.NewPCG(seed, space)), failing: map[ident.Worker]bool{},
 		deadly: map[ident.Job]bool{}, runs: map[work.Attempt]*run{}, ordered: map[work.Attempt]bool{},
-		heldSince: map[heldKey]time.Time{}, crashes: map[work.Part]int{}, history: map[ident.Job][]string{},
+		away: map[ident.Worker]bool{}, failures: map[groupKey]map[ident.Attempt]bool{}, heldSince: map[heldKey]time.Time{},
+		crashes: map[work.Part]int{}, startsSince: map[work.Part]int{}, history: map[ident.Job][]string{},
 	}
-	w.began = w.now
+	w.began, w.write = w.now, w.writeAtOnce
 	w.engine = New(Config{
 		QueueSettings: func(j *work.Job) work.QueueSettings { return j.Terms },
 		Guarantee:     func(ident.Account) ident.Accelerators { return guarantee },
@@ -127,6 +134,13 @@
 
 // submitJob submits a random job.
 func (w *world) submitJob() {
+	id, step := w.randomJob()
+	w.deadly[id] = w.oneIn(12)
+	w.submit("a", id, work.Priority(w.rng.IntN(3)), step)
+}
+
+// randomJob returns the ID and the step of a random job.
+func (w *world) randomJob() (ident.Job, work.Step) {
 	w.jobs++
 	id := ident.Job(fmt.Sprintf("j%03d", w.jobs))
 	needs := []work.Resources{smallPart, smallPart, largePart, {CPU: 4000, Memory: 1000, Accelerators: 4}, {CPU: 30000, Memory: 1000}}
@@ -145,8 +159,7 @@
 	if w.oneIn(8) {
 		step.Label = "kind"
 	}
-	w.deadly[id] = w.oneIn(12)
-	w.submit("a", id, work.Priority(w.rng.IntN(3)), step)
+	return id, step
 }
 
 // disturb lets workers fail for a while, or one leave and another one join.
