--- a/sard/pool/candidates.go
+++ b/sard/pool/candidates.go
@@ -181,14 +181,30 @@
 	return r.lists.healthiestFirst
 }
 
-// compareHealth orders nodes by how likely they are to run a group: healthy ones first.
+// compareHealth orders nodes by how likely they are to run a group: healthy ones first, and behind them all that have just
+// refused a start.
 func (r *round) compareHealth(a, b *node) int {
 	return cmp.Or(
+		r.compareRefusal(a, b),
 		cmp.Compare(a.health.quarantineLength, b.health.quarantineLength),
 		cmp.Compare(max(0, a.health.quarantinedUntil.Sub(r.now)), max(0, b.health.quarantinedUntil.Sub(r.now))),
 	)
 }
 
+// compareRefusal orders nodes that have just refused a start behind the others.
+func (r *round) compareRefusal(a, b *node) int {
+	refused := func(n *node) int { return boolRank(r.now.Sub(n.health.refusedAt) < refusalMemory) }
+	return cmp.Compare(refused(a), refused(b))
+}
+
+// boolRank returns 1 for true and 0 for false, to sort by.
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // openKey returns the properties of g that determine which nodes are open to it.
 func (r *round) openKey(g *group) candidateKey {
 	step := g.spec()
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	refusedPause = 500 * time.Millisecond
 	// maxHoldSearches limits the groups for which a round searches for nodes when holds end.
 	maxHoldSearches = 128
+	// refusalMemory is for how long after a refusal other workers are tried first.
+	refusalMemory = 2 * time.Second
 )
 
 // holdKey holds the properties of a group that determine whether it can be placed when holds end, apart from the number of
@@ -170,7 +173,7 @@
 		part, _, _ := r.fastPart(g, open.healthy, available)
 		return r.packTight(g, part, available)
 	}
-	usable := g.avoidedLast(open.healthiestFirst)
+	usable := r.avoidedLast(g, open.healthiestFirst)
 	if g.suspected() {
 		usable = slices.DeleteFunc(slices.Clone(usable), func(n *node) bool { return r.now.Before(n.health.unreachedUntil) })
 	}
@@ -188,19 +191,16 @@
 	return nil
 }
 
-// avoidedLast returns the nodes with those that the group avoids at the end.
-func (g *group) avoidedLast(nodes []*node) []*node {
+// avoidedLast returns the nodes, of which those that have just refused a start come last, with those that the group avoids at
+// the end of either kind.
+func (r *round) avoidedLast(g *group, nodes []*node) []*node {
 	if len(g.avoided) == 0 {
 		return nodes
 	}
-	sorted := make([]*node, 0, len(nodes))
-	var avoided []*node
-	for _, n := range nodes {
-		if g.avoided[n.WorkerProcess.Worker] {
-			avoided = append(avoided, n)
-			continue
-		}
-		sorted = append(sorted, n)
-	}
-	return append(sorted, avoided...)
+	avoided := func(n *node) int { return boolRank(g.avoided[n.WorkerProcess.Worker]) }
+	sorted := slices.Clone(nodes)
+	slices.SortStableFunc(sorted, func(a, b *node) int {
+		return cmp.Or(r.compareRefusal(a, b), cmp.Compare(avoided(a), avoided(b)))
+	})
+	return sorted
 }
