Rounds of decisions leave half of the time, however long they take, and show as metrics

Cause: the pause after a round was four times its length, but 100 ms at most, so that rounds of 0.3 s took up three quarters of the time, longer ones nearly all. Nothing woke the scheduler at the end of a pause: an event in it was decided with the next tick or the next event.

Change: the pause is never shorter than the round, up to 0.5 s, as a process that was suspended in a round must soon decide again; rounds up to 100 ms are paced as before. If there are events that no round has taken into account, a timer ends the pause. An event after a quiet time is decided at once, as before. On-call engineers see sardine_sched_longest_round_seconds and sardine_sched_round_share, over the last 5 s each, and the line 'decisions take long', at most once in 5 s, when a round took over 0.1 s.

--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -49,6 +49,8 @@
 	wrapClient func(c sched.WorkerClient) sched.WorkerClient
 	// slowStore is how long the instances' transactions take, and slowLists how long their listings take.
 	slowStore, slowLists time.Duration
+	// slowPolicy is how long each look at the policy takes, a time.Duration. Decisions look at it once for each job.
+	slowPolicy atomic.Int64
 	// runTimes switches on forecasts of run times.
 	runTimes bool
 	// wrapStore, if not nil, returns the store that instances use in place of s.
@@ -238,7 +240,10 @@
 			}
 			return client
 		},
-		Policy:      func() *policy.Policy { return r.policy },
+		Policy: func() *policy.Policy {
+			time.Sleep(time.Duration(r.slowPolicy.Load()))
+			return r.policy
+		},
 		Evacuations: r.evacuations.Load,
 		WorkerLease: 5 * time.Second, MaxWorkerLease: fakes.MaxLease, MaxStopTime: 400 * time.Millisecond, JobRetention: time.Minute, Cores: 1,
 		RunTimes: r.runTimes, Admission: r.costOrder, Announce: r.announced, StartLimit: startLimit,
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -22,6 +22,8 @@
 	jobSeconds      prometheus.Histogram
 	recordSeconds   prometheus.Histogram
 	decideSeconds   prometheus.Histogram
+	longestRound    prometheus.Gauge
+	roundShare      prometheus.Gauge
 	pool            *prometheus.GaugeVec
 	speeds          *prometheus.GaugeVec
 	expectedWait    *prometheus.GaugeVec
@@ -65,10 +67,11 @@
 		}, []string{"service"}),
 	}
 	m.addHistograms()
+	m.addRoundGauges()
 	if registerer != nil {
 		registerer.MustRegister(
 			m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted,
-			m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.pool, m.speeds, m.choices, m.expectedWait,
+			m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.longestRound, m.roundShare, m.pool, m.speeds, m.choices, m.expectedWait,
 		)
 	}
 	return m
@@ -90,6 +93,22 @@
 	})
 }
 
+// addRoundGauges creates the gauges of the rounds of decisions.
+func (m *Metrics) addRoundGauges() {
+	m.longestRound = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "sardine", Subsystem: "sched", Name: "longest_round_seconds", Help: "Longest round of decisions in the last 5 s; meaningful while holding.",
+	})
+	m.roundShare = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "sardine", Subsystem: "sched", Name: "round_share", Help: "Share of the last 5 s in which a round of decisions was running; meaningful while holding.",
+	})
+}
+
+// setRounds sets the gauges of the rounds of decisions.
+func (m *Metrics) setRounds(stats roundStats) {
+	m.longestRound.Set(stats.longest.Seconds())
+	m.roundShare.Set(stats.share)
+}
+
 // newCounterVec returns a counter of the scheduler with a single label.
 func newCounterVec(name, help, label string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "sardine", Subsystem: "sched", Name: name, Help: help}, []string{label})
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -106,8 +106,6 @@
 const (
 	// tickPeriod is the maximum time between iterations of the scheduler loop.
 	tickPeriod = 100 * time.Millisecond
-	// decideBackoff is the minimum pause after a round of decisions, as a multiple of the time that the round took.
-	decideBackoff = 4
 	// summaryPeriod is the time between updates of the metrics and the log with a summary of the pool.
 	summaryPeriod = 5 * time.Second
 	// eventBuffer is the number of events that can be queued for the scheduler loop.
@@ -164,8 +162,7 @@
 	lastSummary pool.Summary
 	// nextSummary is when the next summary is due.
 	nextSummary clock.Instant
-	// nextDecision is when the next decision may be made.
-	nextDecision clock.Instant
+	rounds      rounds
 }
 
 // Run runs the scheduler of the pool until ctx ends or the scheduler lease is lost.
@@ -217,18 +214,25 @@
 	}
 	tick := time.NewTicker(tickPeriod)
 	defer tick.Stop()
+	wake := time.NewTimer(tickPeriod)
+	defer wake.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-wake.C:
 		case ev := <-s.events:
+			s.rounds.undecided = true
 			s.handle(ctx, ev)
 			s.handleQueued(ctx)
 		}
 		if err := s.step(ctx); err != nil {
 			return err
 		}
+		if d, ok := s.rounds.wakeIn(clock.Now()); ok {
+			wake.Reset(d)
+		}
 	}
 }
 
@@ -266,16 +270,13 @@
 	return nil
 }
 
-// decide makes decisions and queues stop requests; start requests wait until the decision is recorded. The pause after
-// each decision limits the share of the processor that decisions use.
+// decide makes decisions and queues stop requests, if a round is due; start requests wait until the decision is recorded.
 func (s *Scheduler) decide() {
 	started := clock.Now()
-	if started.Before(s.nextDecision) {
+	if !s.rounds.due(started) {
 		return
 	}
-	defer func() {
-		s.nextDecision = clock.Now().Add(min(clock.Since(started)*decideBackoff, tickPeriod))
-	}()
+	defer func() { s.rounds.end(started, clock.Now()) }()
 	now := time.Now()
 	decisions := s.engine.Decide(now, now.UnixMilli())
 	observeSince(s.config.Metrics.decideSeconds, now)
@@ -344,6 +345,7 @@
 	summary := s.engine.Summary()
 	s.config.Metrics.setSummary(summary)
 	s.config.Metrics.groupWaits.set(s.engine.Waits())
+	s.reportRounds(summary)
 	s.reportLearned()
 	if summary == s.lastSummary {
 		return
@@ -353,3 +355,14 @@
 		"workers", summary.Workers, "used", summary.Used, "accelerators", summary.Total)
 	s.reportSpeeds()
 }
+
+// reportRounds updates the metrics of the rounds of decisions, and logs if they take long.
+func (s *Scheduler) reportRounds(summary pool.Summary) {
+	stats := s.rounds.take(clock.Now())
+	s.config.Metrics.setRounds(stats)
+	if stats.longest < longRound {
+		return
+	}
+	s.config.Logger.Warn("decisions take long", "longest_ms", stats.longest.Milliseconds(), "share_percent", int(stats.share*100), "rounds", stats.count,
+		"jobs", summary.Jobs, "waiting_parts", summary.Waiting, "workers", summary.Workers)
+}
