--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -280,3 +280,18 @@
 	}
 	return 0
 }
+
+// TestLateStartAfterUnansweredStop guards against parts that run twice, because a start that counts as never executed, as its
+// worker answers neither starts nor stops, is executed late when the part has been started elsewhere.
+func TestLateStartAfterUnansweredStop(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		r.disturbed.Store(true)
+		wa := r.fleet.Worker("wa")
+		r.updateFleet(func() { wa.IgnoresOrders, wa.OrderLateness = true, 4500*time.Millisecond })
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		r.submit("wj1", 6*time.Second, work.Step{Parts: 1})
+		r.waitForState("wj1", ident.Succeeded, 10*time.Second+500*time.Millisecond)
+		assert.Equal(t, r.fleet.StartCount(), 1)
+	})
+}
