--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -1,11 +1,13 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -69,6 +71,41 @@
 	assert.Equal(t, h.workersOf("waits")[0], workerID(3))
 }
 
+// TestSuspectsUseSuspendedWorkersThatAnswer guards against suspects that wait without end, or for as long as refusals go on, for
+// suspended workers that can be reached, and against ones whose crash goes unnoticed on a worker that can't.
+func TestSuspectsUseSuspendedWorkersThatAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		suspend func(*Engine, ident.Worker, time.Time, time.Duration)
+		waits   bool
+	}{
+		{"refused", (*Engine).SuspendWorker, false},
+		{"out of reach", (*Engine).SuspendUnreached, true},
+		{"out of reach, then refused", func(e *Engine, id ident.Worker, now time.Time, pause time.Duration) {
+			e.SuspendUnreached(id, now, pause)
+			e.SuspendWorker(id, now, 2*pause)
+		}, true},
+		{"refused, then out of reach", func(e *Engine, id ident.Worker, now time.Time, pause time.Duration) {
+			e.SuspendWorker(id, now, 2*pause)
+			e.SuspendUnreached(id, now, pause)
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.addJob("suspect", 2, work.Step{Parts: 1, Need: smallPart})
+			h.crash("suspect")
+			for i := range 4 {
+				test.suspend(h.engine, workerID(i), h.now, maxQuarantine)
+			}
+			for range 30 {
+				h.advance(100 * time.Millisecond)
+			}
+			assert.Equal(t, len(h.workersOf("suspect")) == 0, test.waits)
+		})
+	}
+}
+
 // TestRefusedGroupIsTriedElsewhereSoon guards against groups that wait anew for as long as before, each time that a worker refuses
 // them which was quarantined with cause.
 func TestRefusedGroupIsTriedElsewhereSoon(t *testing.T) {
@@ -86,6 +123,26 @@
 	assert.Assert(t, h.starts[1].Worker != h.starts[0].Worker)
 }
 
+// TestRefusingWorkersAreTriedLast guards against groups that are refused by one worker again and again, as its suspension ends
+// soonest, while others would run them.
+func TestRefusingWorkersAreTriedLast(t *testing.T) {
+	h := newHarness(t, 4)
+	for i := range 4 {
+		h.engine.SuspendWorker(workerID(i), h.now, maxQuarantine)
+	}
+	h.addJob("waits", 2, work.Step{Parts: 1, Need: largePart})
+	h.advance(maxHold)
+	tried := map[ident.Worker]bool{}
+	for range 4 {
+		w := h.starts[len(h.starts)-1].Worker.Worker
+		assert.Assert(t, !tried[w], "%s is tried again", w)
+		tried[w] = true
+		h.engine.nodesByID[w].health.quarantinedUntil = h.now.Add(initialQuarantine)
+		h.endJob("waits", Refused)
+		h.advance(refusedPause)
+	}
+}
+
 // TestSuspectIsNotStarved guards against suspects that wait without end for quarantined workers on which nothing is on probation,
 // while others are started there again and again.
 func TestSuspectIsNotStarved(t *testing.T) {
@@ -108,3 +165,51 @@
 	}
 	assert.Equal(t, len(h.workersOf("suspect")), 1)
 }
+
+// quarantineAll quarantines all workers for good.
+func (h *harness) quarantineAll() {
+	for _, n := range h.engine.nodes {
+		n.health.quarantinedUntil = h.now.Add(time.Hour)
+	}
+}
+
+// placedBy returns the number of attempts that are placed after the given time in rounds of 100 ms.
+func (h *harness) placedBy(d time.Duration) int {
+	h.t.Helper()
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.advance(100 * time.Millisecond)
+	}
+	return len(h.starts)
+}
+
+// TestHoldsOfManyGroupsEnd guards against a limit on the work of a round by which groups of which no two are equal are held back
+// for 3 s and more in a pool with room.
+func TestHoldsOfManyGroupsEnd(t *testing.T) {
+	const jobs = 1000
+	h := newHarness(t, jobs/5)
+	h.quarantineAll()
+	for i := range jobs {
+		step := work.Step{Parts: 1, Need: work.Resources{CPU: work.MilliCores(10_000 + i), Memory: 1000}}
+		h.submit("a", ident.Job(fmt.Sprintf("j%04d", i)), 2, step)
+	}
+	assert.Equal(t, h.placedBy(maxHold-100*time.Millisecond), 0)
+	assert.Equal(t, h.placedBy(maxHeldBack-maxHold-100*time.Millisecond), jobs)
+}
+
+// TestHoldsEndByTurns guards against a group that is held back for good, because more urgent ones, which fit nowhere, use up the
+// work that a round does for such groups.
+func TestHoldsEndByTurns(t *testing.T) {
+	h := newHarness(t, 16)
+	for _, n := range h.engine.nodes[:8] {
+		n.Labels = []string{"kind"}
+	}
+	h.addJob("serves", 1, work.Step{Parts: 8, Need: smallPart, Label: "kind", Latency: time.Second, Lasting: true, MaxPerWorker: 1})
+	h.quarantineAll()
+	for i := range 2 * maxHoldSearches {
+		step := work.Step{Parts: 1, Need: work.Resources{Memory: work.MiB(1000 + i)}, Label: "kind", Fills: true, Estimate: time.Second}
+		h.submit("a", ident.Job(fmt.Sprintf("fills%04d", i)), 1, step)
+	}
+	h.submit("a", "waits", 2, work.Step{Parts: 1, Need: largePart, Estimate: time.Minute})
+	h.placedBy(maxHeldBack - 100*time.Millisecond)
+	assert.Equal(t, len(h.workersOf("waits")), 1)
+}
