A read of the table service takes as long as its answer arrives

An item or a page that takes longer than 1 s to arrive was never read: each attempt had 1 s for the whole answer and began from zero. A partition whose pages together take longer than 5 s was never listed.

Cause: time limits on whole answers. Change: an attempt ends when nothing of its answer arrives for its timeout, and each page of a list has the time of a call. The limit for a call with its attempts stays.

--- a/sard/table/client.go
+++ b/sard/table/client.go
@@ -15,6 +15,7 @@
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/store"
 )
 
 // Client is a Store that calls a service with the DynamoDB API.
@@ -84,9 +85,10 @@
 	return ident.WriteToken(c.tokenPrefix + "-" + strconv.FormatUint(c.tokenSerial.Add(1), tokenBase))
 }
 
-// attempt makes a single attempt of a call with the attempt timeout, wraps its error and records its metrics.
+// attempt makes a single attempt of a call, which ends when nothing of the answer arrives for the attempt timeout. It wraps the
+// error and records the metrics.
 func (c *Client) attempt(ctx context.Context, op operation, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, c.config.AttemptTimeout)
+	ctx, cancel := store.WithSilenceLimit(ctx, c.config.AttemptTimeout)
 	defer cancel()
 	started := time.Now()
 	err := wrapError(call(ctx), op)
--- a/sard/table/config.go
+++ b/sard/table/config.go
@@ -28,10 +28,10 @@
 	Table string
 	// Dial opens connections; the default is a plain net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// AttemptTimeout limits the duration of a single attempt; the default is 1 s.
+	// AttemptTimeout is how long the service may send nothing of its answer to a single attempt; the default is 1 s.
 	AttemptTimeout time.Duration
-	// CallTimeout limits the duration of a call including its retries; the default is 5 s. It must be less than 10 minutes,
-	// the time for which the service recognises a repeated transaction.
+	// CallTimeout limits the duration of a call including its retries, where each page of a list counts as a call; the default
+	// is 5 s. It must be less than 10 minutes, the time for which the service recognises a repeated transaction.
 	CallTimeout time.Duration
 	// MaxAttempts limits the number of attempts for each call; the default is 5.
 	MaxAttempts int
@@ -133,7 +133,7 @@
 		EndpointResolverV2:              fixedEndpoint{*endpoint},
 		Region:                          c.Region,
 		Credentials:                     aws.CredentialsProviderFunc(provider),
-		HTTPClient:                      &http.Client{Transport: transport},
+		HTTPClient:                      &http.Client{Transport: arrivalTransport{transport}},
 		Retryer:                         aws.NopRetryer{},
 		AccountIDEndpointMode:           aws.AccountIDEndpointModeDisabled,
 		DisableValidateResponseChecksum: true,
--- a/sard/table/read.go
+++ b/sard/table/read.go
@@ -22,16 +22,10 @@
 // List returns the items of a partition whose sort keys start with prefix, sorted by sort key. Items that are written
 // during the call may or may not be included.
 func (c *Client) List(ctx context.Context, priority Priority, partition, prefix string) ([]Item, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
-	defer cancel()
 	in := queryInput(c.config.Table, partition, prefix)
 	var items []Item
 	for {
-		var out *dynamodb.QueryOutput
-		err := c.read(ctx, priority, opQuery, func(ctx context.Context) (err error) {
-			out, err = c.service.Query(ctx, in)
-			return err
-		})
+		out, err := c.queryPage(ctx, priority, in)
 		if err != nil {
 			return nil, err
 		}
@@ -49,6 +43,18 @@
 	}
 }
 
+// queryPage returns a page of the items of a query.
+func (c *Client) queryPage(ctx context.Context, priority Priority, in *dynamodb.QueryInput) (*dynamodb.QueryOutput, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
+	defer cancel()
+	var out *dynamodb.QueryOutput
+	err := c.read(ctx, priority, opQuery, func(ctx context.Context) (err error) {
+		out, err = c.service.Query(ctx, in)
+		return err
+	})
+	return out, err
+}
+
 // queryInput returns the query for the items of a partition whose sort keys start with prefix.
 func queryInput(table, partition, prefix string) *dynamodb.QueryInput {
 	consistent := true
