A lease term of 1.2 s, so that two holders lost in a row leave no job idle for 3 s

Cause: no hold. Two terms of 1.5 s alone are the 3 s that a job may be idle.

Change: the term is 1.2 s. It is the shortest that a holder outlasts with one renewal without an answer (550 ms), at a store which takes some time; two losses in a row then stay below 3 s. An instance with the former term may run beside: it acts for 1.2 s at most after a renewal.

Renewals and the reads of candidates are a quarter more. Three losses in a row still exceed 3 s.

--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -36,14 +36,15 @@
 const processSeparator = "@"
 
 const (
-	// DefaultTerm is the default time after which a lease expires unless renewed.
-	DefaultTerm = 1500 * time.Millisecond
+	// DefaultTerm is the default time after which a lease expires unless renewed. When two holders are lost one after the
+	// other, twice the term and the time to take over stay below the 3 s that a job may have nothing running.
+	DefaultTerm = 1200 * time.Millisecond
 	// renewalsPerTerm is how many times a lease is renewed within a term.
 	renewalsPerTerm = 5
 	// safePercent is the percentage of a term, counted from sending a renewal, during which the holder may act.
 	safePercent = 80
-	// callTimeout bounds the write of an acquisition or a renewal.
-	callTimeout = 700 * time.Millisecond
+	// callTimeout bounds the write of an acquisition or a renewal. The holder may act on if one renewal has no answer.
+	callTimeout = 550 * time.Millisecond
 	// readTimeout bounds a read of the rows of the lease.
 	readTimeout = time.Second
 	// retryInterval is the delay after a failed call to the store.
