A version is fetched for as long as it arrives

An instance that got a version of the configuration document for longer than 1 s, from a peer or from the table, gave it up, tried the next source and began again 200 ms later, for ever; each try filled its link. This concerns the product's own plane (sardined).

Cause: a time limit on a whole answer. Change: the limit of 1 s holds for silence; connections between instances tell the calls under way of each part of a frame that arrives. The exchange of reports keeps its 500 ms: a report has a few KB. sard/elect/candidate.go was read for the same cause and left: its three rows are small.

TestVersionArrivesOverSlowLink ("1 != 2", from a peer and from the table) and TestLargeReplyOverSlowLink failed before. go test -race ./sard/peer ./sard/config: green.

--- a/sard/config/exchange.go
+++ b/sard/config/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/roster"
+	"github.com/sardineline/sardineline/sard/store"
 )
 
 // DefaultFanout is the number of peers with which an instance exchanges reports if Config.Fanout is 0.
@@ -22,7 +23,7 @@
 	exchangeInterval = time.Second
 	// exchangeTimeout bounds one exchange of reports with a peer.
 	exchangeTimeout = 500 * time.Millisecond
-	// fetchTimeout bounds the fetch of a record from one peer or from the table.
+	// fetchTimeout is how long nothing of a record may arrive that is fetched from one peer or from the table.
 	fetchTimeout = time.Second
 	// fetchRetryInterval is the mean delay before a failed fetch is retried.
 	fetchRetryInterval = 200 * time.Millisecond
@@ -58,7 +59,8 @@
 	Breaches uint64
 }
 
-// Peers connects to the other instances. Calls end when their context is done. Errors are of type *fault.Error.
+// Peers connects to the other instances. Calls end when their context is done, and tell store.WithSilenceLimit of each part of
+// the answer that arrives. Errors are of type *fault.Error.
 type Peers interface {
 	// Neighbours lists the peers that Exchange and Fetch can call, in any order.
 	Neighbours() []ident.Instance
@@ -300,7 +302,7 @@
 
 // fetchFromPeer fetches a version from a peer and installs it.
 func (a *Agent) fetchFromPeer(ctx context.Context, peer ident.Instance, version ident.Version) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := store.WithSilenceLimit(ctx, fetchTimeout)
 	defer cancel()
 	from := "instance " + string(peer)
 	a.updateCounts(func(c *Counts) { c.Fetches++ })
@@ -317,7 +319,7 @@
 
 // fetchFromTable reads a version from the table and installs it.
 func (a *Agent) fetchFromTable(ctx context.Context, version ident.Version) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := store.WithSilenceLimit(ctx, fetchTimeout)
 	defer cancel()
 	rec, err := a.readRecord(ctx, version)
 	if err != nil {
--- a/sard/config/propagation_test.go
+++ b/sard/config/propagation_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -257,3 +258,26 @@
 		assert.Equal(t, c.readyCount(3), 8)
 	})
 }
+
+// TestVersionArrivesOverSlowLink guards against instances that never run a large version, because it takes longer to arrive, from
+// a peer or from the table, than their source may be silent.
+func TestVersionArrivesOverSlowLink(t *testing.T) {
+	for _, fromTable := range []bool{false, true} {
+		t.Run(fmt.Sprintf("from the table %v", fromTable), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newRunningCluster(t)
+				defer c.stop()
+				c.update(func() {
+					c.slow[8], c.tableCut[8] = true, !fromTable
+					if fromTable {
+						c.partitions[8] = 1
+					}
+				})
+				_, err := c.propose(0, 2)
+				assert.NilError(t, err)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, c.currentNodes()[8].agent.Current().Version, ident.Version(2))
+			})
+		})
+	}
+}
--- a/sard/peer/conn.go
+++ b/sard/peer/conn.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 
 	"github.com/coder/websocket"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/store"
 )
 
 const (
 	// maxFrameBytes is the maximum size of an encoded frame in bytes.
 	maxFrameBytes = 4 << 20
+	// maxReadBytes is how much of a frame is read at a time.
+	maxReadBytes = 16 << 10
 	// maxConcurrentCalls is the maximum number of calls that one connection serves concurrently.
 	maxConcurrentCalls = 256
 )
@@ -25,15 +29,23 @@
 
 	mu     sync.Mutex
 	nextID uint64
-	// pending maps the ids of unanswered calls to the channels that receive their replies.
-	pending map[uint64]chan frame
+	// pending maps the ids of unanswered calls to the calls.
+	pending map[uint64]pendingCall
 	closed  bool
 }
 
+// pendingCall is a call whose reply has not arrived.
+type pendingCall struct {
+	// replies receives the reply.
+	replies chan frame
+	// arrived is called when a part of a frame arrives, which may be that of the reply.
+	arrived func()
+}
+
 // newConn returns a connection to a peer, whose calls are served by handler.
 func newConn(peer string, ws *websocket.Conn, handler Handler) *conn {
 	ws.SetReadLimit(maxFrameBytes)
-	return &conn{peer: peer, ws: ws, handler: handler, pending: map[uint64]chan frame{}}
+	return &conn{peer: peer, ws: ws, handler: handler, pending: map[uint64]pendingCall{}}
 }
 
 // run reads frames until the connection closes, and returns when all calls from the peer have been served.
@@ -51,7 +63,7 @@
 // group.
 func (c *conn) readFrames(ctx context.Context, group *errgroup.Group) error {
 	for {
-		_, data, err := c.ws.Read(ctx)
+		data, err := c.readFrame(ctx)
 		if err != nil {
 			return err
 		}
@@ -73,6 +85,37 @@
 	}
 }
 
+// readFrame reads the next frame, and tells the pending calls of each part that arrives.
+func (c *conn) readFrame(ctx context.Context) ([]byte, error) {
+	_, frame, err := c.ws.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(arrivalReader{Reader: frame, conn: c})
+}
+
+// arrivalReader reads a frame of a connection.
+type arrivalReader struct {
+	io.Reader
+	conn *conn
+}
+
+// Read reads the next part of the frame.
+func (r arrivalReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b[:min(len(b), maxReadBytes)])
+	r.conn.noteArrival()
+	return n, err
+}
+
+// noteArrival tells the pending calls that a part of a frame has arrived.
+func (c *conn) noteArrival() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.pending {
+		call.arrived()
+	}
+}
+
 // rejectCall answers a call beyond maxConcurrentCalls with a Throttled fault.
 func (c *conn) rejectCall(ctx context.Context, f frame) {
 	c.sendReply(ctx, f, nil, fault.New(fault.Throttled, "serve call", c.peer, "more than %d concurrent calls", maxConcurrentCalls))
@@ -113,9 +156,9 @@
 func (c *conn) deliverReply(f frame) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if replies, ok := c.pending[f.ID]; ok {
+	if call, ok := c.pending[f.ID]; ok {
 		delete(c.pending, f.ID)
-		replies <- f
+		call.replies <- f
 	}
 }
 
@@ -124,15 +167,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	for id, replies := range c.pending {
+	for id, call := range c.pending {
 		delete(c.pending, id)
-		close(replies)
+		close(call.replies)
 	}
 }
 
-// addPending allocates the id of a call and the channel for its reply. It returns false when the connection is
-// closed. The channel holds one reply, so that deliverReply never blocks.
-func (c *conn) addPending() (uint64, chan frame, bool) {
+// addPending allocates the id of a call with the context ctx and the channel for its reply. It returns false when the
+// connection is closed. The channel holds one reply, so that deliverReply never blocks.
+func (c *conn) addPending(ctx context.Context) (uint64, chan frame, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -140,7 +183,7 @@
 	}
 	c.nextID++
 	replies := make(chan frame, 1)
-	c.pending[c.nextID] = replies
+	c.pending[c.nextID] = pendingCall{replies: replies, arrived: func() { store.Arrived(ctx) }}
 	return c.nextID, replies, true
 }
 
@@ -151,9 +194,9 @@
 	delete(c.pending, id)
 }
 
-// call sends a message and waits for its reply. Once the message may have been sent, a failure is OutcomeUnknown.
+// call sends a message and waits for its reply, of which it tells store.WithSilenceLimit. Once the message may have been sent, a failure is OutcomeUnknown.
 func (c *conn) call(ctx context.Context, m Message) (Message, error) {
-	id, replies, ok := c.addPending()
+	id, replies, ok := c.addPending(ctx)
 	if !ok {
 		return nil, fault.New(fault.Unavailable, "call", c.peer, "connection is closed")
 	}
--- a/sard/peer/transport_test.go
+++ b/sard/peer/transport_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -14,6 +17,7 @@
 	"github.com/sardineline/sardineline/sard/gang"
 	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/peer"
+	"github.com/sardineline/sardineline/sard/store"
 )
 
 // testHandler answers Get with a view of the same job and fails all other messages with a Fenced fault. A Get of a job
@@ -119,3 +123,31 @@
 	cancel()
 	assert.NilError(t, group.Wait())
 }
+
+// slowConn is a connection of which 16 KB arrive at a time.
+type slowConn struct{ net.Conn }
+
+// Read reads the next part.
+func (c slowConn) Read(b []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return c.Conn.Read(b[:min(len(b), 16<<10)])
+}
+
+// TestLargeReplyOverSlowLink guards against calls that are given up while their reply arrives.
+func TestLargeReplyOverSlowLink(t *testing.T) {
+	_, addr, h := startServer(t, "", "")
+	ctx, stop := context.WithCancel(t.Context())
+	slow := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return slowConn{conn}, err
+	}}
+	client := peer.New(ctx, peer.Config{Handler: h, Client: &http.Client{Transport: slow}})
+	_, err := client.Call(ctx, addr, peer.Get{Job: "warm"})
+	assert.NilError(t, err)
+	limited, cancel := store.WithSilenceLimit(ctx, 500*time.Millisecond)
+	_, err = client.Call(limited, addr, peer.Get{Job: ident.Job(strings.Repeat("j", 400_000))})
+	cancel()
+	assert.Check(t, err)
+	stop()
+	assert.NilError(t, client.Wait())
+}
