A read of the scheduler lease takes as long as its answer arrives

A candidate gave a read of the rows of the lease 1 s for the whole answer, and began again from zero: with a large notice and a slow link it never took the lease. Not seen; found by reading for the cause of TestCancellationOverSlowLink.

Cause: a time limit on a whole answer. Change: the limit holds for silence, for the read and for the feed of changes.

--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -44,7 +44,7 @@
 	safePercent = 80
 	// callTimeout bounds the write of an acquisition or a renewal.
 	callTimeout = 700 * time.Millisecond
-	// readTimeout bounds a read of the rows of the lease.
+	// readTimeout is how long nothing of an answer to a read of the rows of the lease may arrive.
 	readTimeout = time.Second
 	// retryInterval is the delay after a failed call to the store.
 	retryInterval = 100 * time.Millisecond
@@ -192,7 +192,7 @@
 
 // read reads the lease from the store.
 func (c *Candidate) read(ctx context.Context) (leaseView, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := store.WithSilenceLimit(ctx, readTimeout)
 	defer cancel()
 	listing, err := c.config.Watched.List(ctx, store.Range{Table: TableName, Partition: work.MainPartition})
 	if err != nil {
@@ -224,7 +224,7 @@
 // awaitChange waits for a change of the lease or its expiry.
 func (c *Candidate) awaitChange(ctx context.Context, view leaseView) leaseView {
 	wait := max(c.takeoverAge()-clock.Since(view.changedAt), retryInterval)
-	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	callCtx, cancel := store.WithSilenceLimit(ctx, wait+readTimeout)
 	defer cancel()
 	changes, err := c.config.Store.Feed(callCtx, TableName, view.feedVersion, wait)
 	if err != nil {
--- a/sard/elect/candidate_test.go
+++ b/sard/elect/candidate_test.go
@@ -376,6 +376,45 @@
 	}
 }
 
+// arrivingStore is a store whose answers to reads arrive bit by bit for 1.5 s.
+type arrivingStore struct{ store.Store }
+
+// receive waits while an answer arrives.
+func receive(ctx context.Context) error {
+	for range 15 {
+		if !clock.Sleep(ctx, 100*time.Millisecond) {
+			return fault.Wrap(context.Cause(ctx), fault.OutcomeUnknown, "read", "store")
+		}
+		store.Arrived(ctx)
+	}
+	return nil
+}
+
+// List reads a range.
+func (s arrivingStore) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	listing, err := s.Store.List(ctx, r)
+	if err != nil {
+		return listing, err
+	}
+	return listing, receive(ctx)
+}
+
+// TestLeaseIsReadOverSlowLink guards against candidates that never take a free lease, because its rows, with a large notice,
+// take longer to arrive than the store may be silent.
+func TestLeaseIsReadOverSlowLink(t *testing.T) {
+	runWithFixture(t, func(f *fixture) {
+		ctx, stop := context.WithCancel(f.t.Context())
+		f.stops = append(f.stops, stop)
+		c := New(Config{Store: arrivingStore{f.store}, Instance: "a", ProcessID: "1", Logger: hclog.NewNullLogger()})
+		p := &process{}
+		f.group.Go(func() error {
+			return c.Run(ctx, func(ctx context.Context, l *Lease) error { return f.checkExclusive(ctx, p, l) })
+		})
+		time.Sleep(5 * time.Second)
+		assert.Check(t, p.mayAct())
+	})
+}
+
 // TestNoticesReachCandidates checks that a notice reaches other candidates with a renewal, that one which starts later does
 // not take it for fresh, and that after a takeover it is known to be of a former holder.
 func TestNoticesReachCandidates(t *testing.T) {
