--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -44,8 +44,8 @@
 	// stopDue is when the worker should have stopped the attempt at the latest, had it got the first stop request when that
 	// was queued.
 	stopDue clock.Instant
-	// stopPending indicates that a stop request is queued or in flight, and stopUnanswered that one got no response, as no start
-	// request did.
+	// stopPending indicates that a stop request is queued or in flight, and stopUnanswered that one has failed and no start
+	// request is known to have succeeded.
 	stopPending, stopUnanswered bool
 	// wait is what the attempt waits for.
 	wait wait[orderWait]
