The random worlds of waits count no crash of a worker that leaves

The scheduler counts no crash of a worker that leaves (TestLeavingWorkerCountsAsNoCrash), so that a part which crashes such a worker may start once more. The check counts as the scheduler does now.

--- a/sard/pool/troubles_test.go
+++ b/sard/pool/troubles_test.go
@@ -147,7 +147,11 @@
 		f.later(worldStep, func() { f.crashBy(s) })
 		return
 	}
-	f.crashes[s.Attempt.Part]++
+	f.culprits[s.Attempt.Part.Job] = true
+	if f.engine.nodesByID[s.Worker.Worker].AvailableUntil.IsZero() {
+		// The end of a worker that leaves counts as no crash.
+		f.crashes[s.Attempt.Part]++
+	}
 	f.note(s.Attempt, "crashes "+string(s.Worker.Worker))
 	f.crash(s.Worker)
 }
