A group that was refused is tried elsewhere after 250 ms

A start that is refused is no run: at the limit of all holds (1.5 s) a group of a job of which nothing runs has three tries, 500 ms apart, until it has waited for 3 s. Where several workers in a row refuse, that is too few.

TestRefusedGroupIsTriedElsewhereSoon and TestRefusingWorkersAreTriedLast hold the pause by its name.

--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -10,7 +10,7 @@
 	// maxHold is how long headroom, the choice of a rack and quarantines hold a group back in a pool with room.
 	maxHold = 1500 * time.Millisecond
 	// refusedPause is how long they do so again after a worker refused the group.
-	refusedPause = 500 * time.Millisecond
+	refusedPause = 250 * time.Millisecond
 	// maxHoldSearches limits the groups for which a round searches for nodes when holds end.
 	maxHoldSearches = 128
 	// refusalMemory is for how long after a refusal other workers are tried first.
