Groups in need take turns on workers that suspects have for themselves

What callers saw: jobs with nothing running for 3 s and more, with most of the workers' room free: the workers with room were those that suspects of crashes had for themselves, or waited for, one suspect after the other.

Cause: each suspect isolates workers of its own, without limit, by the urgency of its job, for as long as its attempt has no answer; no bound ends that for others, and suspects take workers from each other, so that each waits anew for 1 s without a start there.

Change: groups that have waited for 0.5 s while nothing of their job runs in a pool with room get the next start on such workers, longest wait since their last try first: at once if a suspect only waits there that has waited for shorter, else when the probation there ends. Suspects line up also for quarantined workers that answer, and start there at the limit of all holds. While others are in need, suspects have half of a service's workers for themselves at most. An attempt without an answer isolates its worker for 2 s; other suspects still keep off it. Beyond the limit, groups that nobody suspects use reserved capacity, and suspects what is left there after 2.5 s. A round looks at 16 groups and seeks turns for 8.

Tests: TestSuspectsLeaveOthersATurn and TestSuspectsTakeTurns failed before. TestLongWaitIsReportedOnce waited for a suspect without an answer, which now ends before a wait is long; it waits for work that must not be disturbed, with equal checks.

--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -185,12 +186,22 @@
 func (e *Engine) isolatedNodes(now time.Time) map[*node]*group {
 	maps.DeleteFunc(e.suspects, func(g *group, _ bool) bool { return g.phase == done || g.job.state.Terminal() })
 	isolated := map[*node]*group{}
-	for _, g := range slices.SortedFunc(maps.Keys(e.suspects), compareGroup) {
+	suspects := slices.SortedFunc(maps.Keys(e.suspects), compareWait)
+	for _, g := range suspects {
 		for i := range g.parts {
-			if p := &g.parts[i]; p.node != nil && !p.survived {
+			if p := &g.parts[i]; p.node != nil && !p.survived && now.Sub(g.startedAt) < isolationLimit {
 				isolated[p.node] = g
 			}
 		}
+	}
+	for _, g := range slices.SortedFunc(maps.Keys(e.turns), compareWait) {
+		for _, n := range e.turns[g].nodes {
+			if g.phase == waiting && !g.job.state.Terminal() && isolated[n] == nil && n.Accepting {
+				isolated[n] = g
+			}
+		}
+	}
+	for _, g := range suspects {
 		if g.phase != waiting {
 			continue
 		}
@@ -203,6 +214,20 @@
 	return isolated
 }
 
+// compareWait orders groups by how long they have waited since they were last tried, longest first, and those that don't wait
+// last.
+func compareWait(a, b *group) int {
+	switch {
+	case a.wait != nil && b.wait != nil:
+		return cmp.Or(a.wait.untried().Compare(b.wait.untried()), compareGroup(a, b))
+	case a.wait != nil:
+		return -1
+	case b.wait != nil:
+		return 1
+	}
+	return compareGroup(a, b)
+}
+
 // isolate keeps other groups off the nodes of a suspect for the rest of the round.
 func (r *round) isolate(g *group, nodes []*node) {
 	for _, n := range nodes {
@@ -216,11 +241,6 @@
 	return owner != nil && owner != g
 }
 
-// quiet reports whether nothing was started on the node for Probation.
-func (n *node) quiet(now time.Time) bool {
-	return now.Sub(n.lastStart) >= Probation
-}
-
 // packIsolated returns nodes for a suspect: those that it waits for, or else preferably idle ones, then those without an
 // attempt on probation. It returns nil if the suspect does not fit.
 func (r *round) packIsolated(g *group) []*node {
@@ -231,13 +251,20 @@
 	} else {
 		g.reserved = nil
 	}
-	quiet := func(n *node) bool { return n.quiet(r.now) }
+	if r.exceedsShare(g) {
+		return nil
+	}
+	quiet := func(n *node) bool { return n.clearFor(g, r.now) }
 	idle := func(n *node) bool { return quiet(n) && len(n.parts) == 0 }
 	all := func(*node) bool { return true }
 	if !r.mayFit(g, r.freeIf(all)) {
 		return nil
 	}
-	for _, accept := range []func(*node) bool{idle, quiet, all} {
+	accepts := []func(*node) bool{idle, quiet}
+	if _, ok := r.engine.turns[g]; !ok {
+		accepts = append(accepts, all)
+	}
+	for _, accept := range accepts {
 		if nodes := r.pack(g, r.freeIf(accept)); nodes != nil {
 			return nodes
 		}
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -65,6 +65,10 @@
 	estimateErrors map[work.QueueName]*estimateErrors
 	// suspects holds the groups with counted crashes.
 	suspects map[*group]bool
+	// turns holds the nodes on which groups start next that suspects have for themselves.
+	turns map[*group]turn
+	// crowded holds the services in which groups that nobody suspects were in need in the latest round.
+	crowded map[work.Service]bool
 	// runTimes forecasts run times; nil if Config.RunTimes is not set.
 	runTimes *fcast.Model
 	// ratios holds the accuracy of recent forecasts.
--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -147,9 +147,12 @@
 // nodes on which something is on probation only if there are no others, and none on which others reserved capacity.
 func (r *round) packHeldBack(g *group) []*node {
 	if !g.suspected() {
-		return r.packOpen(g, r.free)
+		if nodes := r.packOpen(g, r.free); nodes != nil {
+			return nodes
+		}
+		return r.packOpen(g, (*node).free)
 	}
-	quiet := r.freeIf(func(n *node) bool { return n.quiet(r.now) })
+	quiet := r.freeIf(func(n *node) bool { return n.clearFor(g, r.now) })
 	unreserved := r.freeIf(func(*node) bool { return true })
 	for _, available := range []capacityFunc{quiet, unreserved} {
 		if nodes := r.packOpen(g, available); nodes != nil {
--- a/sard/pool/reservation.go
+++ b/sard/pool/reservation.go
@@ -100,4 +100,7 @@
 func (r *round) reserveFor(g *group, nodes []*node) {
 	g.reserved = nodes
 	r.reserve(g, nodes)
+	for _, n := range nodes {
+		r.reservedFor[n] = true
+	}
 }
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -38,6 +38,7 @@
 		}
 	}
 	r.endHolds(waited)
+	r.takeTurns(waited)
 	r.examineWaits(waited)
 	decisions := e.decisions
 	e.decisions = nil
@@ -80,7 +81,9 @@
 	victimLists map[preemptorClass][]*victimList
 	// held holds the reservations that are set aside for groups that were not scheduled yet.
 	held map[*group][]*node
-	// isolated holds the nodes on which only the given suspect may be placed, and isolating holds these suspects.
+	// reservedFor holds the nodes on which a group has reserved capacity that is about to be free.
+	reservedFor map[*node]bool
+	// isolated holds the nodes on which only the given group may be placed, and isolating holds these groups.
 	isolated  map[*node]*group
 	isolating map[*group]bool
 	// disturbed tells which nodes run parts that others would disturb; nil if not known. disturbing counts the groups with such
@@ -88,6 +91,8 @@
 	disturbed  []disturbance
 	disturbing int
 	lists      nodeLists
+	// accepting holds the number of accepting workers of each service; nil if not known.
+	accepting map[work.Service]int
 	// stopCosts caches the cost of stopping placed groups, outlooks what is expected of occurrences, and endings the parts
 	// that are expected to end soon; endings is valid if endingsKnown is set.
 	stopCosts    map[*group]time.Duration
@@ -164,10 +169,10 @@
 }
 
 // knownUnplaceable reports whether a group with the same demand and at most as many parts did not fit in this round. Except
-// for the capacity of released reservations, the available capacity only decreases in a round. A suspect that has nodes for
-// itself, or waits for some, may be placed where an equal one can't.
+// for the capacity of released reservations, the available capacity only decreases in a round. A group that has nodes for
+// itself, or a suspect that waits for some, may be placed where an equal one can't.
 func (r *round) knownUnplaceable(g *group, d *demand) bool {
-	if (len(g.reserved) > 0 || r.isolating[g]) && g.suspected() {
+	if r.isolating[g] || len(g.reserved) > 0 && g.suspected() {
 		return false
 	}
 	return d.unplaceable > 0 && len(g.parts) >= d.unplaceable
@@ -187,7 +192,7 @@
 	r := &round{
 		engine: e, number: e.rounds, now: now, available: make([]availability, len(e.nodes)), demands: map[demandKey]*demand{},
 		holds:       map[holdKey]*holdDemand{},
-		victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{},
+		victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{}, reservedFor: map[*node]bool{},
 		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{}, isolating: map[*group]bool{}, lists: newNodeLists(),
 	}
 	for i, n := range e.nodes {
@@ -278,8 +283,10 @@
 	if g.suspected() {
 		r.isolate(g, nodes)
 		r.isolating[g] = true
-		if slices.ContainsFunc(nodes, func(n *node) bool { return !n.quiet(r.now) }) {
-			g.reserved = nodes
+		if slices.ContainsFunc(nodes, func(n *node) bool { return !n.clearFor(g, r.now) }) {
+			if _, ok := r.engine.turns[g]; !ok {
+				g.reserved = nodes
+			}
 			g.awaitProbation(r.now)
 			return
 		}
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -67,6 +67,8 @@
 	triedAt time.Time
 	// probationAt is the last round in which the group, a suspect, waited for nothing but probations on its nodes.
 	probationAt time.Time
+	// turnSoughtAt is when a turn was last sought for the group in vain.
+	turnSoughtAt time.Time
 	// holdsEnded is set once the group may use quarantined workers.
 	holdsEnded bool
 	// holdTurn is the turn of Engine.holdTurn in which the group was last examined by endHolds.
@@ -144,6 +146,11 @@
 	return now.Sub(g.wait.since)
 }
 
+// untried returns since when the group has waited without being placed.
+func (w *waitState) untried() time.Time {
+	return latest(w.since, w.triedAt)
+}
+
 // beginWaits records which groups have their turn from now on, and returns those that have waited for examinedAfter.
 func beginWaits(queue []*group, now time.Time) []*group {
 	var waited []*group
