A group whose parts fit on no worker is known to wait without a search

Cause: equal groups are searched for once in a round, but of 1,000 groups of which no two are equal each was searched for, and for guaranteed ones all workers' work was rated that could be stopped. With a full pool, such a round took 0.05 s, of guaranteed groups 0.18 to 0.29 s.

Change: a round knows upper bounds of what any worker has for a single part: now, once stops have completed, and if all work has been stopped that may be. A group whose parts exceed them is not searched for; nor is a claim, if all workers together have too little when all such work is stopped. What is reserved, placed or preempted in the round doesn't raise the bounds, or raises them too.

What the search that is left out would do besides is to look up forecasts, which are kept for 1 s from when they are made.

--- a/sard/pool/bench_test.go
+++ b/sard/pool/bench_test.go
@@ -296,3 +296,23 @@
 		}
 	}
 }
+
+// BenchmarkDecideDifferentGroups measures Decide with 1,100 full workers and 1,000 waiting groups of which no two have equal
+// needs, depending on their priority.
+func BenchmarkDecideDifferentGroups(b *testing.B) {
+	for _, priority := range []work.Priority{work.Guaranteed, 2} {
+		for _, sameRack := range []bool{false, true} {
+			b.Run(fmt.Sprintf("priority=%d/sameRack=%t", priority, sameRack), func(b *testing.B) {
+				pool := newBacklog(true)
+				pool.add(110, 1, work.Step{Parts: 100, Need: smallPart, Estimate: 10 * time.Second, Lasting: true})
+				for i := range backlogGroups {
+					addBenchJob(pool.engine, 10_000+i, ident.Account(fmt.Sprintf("a%d", i%24)), priority, work.Step{
+						Parts: 2 + i%40, Gang: true, SameRack: sameRack, Estimate: time.Duration(3+i%7) * time.Second,
+						Need: work.Resources{CPU: 15_000 + work.MilliCores(i), Memory: 22_000, Accelerators: 2},
+					}, pool.now)
+				}
+				measureDecide(b, pool.engine, pool.now)
+			})
+		}
+	}
+}
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -21,6 +21,9 @@
 // fit even then, reclaim stops nothing and returns false. With CostOrder, it also stops nothing if it costs less to wait for
 // running groups to end.
 func (r *round) reclaim(g *group) bool {
+	if !r.mayReclaim(g) {
+		return false
+	}
 	step := g.spec()
 	candidates := r.candidates(g)
 	near := candidates
@@ -143,6 +146,11 @@
 	withinGuarantee bool
 }
 
+// preemptorClass returns the properties of g that determine which groups it may preempt.
+func (g *group) preemptorClass() preemptorClass {
+	return preemptorClass{priority: g.job.settings.Priority, withinGuarantee: g.job.withinGuarantee}
+}
+
 // victimList holds the victims on a node, of which there may be none.
 type victimList struct {
 	victims []victim
@@ -151,7 +159,7 @@
 // victims returns the groups on a node that g may preempt, in ascending order of cost. It computes them once per round
 // and again after one of them was preempted.
 func (r *round) victims(g *group, n *node) []victim {
-	class := preemptorClass{priority: g.job.settings.Priority, withinGuarantee: g.job.withinGuarantee}
+	class := g.preemptorClass()
 	lists := r.victimLists[class]
 	if lists == nil {
 		lists = make([]*victimList, len(r.available))
@@ -201,6 +209,7 @@
 		if p := &g.parts[i]; p.node != nil && !p.stopping {
 			c := &r.available[p.node.index]
 			c.freeSoon = c.freeSoon.Plus(g.demand())
+			r.bounds.freeSoon = largest(r.bounds.freeSoon, c.freeSoon)
 			for _, lists := range r.victimLists {
 				lists[p.node.index] = nil
 			}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -61,6 +61,7 @@
 	number    roundNumber
 	now       time.Time
 	available []availability
+	bounds    capacityBounds
 	// speeds holds the speed class of each node, and slow whether its current rate is slow.
 	speeds []speedClass
 	slow   []bool
@@ -194,6 +195,7 @@
 		free := n.free()
 		r.available[i] = availability{free: free, freeSoon: free.Plus(n.stopping)}
 	}
+	r.bounds = newCapacityBounds(e.nodes)
 	r.speeds, r.slow = make([]speedClass, len(e.nodes)), make([]bool, len(e.nodes))
 	for i, n := range e.nodes {
 		r.speeds[i], r.slow[i] = n.classifySpeed(), e.slowNow(n, now)
@@ -242,9 +244,11 @@
 			r.placeOrReserve(g, nodes)
 			return true
 		}
-		if nodes := r.pack(g, r.freeSoon); nodes != nil {
-			r.reserveFor(g, nodes)
-			return true
+		if g.demand().Fits(r.bounds.freeSoon) {
+			if nodes := r.pack(g, r.freeSoon); nodes != nil {
+				r.reserveFor(g, nodes)
+				return true
+			}
 		}
 		return r.reclaim(g)
 	}
@@ -256,6 +260,9 @@
 	if g.suspected() {
 		return r.packIsolated(g)
 	}
+	if !g.demand().Fits(r.bounds.free) {
+		return nil
+	}
 	return r.pack(g, r.free)
 }
 
--- a/sard/pool/spread.go
+++ b/sard/pool/spread.go
@@ -20,7 +20,7 @@
 		return false
 	}
 	need := r.need(g)
-	if need.Left <= need.Typical*spreadFactor {
+	if need.Left <= need.Typical*spreadFactor || !g.demand().Fits(r.bounds.free) {
 		return false
 	}
 	candidates := r.candidates(g)
