A new holder reads the tables at once where their order doesn't matter

They are processed in the order in which they were before. The jobs are still read after the progress records, because the rows of an ended job are deleted in the opposite order and without a precondition on the lease: a job that is read first, and whose progress record a former holder deletes in between, would run again. The feed of the jobs goes on from the lowest version of their listings. A listing that fails is repeated by itself.

TestTakeoverReadsTablesAtOnce fails without the change. TestEndedJobIsNotTakenForNew passes before and after, and fails with the jobs read at the same time as the progress records (trial). Not measured: a weak instance, on which decoding the rows takes most of the time, which this does not change.

--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -54,14 +54,12 @@
 	seenEnds map[work.WorkerProcess]EndSequence
 }
 
-// loadJournal reads the version of the row at journalKey, which an earlier holder of the scheduler lease may have
+// loadJournal takes over the version of the row at journalKey, which an earlier holder of the scheduler lease may have
 // written.
-func (s *Scheduler) loadJournal(ctx context.Context) error {
-	listing, err := s.listWithRetry(ctx, store.KeyRange(journalKey))
-	for _, row := range listing.Rows {
+func (s *Scheduler) loadJournal(rows []store.Row) {
+	for _, row := range rows {
 		s.journal.version = row.Version
 	}
-	return err
 }
 
 // commit starts to write the pending changes to progress records, unless a write is in flight.
--- a/sard/sched/takeover_test.go
+++ b/sard/sched/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -209,3 +210,52 @@
 		assert.Check(t, took < 50*time.Millisecond, "%v", took)
 	})
 }
+
+// TestTakeoverReadsTablesAtOnce guards against new holders that start work late because they read one table after another.
+func TestTakeoverReadsTablesAtOnce(t *testing.T) {
+	const listTime = 50 * time.Millisecond
+	runTest(t, 2, func(r *harness) {
+		r.slowLists = listTime
+		r.submit("w1", time.Second, work.Step{Parts: 1})
+		// The lease is read first, then what is known of running work, and the jobs last.
+		took := r.timeToStart()
+		assert.Check(t, took < 4*listTime, "%v", took)
+	})
+}
+
+// pruningStore is a store in which a former holder deletes the rows of the ended job j1 as soon as they are listed among the jobs.
+// Progress records are listed slowly.
+type pruningStore struct{ store.Store }
+
+// List lists a range.
+func (s pruningStore) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	if r.Table == work.ProgressTable {
+		clock.Sleep(ctx, 100*time.Millisecond)
+	}
+	listing, err := s.Store.List(ctx, r)
+	if !slices.ContainsFunc(listing.Rows, func(row store.Row) bool { return row.Key == work.JobKey("j1") }) {
+		return listing, err
+	}
+	for _, key := range []store.Key{work.JobKey("j1"), work.ProgressKey("j1")} {
+		if _, err := s.Apply(ctx, store.Tx{Delete: []store.Key{key}}); err != nil {
+			return listing, err
+		}
+	}
+	return listing, err
+}
+
+// TestEndedJobIsNotTakenForNew guards against ended jobs that run again because a new holder reads their rows before a former one
+// deletes them, and the progress records after that.
+func TestEndedJobIsNotTakenForNew(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		kill := r.startInstance("i1")
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		r.sleep(time.Second)
+		kill()
+		r.wrapStore = func(s store.Store) store.Store { return pruningStore{s} }
+		r.startInstance("i2")
+		r.sleep(10 * time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 1)
+	})
+}
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
@@ -25,27 +27,28 @@
 	maxWorkerListAge = 2500 * time.Millisecond
 	// watchRetryPause is the pause after a failed call to list a table or read its changes.
 	watchRetryPause = 100 * time.Millisecond
+	// maxListings is how many listings a new holder reads at a time.
+	maxListings = 4
 )
 
 // load reads the progress records, the journal's version, the jobs and the worker list from the store, and starts to
-// watch jobs and workers.
+// watch jobs and workers. The jobs are read after the progress records: the rows of an ended job are deleted in the opposite order,
+// so that a job whose progress record was deleted is not taken for a new one.
 func (s *Scheduler) load(ctx context.Context) error {
 	learned := s.readLearned(ctx)
-	if err := s.loadProgress(ctx); err != nil {
+	readAt := clock.Now()
+	listings, err := s.listAll(ctx, mainRange(work.ProgressTable), store.KeyRange(journalKey), mainRange(s.config.WorkerTable))
+	if err != nil {
 		return err
 	}
-	if err := s.loadJournal(ctx); err != nil {
+	s.loadProgress(listings[0].Rows)
+	s.loadJournal(listings[1].Rows)
+	s.loadWatched(ctx, s.config.WorkerTable, listings[2], readAt)
+	readAt = clock.Now()
+	if listings, err = s.listAll(ctx, tableRanges(work.JobTable)...); err != nil {
 		return err
 	}
-	for _, table := range []string{s.config.WorkerTable, work.JobTable} {
-		readAt := clock.Now()
-		listing, err := s.listWithRetry(ctx, tableRanges(table)...)
-		if err != nil {
-			return err
-		}
-		s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: readAt})
-		s.group.Go(func() error { return s.watchTable(ctx, table, listing.Version, readAt) })
-	}
+	s.loadWatched(ctx, work.JobTable, combine(listings), readAt)
 	s.takeLearned(learned)
 	s.loadedProgress = nil
 	s.adoptPlacements()
@@ -54,15 +57,17 @@
 	return nil
 }
 
-// loadProgress reads the progress records of all jobs, which tell where their parts were placed and which jobs have
+// loadWatched processes the rows of a table that was listed at readAt, and starts to watch it.
+func (s *Scheduler) loadWatched(ctx context.Context, table string, listing store.Listing, readAt clock.Instant) {
+	s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: readAt})
+	s.group.Go(func() error { return s.watchTable(ctx, table, listing.Version, readAt) })
+}
+
+// loadProgress takes over the progress records of all jobs, which tell where their parts were placed and which jobs have
 // ended.
-func (s *Scheduler) loadProgress(ctx context.Context) error {
-	listing, err := s.listWithRetry(ctx, tableRanges(work.ProgressTable)...)
-	if err != nil {
-		return err
-	}
+func (s *Scheduler) loadProgress(rows []store.Row) {
 	now := time.Now()
-	for _, row := range listing.Rows {
+	for _, row := range rows {
 		id := ident.Job(row.Key.Name)
 		progress := &work.Progress{}
 		if err := work.Decode(row.Value, progress); err != nil {
@@ -79,13 +84,17 @@
 			s.latestStartedMs[process.Worker] = max(s.latestStartedMs[process.Worker], process.StartedMs)
 		}
 	}
-	return nil
+}
+
+// mainRange returns the range of all rows of a table in the main partition.
+func mainRange(table string) store.Range {
+	return store.Range{Table: table, Partition: work.MainPartition}
 }
 
 // tableRanges returns the ranges that cover all partitions of a table.
 func tableRanges(table string) []store.Range {
 	if table != work.JobTable {
-		return []store.Range{{Table: table, Partition: work.MainPartition}}
+		return []store.Range{mainRange(table)}
 	}
 	var ranges []store.Range
 	for _, shard := range work.Shards() {
@@ -94,10 +103,26 @@
 	return ranges
 }
 
-// listWithRetry lists the rows of ranges, and tries again until it succeeds, ctx ends or the scheduler lease is lost.
-func (s *Scheduler) listWithRetry(ctx context.Context, ranges ...store.Range) (store.Listing, error) {
+// listAll lists the rows of ranges, maxListings at a time, and tries each again until it succeeds, ctx ends or the scheduler lease
+// is lost.
+func (s *Scheduler) listAll(ctx context.Context, ranges ...store.Range) ([]store.Listing, error) {
+	listings := make([]store.Listing, len(ranges))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxListings)
+	for i, r := range ranges {
+		group.Go(func() error {
+			var err error
+			listings[i], err = s.listWithRetry(ctx, r)
+			return err
+		})
+	}
+	return listings, group.Wait()
+}
+
+// listWithRetry lists the rows of a range, and tries again until it succeeds, ctx ends or the scheduler lease is lost.
+func (s *Scheduler) listWithRetry(ctx context.Context, r store.Range) (store.Listing, error) {
 	for {
-		listing, err := s.list(ctx, ranges...)
+		listing, err := s.config.Watched.List(ctx, r)
 		if err == nil {
 			return listing, nil
 		}
@@ -110,21 +135,27 @@
 	}
 }
 
-// list lists the rows of ranges, one range after another, and combines them. The version is that of the first listing,
-// so that a feed from there misses no change.
-func (s *Scheduler) list(ctx context.Context, ranges ...store.Range) (store.Listing, error) {
-	var all store.Listing
-	for i, part := range ranges {
-		listing, err := s.config.Watched.List(ctx, part)
+// list lists the rows of all partitions of a table, one after another.
+func (s *Scheduler) list(ctx context.Context, table string) (store.Listing, error) {
+	var listings []store.Listing
+	for _, r := range tableRanges(table) {
+		listing, err := s.config.Watched.List(ctx, r)
 		if err != nil {
 			return listing, err
 		}
-		if i == 0 {
-			all.Version = listing.Version
-		}
+		listings = append(listings, listing)
+	}
+	return combine(listings), nil
+}
+
+// combine combines the listings of several ranges. The version is the lowest one, so that a feed from there misses no change.
+func combine(listings []store.Listing) store.Listing {
+	all := store.Listing{Version: listings[0].Version}
+	for _, listing := range listings {
+		all.Version = min(all.Version, listing.Version)
 		all.Rows = append(all.Rows, listing.Rows...)
 	}
-	return all, nil
+	return all
 }
 
 // watchTable posts the changes to a table to the scheduler loop until ctx ends. The table was last read at readAt. Of the
@@ -134,7 +165,7 @@
 	for ctx.Err() == nil {
 		if clock.Since(listed) > relistPeriod {
 			asked := clock.Now()
-			if listing, err := s.list(ctx, tableRanges(table)...); err == nil {
+			if listing, err := s.list(ctx, table); err == nil {
 				s.post(ctx, rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: asked})
 				after, listed, readAt = listing.Version, clock.Now(), asked
 			}
