--- a/sard/pool/room.go
+++ b/sard/pool/room.go
@@ -35,15 +35,22 @@
 // useOf returns how much of a service is in use, computed once per round. Parts that are being stopped don't count.
 func (r *round) useOf(service work.Service) serviceUse {
 	if r.use == nil {
-		r.use = map[work.Service]serviceUse{}
+		r.use = map[work.Service]*serviceUse{}
 		for _, n := range r.engine.nodes {
-			if n.Accepting {
-				use := r.use[n.Service]
-				use.total += coreEquivalents(n.Capacity)
-				use.used += coreEquivalents(n.allocated.Minus(n.stopping))
+			if !n.Accepting {
+				continue
+			}
+			use := r.use[n.Service]
+			if use == nil {
+				use = &serviceUse{}
 				r.use[n.Service] = use
 			}
+			use.total += coreEquivalents(n.Capacity)
+			use.used += coreEquivalents(n.allocated.Minus(n.stopping))
 		}
 	}
-	return r.use[service]
+	if use := r.use[service]; use != nil {
+		return *use
+	}
+	return serviceUse{}
 }
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -96,7 +96,7 @@
 	endings      []expectedEnding
 	endingsKnown bool
 	// use caches how much of each service is in use; nil if not known.
-	use map[work.Service]serviceUse
+	use map[work.Service]*serviceUse
 }
 
 // eligibilityKey holds all properties of a group that determine which nodes can run its parts.
