--- a/sard/sched/takeover_test.go
+++ b/sard/sched/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -145,3 +146,116 @@
 		})
 	}
 }
+
+// maxLastingAbsence is how long nothing of a part that lasts may run after its last run has ended, while there is room: 6 s, and
+// maxIdle from then on.
+const maxLastingAbsence = 6*time.Second + maxIdle
+
+// TestPartOnWorkerLostWithHolder guards against parts that last and stay away for the longest lease that a worker grants, and the
+// time for which a former holder renews leases, because their worker is lost at the same moment as the lease holder.
+func TestPartOnWorkerLostWithHolder(t *testing.T) {
+	tests := []struct {
+		name    string
+		holders int
+	}{
+		{"one holder", 1},
+		{"two holders in a row", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 2, func(r *harness) {
+				r.disturbed.Store(true)
+				kill := map[string]context.CancelFunc{}
+				for _, name := range []string{"i1", "i2", "i3"} {
+					kill[name] = r.startInstance(name)
+				}
+				r.submit("wj1", time.Hour, work.Step{Parts: 1, Lasting: true})
+				w := r.waitForAttempt("wj1", 1)
+				// Whatever a worker or a former holder did at the start of the part was long ago.
+				r.sleep(time.Minute)
+				r.updateFleet(func() {
+					w.Crash()
+					w.Unreachable = true
+				})
+				lostAt := time.Now()
+				for range test.holders {
+					r.killHolder(kill)
+				}
+				for r.fleet.HighestAttempt("wj1") == 1 && time.Since(lostAt) < 2*maxLastingAbsence {
+					r.sleep(10 * time.Millisecond)
+				}
+				absence := time.Since(lostAt)
+				assert.Check(t, absence < maxLastingAbsence, "nothing runs for %v", absence)
+			})
+		})
+	}
+}
+
+// timeToStart starts an instance, and returns how long it takes until it starts work.
+func (r *harness) timeToStart() time.Duration {
+	r.t.Helper()
+	started := time.Now()
+	r.startInstance("i1")
+	for r.fleet.StartCount() == 0 && time.Since(started) < time.Minute {
+		r.sleep(time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// TestNewHolderActsAtOnce guards against new holders that first wait for an event after they have read the tables.
+func TestNewHolderActsAtOnce(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		r.submit("w1", time.Second, work.Step{Parts: 1})
+		took := r.timeToStart()
+		assert.Check(t, took < 50*time.Millisecond, "%v", took)
+	})
+}
+
+// TestTakeoverReadsTablesAtOnce guards against new holders that start work late because they read one table after another.
+func TestTakeoverReadsTablesAtOnce(t *testing.T) {
+	const listTime = 50 * time.Millisecond
+	runTest(t, 2, func(r *harness) {
+		r.slowLists = listTime
+		r.submit("w1", time.Second, work.Step{Parts: 1})
+		// The lease is read first, then what is known of running work, and the jobs last.
+		took := r.timeToStart()
+		assert.Check(t, took < 4*listTime, "%v", took)
+	})
+}
+
+// pruningStore is a store in which a former holder deletes the rows of the ended job j1 as soon as they are listed among the jobs.
+// Progress records are listed slowly.
+type pruningStore struct{ store.Store }
+
+// List lists a range.
+func (s pruningStore) List(ctx context.Context, r store.Range) (store.Listing, error) {
+	if r.Table == work.ProgressTable {
+		clock.Sleep(ctx, 100*time.Millisecond)
+	}
+	listing, err := s.Store.List(ctx, r)
+	if !slices.ContainsFunc(listing.Rows, func(row store.Row) bool { return row.Key == work.JobKey("j1") }) {
+		return listing, err
+	}
+	for _, key := range []store.Key{work.JobKey("j1"), work.ProgressKey("j1")} {
+		if _, err := s.Apply(ctx, store.Tx{Delete: []store.Key{key}}); err != nil {
+			return listing, err
+		}
+	}
+	return listing, err
+}
+
+// TestEndedJobIsNotTakenForNew guards against ended jobs that run again because a new holder reads their rows before a former one
+// deletes them, and the progress records after that.
+func TestEndedJobIsNotTakenForNew(t *testing.T) {
+	runTest(t, 2, func(r *harness) {
+		kill := r.startInstance("i1")
+		r.submit("j1", time.Second, work.Step{Parts: 1})
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		r.sleep(time.Second)
+		kill()
+		r.wrapStore = func(s store.Store) store.Store { return pruningStore{s} }
+		r.startInstance("i2")
+		r.sleep(10 * time.Second)
+		assert.Equal(t, r.fleet.StartCount(), 1)
+	})
+}
