Take back the end of attempts whose worker executes neither their start nor their stop

What callers may see otherwise: a part that runs twice at the same time. Found by the review.

Cause: ended such an attempt as soon as a report under a higher epoch lacked it, and its part started elsewhere. The present process of the worker refuses the late start then, but its next process executes it before it has got any epoch: a start names no process.

--- a/sard/sched/attempts.go
+++ b/sard/sched/attempts.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
-	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -19,8 +18,6 @@
 	unrecorded bool
 	// startsSent is the number of start requests that this instance has sent since it acquired the scheduler lease.
 	startsSent int
-	// epoch is the highest epoch of these requests.
-	epoch ident.Epoch
 	// firstSentAt is when the first start request was sent.
 	firstSentAt clock.Instant
 	// processUnknown indicates that a start request may have reached a later process of the worker. Only the worker's next
@@ -44,9 +41,8 @@
 	// stopDue is when the worker should have stopped the attempt at the latest, had it got the first stop request when that
 	// was queued.
 	stopDue clock.Instant
-	// stopPending indicates that a stop request is queued or in flight, and stopUnanswered that one has failed and no start
-	// request is known to have succeeded.
-	stopPending, stopUnanswered bool
+	// stopPending indicates that a stop request is queued or in flight.
+	stopPending bool
 	// wait is what the attempt waits for.
 	wait wait[orderWait]
 }
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/sardineline/sardineline/sard/clock"
-	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -36,8 +35,8 @@
 		s.config.Logger.Warn("part vanished", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
-	case s.cannotStart(w, a, state, ev.epoch):
-		s.config.Logger.Info("part is not started any more", "part", a.Part, "attempt", a.Number, "worker", w.id(), "sent", state.startsSent)
+	case s.cannotStart(w, a, state):
+		s.config.Logger.Info("part is not started any more", "part", a.Part, "attempt", a.Number, "worker", w.id())
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Refused, "", time.Now())
 	case state.startInFlight || state.stopPending || state.unrecorded:
@@ -58,16 +57,13 @@
 }
 
 // cannotStart reports whether an attempt that is being stopped, and that a report lacks, can't be started any more though its
-// stop has no response: the worker process has got a higher epoch than that of each start request, and refuses them. This
-// instance may also have sent none.
-func (s *Scheduler) cannotStart(w *session, a work.Attempt, state *attemptState, epoch ident.Epoch) bool {
-	if s.engine.ShouldRun(a, w.id()) || state.unrecorded || state.startInFlight {
+// stop has no response: this instance has sent no start request, and the worker refuses those of earlier ones. A request
+// that was sent may still be executed by the worker's next process, whatever its deadline was.
+func (s *Scheduler) cannotStart(w *session, a work.Attempt, state *attemptState) bool {
+	if s.engine.ShouldRun(a, w.id()) || state.unrecorded || state.startInFlight || state.processReplaced {
 		return false
 	}
-	if state.startsSent == 0 {
-		return !state.processReplaced
-	}
-	return state.stopUnanswered && epoch > state.epoch
+	return state.startsSent == 0
 }
 
 // resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -72,7 +72,7 @@
 	if w.awaitsStartBeforeAck() {
 		return
 	}
-	if !s.raiseEpoch(w) && !w.fenced {
+	if !w.fenced && !s.raiseEpoch(w) {
 		return
 	}
 	s.sendRenewal(ctx, w, busy)
@@ -127,16 +127,13 @@
 	})
 }
 
-// awaitsReport reports whether no lease renewal that was sent after the confirmation of a stop, or with a higher epoch in its
-// place, has brought a report. If the attempt never ran, no end makes the worker report.
+// awaitsReport reports whether no lease renewal that was sent after the confirmation of a stop has brought a report. If the
+// attempt never ran, no end makes the worker report.
 func (w *session) awaitsReport() bool {
 	for _, state := range w.attempts {
 		if state.stopConfirmed != clock.Never && !state.stopConfirmed.Before(w.reportSentAt) {
 			return true
 		}
-		if state.stopUnanswered && w.epoch > state.epoch && w.reportEpoch <= state.epoch {
-			return true
-		}
 	}
 	return false
 }
@@ -172,7 +169,7 @@
 	w.fenced, w.lost = w.fenced || first, false
 	w.recordReply(ev.report.Reply)
 	w.lastReport, w.reportSentAt, w.failedAt, w.failureUndated = clock.Now(), ev.sentAt, clock.Never, false
-	w.reportEpoch, w.otherAnswered, w.refusedSince = ev.epoch, false, clock.Never
+	w.otherAnswered, w.refusedSince = false, clock.Never
 	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
 	if first {
 		s.countUnseenCrashes(w, ev.report.attempts())
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -182,7 +182,7 @@
 	}
 	if ev.err != nil {
 		if s.engine.MayRun(ev.attempt, w.id()) {
-			s.stopUnanswered(w, ev.attempt, state)
+			s.queueStop(w, ev.attempt, state)
 		}
 		return
 	}
@@ -190,13 +190,3 @@
 	state.stopConfirmed = clock.Now()
 	s.renewSoon(w)
 }
-
-// stopUnanswered repeats a stop request that failed. If no start request was answered either, the worker gets a higher epoch
-// with the next lease renewal. From then on, it refuses those requests as well as if it had stopped the attempt.
-func (s *Scheduler) stopUnanswered(w *session, a work.Attempt, state *attemptState) {
-	if state.startConfirmed == clock.Never {
-		state.stopUnanswered = true
-		w.formerEpoch = max(w.formerEpoch, state.epoch)
-	}
-	s.queueStop(w, a, state)
-}
--- a/sard/sched/sends.go
+++ b/sard/sched/sends.go
@@ -59,7 +59,7 @@
 		state.firstSentAt = clock.Now()
 	}
 	state.startsSent++
-	state.startInFlight, state.processUnknown, state.epoch = true, true, w.epoch
+	state.startInFlight, state.processUnknown = true, true
 	flight := s.commands.depart(w)
 	req := StartRequest{
 		Worker: start.Worker, Attempt: start.Attempt, Payload: start.Payload, Checkpoint: start.Checkpoint,
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -57,9 +57,8 @@
 	slow bool
 	// lastReport is when the worker process last sent a report.
 	lastReport clock.Instant
-	// reportSentAt is when the lease renewal was sent that brought the last report, and reportEpoch its epoch.
+	// reportSentAt is when the lease renewal was sent that brought the last report.
 	reportSentAt clock.Instant
-	reportEpoch  ident.Epoch
 	// seenEnd is the last end of an attempt that was processed, and confirmedEnd the last one whose consequences
 	// are recorded in the store.
 	seenEnd, confirmedEnd EndSequence
