--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -217,6 +217,12 @@
 	wake := time.NewTimer(tickPeriod)
 	defer wake.Stop()
 	for {
+		if err := s.step(ctx); err != nil {
+			return err
+		}
+		if d, ok := s.rounds.wakeIn(clock.Now()); ok {
+			wake.Reset(d)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -227,12 +233,6 @@
 			s.handle(ctx, ev)
 			s.handleQueued(ctx)
 		}
-		if err := s.step(ctx); err != nil {
-			return err
-		}
-		if d, ok := s.rounds.wakeIn(clock.Now()); ok {
-			wake.Reset(d)
-		}
 	}
 }
 
