TestWaitsAreCounted looks at the metric while the stop waits

The test failed since a new holder makes its first decision as soon as it has read the tables, by the time at which it looked: it read the metric at 5.5 s, but the stop waits from 4.404 to 5.100 s, before that change and after it (same log lines in both). The metric is updated each 0.5 s, at 5.1 s before, where it happened to be updated just before the wait ended, and at 5.0 and 5.5 s now. The test now reads the metric until it tells of the wait, within the same 2.5 s: it fails as before if the metric never does.

--- a/sard/sched/waits_test.go
+++ b/sard/sched/waits_test.go
@@ -255,8 +255,9 @@
 		r.submit("w1", time.Second, work.Step{Parts: 2, Gang: true})
 		r.sleep(time.Second)
 		assert.Equal(t, gaugeOf(t, registry, "sardine_sched_waiting_attempts", "startWait"), 1.0)
-		r.sleep(2500 * time.Millisecond)
-		assert.Equal(t, gaugeOf(t, registry, "sardine_sched_waiting_attempts", "stopWait"), 1.0)
+		r.waitFor(2500*time.Millisecond, func() bool {
+			return gaugeOf(t, registry, "sardine_sched_waiting_attempts", "stopWait") == 1
+		})
 		d.starts.Store(false)
 		r.submit("w2", 30*time.Second, work.Step{Parts: 1})
 		r.sleep(500 * time.Millisecond)
