TestRandomReplacements runs seed 13, which fails at times

Trace: a gang is started on four workers in a row that leave starts unanswered and are then replaced by later workers on their hosts. Each of them counts as a possible crash of all its parts, though none is known to have started. A failure of the fifth attempt, on a worker on which all fails, then gives the job up.

--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -66,8 +66,9 @@
 }
 
 // replacementRegressionSeeds are seeds of TestRandomReplacements that failed before, as parts were placed on a worker that
-// was counted as lost before it counted as silent.
-var replacementRegressionSeeds = []uint64{38, 122, 186, 200, 254, 266}
+// was counted as lost before it counted as silent, and 13, as a job was given up whose starts had no answer from workers that were
+// then replaced.
+var replacementRegressionSeeds = []uint64{13, 38, 122, 186, 200, 254, 266}
 
 // TestRandomReplacements is like TestRandomFaults, but workers also end for good, and later ones run on their hosts.
 func TestRandomReplacements(t *testing.T) {
