A store whose transactions take up to 0.65 s has a lease holder again

What callers saw: nothing is decided for as long as each transaction of the store takes 0.56 to 0.7 s. Found by the review.

Cause: with the shorter term, the time limit of renewals and acquisitions had become 0.55 s, so that none succeeded.

Change: it is 0.7 s again. A holder then may not act for about 0.1 s after a renewal without an answer, and keeps the lease.

Also by the review: a fetch of a version ends after 30 s in any case, as parts of other replies on a connection count as its own.

--- a/sard/config/exchange.go
+++ b/sard/config/exchange.go
@@ -25,6 +25,8 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// fetchTimeout is how long nothing of a record may arrive that is fetched from one peer or from the table.
 	fetchTimeout = time.Second
+	// maxFetchTime bounds a fetch of which parts arrive, or seem to.
+	maxFetchTime = 30 * time.Second
 	// fetchRetryInterval is the mean delay before a failed fetch is retried.
 	fetchRetryInterval = 200 * time.Millisecond
 )
@@ -300,9 +302,19 @@
 	return a.fetchFromTable(ctx, version)
 }
 
+// withFetchLimits returns a context for one fetch. On a connection to a peer, parts of other replies count as parts of this one.
+func withFetchLimits(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancelFetch := context.WithTimeout(ctx, maxFetchTime)
+	ctx, cancelSilent := store.WithSilenceLimit(ctx, fetchTimeout)
+	return ctx, func() {
+		cancelSilent()
+		cancelFetch()
+	}
+}
+
 // fetchFromPeer fetches a version from a peer and installs it.
 func (a *Agent) fetchFromPeer(ctx context.Context, peer ident.Instance, version ident.Version) error {
-	ctx, cancel := store.WithSilenceLimit(ctx, fetchTimeout)
+	ctx, cancel := withFetchLimits(ctx)
 	defer cancel()
 	from := "instance " + string(peer)
 	a.updateCounts(func(c *Counts) { c.Fetches++ })
@@ -319,7 +331,7 @@
 
 // fetchFromTable reads a version from the table and installs it.
 func (a *Agent) fetchFromTable(ctx context.Context, version ident.Version) error {
-	ctx, cancel := store.WithSilenceLimit(ctx, fetchTimeout)
+	ctx, cancel := withFetchLimits(ctx)
 	defer cancel()
 	rec, err := a.readRecord(ctx, version)
 	if err != nil {
--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -43,8 +43,8 @@
 	renewalsPerTerm = 5
 	// safePercent is the percentage of a term, counted from sending a renewal, during which the holder may act.
 	safePercent = 80
-	// callTimeout bounds the write of an acquisition or a renewal. The holder may act on if one renewal has no answer.
-	callTimeout = 550 * time.Millisecond
+	// callTimeout bounds the write of an acquisition or a renewal. The holder keeps the lease if one renewal has no answer.
+	callTimeout = 700 * time.Millisecond
 	// readTimeout is how long nothing of an answer to a read of the rows of the lease may arrive.
 	readTimeout = time.Second
 	// retryInterval is the delay after a failed call to the store.
