Groups in need leave alone what guaranteed gangs have reserved

What callers would see: a guaranteed gang that waits for stops loses what was freed for it to a group that has been held back for 1.5 s, and has others stopped again.

Change: at the bound of holds, groups may use what others have reserved but for groups that their account's guarantee covers.

TestReservedCapacityOfGuaranteedGangIsKept failed before.

--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -150,7 +150,7 @@
 		if nodes := r.packOpen(g, r.free); nodes != nil {
 			return nodes
 		}
-		return r.packOpen(g, (*node).free)
+		return r.packOpen(g, r.freeBesideGuaranteed)
 	}
 	quiet := r.freeIf(func(n *node) bool { return n.clearFor(g, r.now) })
 	unreserved := r.freeIf(func(*node) bool { return true })
--- a/sard/pool/reservation.go
+++ b/sard/pool/reservation.go
@@ -1,5 +1,7 @@
 package pool
 
+import "github.com/sardineline/sardineline/sard/work"
+
 // holdReservations sets the reserved capacity of groups that their account's guarantee covers aside until each of them is
 // scheduled. Otherwise, groups that arrived later but are more urgent would take it, and the gang would have to claim other
 // nodes.
@@ -102,5 +104,14 @@
 	r.reserve(g, nodes)
 	for _, n := range nodes {
 		r.reservedFor[n] = true
+		if g.job.withinGuarantee {
+			r.keptForStart[n] = r.keptForStart[n].Plus(g.demand())
+		}
 	}
 }
+
+// freeBesideGuaranteed returns the capacity of a node that is neither allocated nor reserved for a group which its account's
+// guarantee covers. Such a group has others stopped, and would have to do so again.
+func (r *round) freeBesideGuaranteed(n *node) work.Resources {
+	return n.free().Minus(r.keptForStart[n])
+}
--- a/sard/pool/reservation_test.go
+++ b/sard/pool/reservation_test.go
@@ -146,3 +146,26 @@
 	h.confirmStops()
 	assert.Equal(t, len(h.workersOf("quote")), 2)
 }
+
+// TestReservedCapacityOfGuaranteedGangIsKept guards against guaranteed gangs that have others stopped again, because groups which
+// have been held back for long take the capacity that was freed for them.
+func TestReservedCapacityOfGuaranteedGangIsKept(t *testing.T) {
+	h := newHarness(t, 8)
+	for _, n := range h.engine.nodes[:2] {
+		n.Labels = []string{"kind"}
+	}
+	h.addJob("borrows", 2, work.Step{Parts: 2, Need: largePart, Label: "kind"})
+	assert.Equal(t, len(h.workersOf("borrows")), 2)
+	h.addJob("gang", work.Guaranteed, work.Step{Parts: 2, Need: largePart, Gang: true, Label: "kind"})
+	assert.Equal(t, len(h.stops), 2)
+	h.engine.AttemptEnded(h.stops[0].Attempt, Stopped, "", h.now)
+	h.addJob("waits", 2, work.Step{Parts: 1, Need: smallPart, Label: "kind"})
+	for range 25 {
+		h.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(h.workersOf("waits")), 0)
+	h.engine.AttemptEnded(h.stops[1].Attempt, Stopped, "", h.now)
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.workersOf("gang")), 2)
+	assert.Equal(t, len(h.stops), 2)
+}
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -84,6 +84,8 @@
 	held map[*group][]*node
 	// reservedFor holds the nodes on which a group has reserved capacity that is about to be free.
 	reservedFor map[*node]bool
+	// keptForStart holds the capacity that groups which their account's guarantee covers have reserved.
+	keptForStart map[*node]work.Resources
 	// isolated holds the nodes on which only the given group may be placed, and isolating holds these groups.
 	isolated  map[*node]*group
 	isolating map[*group]bool
@@ -193,7 +195,7 @@
 	r := &round{
 		engine: e, number: e.rounds, now: now, available: make([]availability, len(e.nodes)), demands: map[demandKey]*demand{},
 		holds:       map[holdKey]*holdDemand{},
-		victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{}, reservedFor: map[*node]bool{},
+		victimLists: map[preemptorClass][]*victimList{}, held: map[*group][]*node{}, reservedFor: map[*node]bool{}, keptForStart: map[*node]work.Resources{},
 		stopCosts: map[*group]time.Duration{}, outlooks: map[*occurrence]outlook{}, isolating: map[*group]bool{}, lists: newNodeLists(),
 	}
 	for i, n := range e.nodes {
--- a/sard/pool/turns.go
+++ b/sard/pool/turns.go
@@ -279,7 +279,7 @@
 	case g.suspected() || r.holdLeft(g) > 0:
 		return r.free
 	}
-	return (*node).free
+	return r.freeBesideGuaranteed
 }
 
 // isolatesFor returns for how long a suspect on probation keeps others off its node, unless its worker does not tell of it.
