--- a/sard/sched/rounds.go
+++ b/sard/sched/rounds.go
@@ -18,8 +18,8 @@
 	longRound = tickPeriod
 )
 
-// rounds spaces the rounds of decisions, so that they leave half of the processor or more to what else the scheduler does, and
-// measures them.
+// rounds spaces the rounds of decisions, so that those of up to maxDecidePause leave half of the processor or more to what else
+// the scheduler does, and measures them.
 type rounds struct {
 	// next is when the next round may begin.
 	next clock.Instant
