A new holder goes on with the waits of jobs of which nothing runs

What callers saw: a job that headroom, a rack or quarantines hold back in a pool with room is held back for 1.5 s anew by each new lease holder; with two in a row it had nothing running for 3 s and more.

Cause: a wait's age lives in the holder's memory, and begins when its successor first looks at the group.

Change: when a holder takes in a job of which nothing runs, its groups have waited since the job was accepted, but not so long that holds end sooner than 0.5 s after the takeover, in which the workers respond. Nothing is written or read for it.

TestNewHolderGoesOnWithWaits failed before.

--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -203,6 +203,7 @@
 	if recorded != nil {
 		e.restore(j, recorded, now)
 	}
+	j.resumeWaits(now)
 	if spec.Cancelled {
 		e.endJob(j, ident.Cancelled, ReasonCancelled)
 	}
--- a/sard/pool/patience_test.go
+++ b/sard/pool/patience_test.go
@@ -213,3 +213,24 @@
 	h.placedBy(maxHeldBack - 100*time.Millisecond)
 	assert.Equal(t, len(h.workersOf("waits")), 1)
 }
+
+// TestNewHolderGoesOnWithWaits guards against jobs that are held back anew by each new lease holder, for as long as by the one before.
+func TestNewHolderGoesOnWithWaits(t *testing.T) {
+	h := newHarness(t, 4)
+	h.addJob("ran", 2, work.Step{Parts: 1, Need: largePart})
+	h.endJob("ran", Failed)
+	ran := h.engine.jobs["ran"]
+	recorded := ran.progressRecord()
+	fresh := *ran.Job
+	fresh.ID = "fresh"
+	next := newHarness(t, 4)
+	next.now = h.now.Add(3 * time.Second)
+	next.quarantine(0, 1, 2, 3)
+	next.engine.AddJob(ran.Job, &recorded, next.now, next.now.UnixMilli())
+	next.engine.AddJob(&fresh, nil, next.now, next.now.UnixMilli())
+	for range 7 {
+		next.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(next.workersOf("ran")), 1)
+	assert.Equal(t, len(next.workersOf("fresh")), 1)
+}
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -51,6 +51,8 @@
 	// again at most.
 	examinedAfter = 500 * time.Millisecond
 	examinedEvery = time.Second
+	// takeoverGrace is how long holds last at least after a new lease holder has begun.
+	takeoverGrace = 500 * time.Millisecond
 	// maxExamined limits the groups that are examined in a round.
 	maxExamined = 4
 	// maxLongWaits limits the long waits that are kept until they are taken.
@@ -165,6 +167,18 @@
 	return waited
 }
 
+// resumeWaits records that the groups of a job of which nothing runs have waited since before the engine knew of it. A former
+// lease holder was lost for a while, so that little of the limit of holds is left: takeoverGrace, in which workers respond.
+func (j *job) resumeWaits(now time.Time) {
+	since := latest(j.acceptedAt, now.Add(takeoverGrace-maxHold))
+	if !since.Before(now) || j.state.Terminal() || j.attachedParts() > 0 {
+		return
+	}
+	for _, g := range j.placeableGroups(now) {
+		g.wait = &waitState{since: since}
+	}
+}
+
 // tried records that the group was placed. Its wait ends when it is known to run, or has run.
 func (g *group) tried(now time.Time) {
 	if g.wait != nil {
