Name the files of holds by one prefix, and say what a turn is

The search for a turn has its conditions by name (waitsInNeed, waitedLonger, aboutToStart); what it decides is the same.

--- a/sard/pool/turns.go
+++ b/sard/pool/holdturns.go
@@ -7,6 +7,10 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
+// Suspects have nodes for themselves, so that many of them could keep others, and each other, waiting without end. Groups in need
+// take turns instead: these are the groups of jobs of which nothing runs, although the pool has room. The one that has waited
+// longest gets the next start on the nodes where it can start soonest.
+
 const (
 	// isolationLimit is for how long an attempt of a suspect keeps others off its node: a probation, and as long again until
 	// its worker has told of it.
@@ -152,7 +156,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(had.nodes, func(n *node) bool {
-		_, ok := t.wait(g, n)
+		_, ok := t.startsIn(g, n)
 		return !ok
 	})
 }
@@ -178,7 +182,7 @@
 	var open []*node
 	var slots []time.Duration
 	for _, n := range r.ableNodes(g) {
-		if wait, ok := t.wait(g, n); ok {
+		if wait, ok := t.startsIn(g, n); ok {
 			slot := wait / turnSlot
 			waits[n], open, slots = slot, append(open, n), append(slots, slot)
 		}
@@ -205,8 +209,9 @@
 	return turn{}
 }
 
-// wait returns how soon a group may start on a node if it has the next turn there. It returns false if it may not have it.
-func (t *turns) wait(g *group, n *node) (time.Duration, bool) {
+// startsIn returns how soon a group may start on a node if it has the next turn there. It returns false if it may not have it. A
+// node that another group in need waits for counts as turnLoss later, and is open only to a group that has waited for longer.
+func (t *turns) startsIn(g *group, n *node) (time.Duration, bool) {
 	r := t.round
 	if !n.Accepting || !n.eligibleFor(g) || n.conflictsWith(g.spec()) || t.next[n] != nil && t.next[n] != g {
 		return 0, false
@@ -233,11 +238,17 @@
 		return wait, true
 	case owner.phase != waiting:
 		return max(wait, owner.isolatesFor(r.now)), true
-	case !slices.Contains(t.inNeed, owner):
+	case !t.waitsInNeed(owner):
 		return wait, true
 	}
-	lead := owner.wait.untried().Sub(g.wait.untried())
-	return wait + turnLoss, lead > 0 && (!owner.suspected() || n.clearIn(owner, r.now) >= turnLoss/2)
+	waitedLonger := g.wait.untried().Before(owner.wait.untried())
+	aboutToStart := owner.suspected() && n.clearIn(owner, r.now) < turnLoss/2
+	return wait + turnLoss, waitedLonger && !aboutToStart
+}
+
+// waitsInNeed reports whether a group, which may be nil, waits and is in need.
+func (t *turns) waitsInNeed(g *group) bool {
+	return g != nil && g.phase == waiting && slices.Contains(t.inNeed, g)
 }
 
 // start places a group with a turn if it can start now on all of the nodes.
@@ -247,8 +258,9 @@
 		return false
 	}
 	for _, n := range next.nodes {
-		wait, ok := t.wait(g, n)
-		if owner := r.isolated[n]; owner != nil && owner != g && owner.phase == waiting && slices.Contains(t.inNeed, owner) {
+		wait, ok := t.startsIn(g, n)
+		if owner := r.isolated[n]; owner != g && t.waitsInNeed(owner) {
+			// What the other group loses counts in the choice of nodes only.
 			wait -= turnLoss
 		}
 		if !ok || wait > 0 {
