--- a/sard/pool/patience.go
+++ b/sard/pool/patience.go
@@ -10,7 +10,7 @@
 	// maxHold is how long headroom, the choice of a rack and quarantines hold a group back in a pool with room.
 	maxHold = 1500 * time.Millisecond
 	// refusedPause is how long they do so again after a worker refused the group.
-	refusedPause = 500 * time.Millisecond
+	refusedPause = 250 * time.Millisecond
 	// maxHoldSearches limits the groups for which a round searches for nodes when holds end.
 	maxHoldSearches = 128
 	// refusalMemory is for how long after a refusal other workers are tried first.
@@ -147,9 +147,12 @@
 // nodes on which something is on probation only if there are no others, and none on which others reserved capacity.
 func (r *round) packHeldBack(g *group) []*node {
 	if !g.suspected() {
-		return r.packOpen(g, r.free)
+		if nodes := r.packOpen(g, r.free); nodes != nil {
+			return nodes
+		}
+		return r.packOpen(g, r.freeBesideGuaranteed)
 	}
-	quiet := r.freeIf(func(n *node) bool { return n.quiet(r.now) })
+	quiet := r.freeIf(func(n *node) bool { return n.clearFor(g, r.now) })
 	unreserved := r.freeIf(func(*node) bool { return true })
 	for _, available := range []capacityFunc{quiet, unreserved} {
 		if nodes := r.packOpen(g, available); nodes != nil {
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -51,6 +51,8 @@
 	// again at most.
 	examinedAfter = 500 * time.Millisecond
 	examinedEvery = time.Second
+	// takeoverGrace is how long holds last at least after a new lease holder has begun.
+	takeoverGrace = 500 * time.Millisecond
 	// maxExamined limits the groups that are examined in a round.
 	maxExamined = 4
 	// maxLongWaits limits the long waits that are kept until they are taken.
@@ -67,6 +69,8 @@
 	triedAt time.Time
 	// probationAt is the last round in which the group, a suspect, waited for nothing but probations on its nodes.
 	probationAt time.Time
+	// turnSoughtAt is when a turn was last sought for the group in vain.
+	turnSoughtAt time.Time
 	// holdsEnded is set once the group may use quarantined workers.
 	holdsEnded bool
 	// holdTurn is the turn of Engine.holdTurn in which the group was last examined by endHolds.
@@ -144,6 +148,11 @@
 	return now.Sub(g.wait.since)
 }
 
+// untried returns since when the group has waited without being placed.
+func (w *waitState) untried() time.Time {
+	return latest(w.since, w.triedAt)
+}
+
 // beginWaits records which groups have their turn from now on, and returns those that have waited for examinedAfter.
 func beginWaits(queue []*group, now time.Time) []*group {
 	var waited []*group
@@ -158,6 +167,18 @@
 	return waited
 }
 
+// resumeWaits records that the groups of a job of which nothing runs have waited since before the engine knew of it. A former
+// lease holder was lost for a while, so that little of the limit of holds is left: takeoverGrace, in which workers respond.
+func (j *job) resumeWaits(now time.Time) {
+	since := latest(j.acceptedAt, now.Add(takeoverGrace-maxHold))
+	if !since.Before(now) || j.state.Terminal() || j.attachedParts() > 0 {
+		return
+	}
+	for _, g := range j.placeableGroups(now) {
+		g.wait = &waitState{since: since}
+	}
+}
+
 // tried records that the group was placed. Its wait ends when it is known to run, or has run.
 func (g *group) tried(now time.Time) {
 	if g.wait != nil {
