--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -16,7 +16,8 @@
 //
 // A part may crash each worker that starts it. An attempt is on probation for some time after its start, and a crash of
 // its worker in that time makes its group a suspect. Suspects are started in isolation: while one is on probation, nothing
-// else is on its node. A group whose attempts coincide with crashes again and again is given up.
+// else is on its node. A group whose attempts coincide with crashes again and again is given up. A group is in need while nothing
+// of its job runs although the pool has room; groups in need take turns on the nodes that suspects would have for themselves.
 package pool
 
 import (
