--- a/sard/peer/unanswered_test.go
+++ b/sard/peer/unanswered_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/sardineline/sardineline/sard/peer"
@@ -19,12 +20,14 @@
 	_, err := client.Call(t.Context(), addr, peer.Get{Job: "warm"})
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
-	go func() {
+	var group errgroup.Group
+	group.Go(func() error {
 		ctx, cancel := store.WithSilenceLimit(t.Context(), 300*time.Millisecond)
 		defer cancel()
 		_, err := client.Call(ctx, addr, peer.Get{Job: "slow"})
 		ended <- err
-	}()
+		return nil
+	})
 	for range 30 {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		_, err := client.Call(ctx, addr, peer.Get{Job: "other"})
