--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -113,6 +113,12 @@
 	if e.address == "" {
 		e.address = freeAddress()
 	}
+	e.mu.Lock()
+	former := e.server
+	e.mu.Unlock()
+	if former != nil {
+		_ = former.Close()
+	}
 	listener, err := net.Listen("tcp", e.address)
 	must(err)
 	e.mu.Lock()
@@ -135,15 +141,29 @@
 	e.mu.Lock()
 	server := e.server
 	e.up = false
+	e.dropRunningLocked()
+	e.mu.Unlock()
+	_ = server.Close()
+	note(e.id, "crashed")
+}
+
+// GoSilent ends the lifetime as Crash does, but leaves the channels open, on which nothing comes any more.
+func (e *Executor) GoSilent() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.up = false
+	e.dropRunningLocked()
+	note(e.id, "crashed and is silent")
+}
+
+// dropRunningLocked ends all that runs, without listing it. The caller must hold mu.
+func (e *Executor) dropRunningLocked() {
 	now := time.Now()
 	for task, u := range e.running {
 		u.timer.Stop()
 		e.history.Ends = append(e.history.Ends, endRecord{Task: task, Run: u.run, How: "gone with the executor", At: now})
 	}
 	e.running = map[string]*unit{}
-	e.mu.Unlock()
-	_ = server.Close()
-	note(e.id, "crashed")
 }
 
 // live writes the executor's entry and ends what runs when the lease has expired, as long as this lifetime lasts.
@@ -237,6 +257,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.mu.Lock()
+	silent := !e.up
+	e.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case "/-/run-start":
 		e.serveStart(w, q)
@@ -341,6 +368,12 @@
 		}
 		e.mu.Lock()
 	}
+	if !e.up {
+		e.mu.Unlock()
+		<-r.Context().Done()
+		e.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	running, ended := [][]any{}, [][]any{}
 	now := time.Now()
 	for task, u := range e.running {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -54,6 +54,8 @@
 	sync.Mutex
 	file    io.Writer
 	started time.Time
+	// written holds the lines that are written once.
+	written map[string]bool
 }
 
 // note writes a line to the record.
@@ -63,6 +65,17 @@
 	_, _ = fmt.Fprintf(record.file, "%8.3f %-10s %s\n", time.Since(record.started).Seconds(), who, fmt.Sprintf(format, args...))
 }
 
+// noteOnce writes a line to the record unless it was written before.
+func noteOnce(who, line string) {
+	record.Lock()
+	written := record.written[line]
+	record.written[line] = true
+	record.Unlock()
+	if !written {
+		note(who, "%s", line)
+	}
+}
+
 // must ends the case as one that could not run if there is an error.
 func must(err error) {
 	if err != nil {
@@ -82,7 +95,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, "no such case or record:", err)
 		return 2
 	}
-	record.file, record.started = file, time.Now()
+	record.file, record.started, record.written = file, time.Now(), map[string]bool{}
 	r := &rig{trouble: os.Getenv("TROUBLE") != "0"}
 	r.dir, err = os.MkdirTemp("", "review")
 	must(err)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
@@ -48,8 +49,6 @@
 
 // writeFate says what happens to a write.
 type writeFate struct {
-	// busy refuses the write with 503; nothing is done.
-	busy bool
 	// late executes the write after this time, if its conditions still hold, and never answers it.
 	late time.Duration
 }
@@ -62,11 +61,10 @@
 	history []row
 	changed chan struct{}
 	started time.Time
-	// fate decides what happens to a write, and busy refuses all calls; both nil without disruption.
-	fate func(transaction) writeFate
+	// fate decides what happens to a write, whose conditions hold at the moment or not, and busy refuses all calls; both are
+	// nil without disruption.
+	fate func(tx transaction, holds bool) writeFate
 	busy func() bool
-	// writes and lost count the writes and those that are not answered.
-	writes, lost int
 }
 
 // NewStore returns an empty store.
@@ -147,17 +145,7 @@
 	}
 	var fate writeFate
 	if s.fate != nil {
-		fate = s.fate(tx)
-	}
-	s.mu.Lock()
-	s.writes++
-	if fate.late > 0 {
-		s.lost++
-	}
-	s.mu.Unlock()
-	if fate.busy {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		fate = s.fate(tx, s.holds(tx))
 	}
 	if fate.late > 0 {
 		time.AfterFunc(fate.late, func() {
@@ -177,6 +165,18 @@
 	s.answer(w, status, map[string]any{"ver": version, "rows": notNil(current)})
 }
 
+// holds reports whether the conditions of a transaction hold.
+func (s *Store) holds(tx transaction) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range tx.Expected {
+		if s.rows[e.rowKey].Ver != e.Ver {
+			return false
+		}
+	}
+	return true
+}
+
 // valid reports whether the transaction keeps the store's limits.
 func (tx transaction) valid() bool {
 	if len(tx.Expected)+len(tx.SetKeys)+len(tx.Remove) > maxEntries {
@@ -189,6 +189,7 @@
 	for _, p := range tx.SetKeys {
 		parts[p.Part] = true
 		if len(p.Value) > maxRowBytes {
+			noteOnce("store", fmt.Sprintf("refuses (400) the row %s/%s of %d bytes, the limit is %d", p.Table, p.Key, len(p.Value), maxRowBytes))
 			return false
 		}
 	}
