--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -66,19 +66,21 @@
 	labels []string
 	// unhealthy makes the executor refuse starts with 503; it does nothing for them then.
 	unhealthy bool
-	up        bool
-	server    *http.Server
-	born      time.Time
-	seq       int
-	lastBeat  time.Time
-	fence     uint64
-	deadline  int64
-	running   map[string]*unit
-	highest   map[string]int
-	ended     []end
-	nextEnd   int
-	woken     chan struct{}
-	history   History
+	// lateness makes the executor leave starts unanswered and execute them that much later, in whatever lifetime there is then.
+	lateness time.Duration
+	up       bool
+	server   *http.Server
+	born     time.Time
+	seq      int
+	lastBeat time.Time
+	fence    uint64
+	deadline int64
+	running  map[string]*unit
+	highest  map[string]int
+	ended    []end
+	nextEnd  int
+	woken    chan struct{}
+	history  History
 }
 
 // History is what an executor has run in all its lifetimes.
@@ -268,6 +270,10 @@
 	}
 	switch r.URL.Path {
 	case "/-/run-start":
+		if e.takesLate(q) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		e.serveStart(w, q)
 	case "/-/run-stop":
 		e.serveStop(w, q)
@@ -337,6 +343,56 @@
 	reply(w, status, map[string]any{"clock_ms": clock, "reason": reason})
 }
 
+// takesLate executes a start later, without an answer, if the executor is in that state.
+func (e *Executor) takesLate(q request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lateness == 0 {
+		return false
+	}
+	note(e.id, "leaves the start of %s run %d unanswered, executes it %v later", q.Task, q.Run, e.lateness)
+	time.AfterFunc(e.lateness, func() {
+		if e.mu.Lock(); !e.up {
+			e.mu.Unlock()
+			return
+		}
+		e.mu.Unlock()
+		answer := unreadResponse{}
+		e.serveStart(&answer, q)
+		note(e.id, "executes the late start of %s run %d: %d %s", q.Task, q.Run, answer.status, answer.body)
+	})
+	return true
+}
+
+// unreadResponse is a response that nobody reads.
+type unreadResponse struct {
+	status int
+	body   string
+}
+
+// Header returns an empty header.
+func (h *unreadResponse) Header() http.Header { return http.Header{} }
+
+// WriteHeader keeps the status.
+func (h *unreadResponse) WriteHeader(status int) { h.status = status }
+
+// Write keeps the body.
+func (h *unreadResponse) Write(p []byte) (int, error) {
+	h.body += strings.TrimSpace(string(p))
+	return len(p), nil
+}
+
+// Fail ends all that runs as failed.
+func (e *Executor) Fail() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for task, u := range e.running {
+		u.timer.Stop()
+		note(e.id, "%s run %d fails", task, u.run)
+		e.endLocked(task, u.run, "failed")
+	}
+}
+
 // serveStop serves a stop.
 func (e *Executor) serveStop(w http.ResponseWriter, q request) {
 	e.mu.Lock()
