--- a/review/rig/case_late.go
+++ b/review/rig/case_late.go
@@ -8,10 +8,21 @@
 
 func init() { cases["late"] = playLate }
 
-// lateWindow is how long before the late start the next lifetime begins.
-const lateWindow = 30 * time.Millisecond
+// Figures of the case "late".
+const (
+	lateID = "00000000000000b1"
+	// lateOthers is how many orders are carried out at once.
+	lateOthers = 96
+	// lateness is how long after they were sent orders are carried out that got no answer, 2 to 12 s.
+	lateness = 6 * time.Second
+	// lateDown is how long the executor is down, and lateUp how long before the first late order it is back.
+	lateDown, lateUp = 500 * time.Millisecond, 400 * time.Millisecond
+	// lateFirstBeat is how long after its start a lifetime writes its first entry, at most heartbeat_ms.
+	lateFirstBeat = time.Second
+)
 
-// playLate lets a repeated start be executed late, by the next lifetime of its executor, after its run has failed.
+// playLate lets an executor leave the starts of one work unit unanswered and carry them out late, in its next lifetime, as it
+// crashes in between.
 func playLate(r *rig) bool {
 	r.startStore()
 	for range 8 {
@@ -19,37 +30,53 @@
 	}
 	r.startInstances(3)
 	time.Sleep(2 * time.Second)
-	for _, e := range r.executors {
-		e.mu.Lock()
-		e.lateness = 2 * time.Second
-		e.mu.Unlock()
+	r.accepted("/fit/00000000000000b0", job("run=1000", map[string]any{"count": lateOthers, "cpu": 8000, "mem_mb": 1000, "estimated_ms": 1000}))
+	waitFor("the other job has ended", 20*time.Second, func() bool { return r.endedUnits() == lateOthers })
+	if r.trouble {
+		for _, e := range r.executors {
+			e.SetLateness(lateness)
+		}
 	}
-	r.accepted("/recal/00000000000000b1", job("run=10000", map[string]any{"count": 1, "cpu": 52000, "mem_mb": 110000, "gpu": 8, "estimated_ms": 10000}))
-	begun := time.Now()
-	waitFor("the late start is executed", 10*time.Second, func() bool { return r.runningUnits() == 1 })
-	var first *Executor
+	r.accepted("/recal/"+lateID, job("run=12000", map[string]any{"count": 1, "cpu": 52000, "mem_mb": 110000, "gpu": 8, "estimated_ms": 12000}))
+	if !r.trouble {
+		time.Sleep(20 * time.Second)
+		return r.ranAtOnce()
+	}
+	var deaf *Executor
+	waitFor("a start is unanswered", 5*time.Second, func() bool {
+		for _, e := range r.executors {
+			if e.lateCount() > 0 {
+				deaf = e
+			}
+		}
+		return deaf != nil
+	})
+	sent := time.Now()
 	for _, e := range r.executors {
-		if e.Running() == 1 {
-			first = e
+		if e != deaf {
+			e.SetLateness(0)
 		}
-		e.mu.Lock()
-		e.lateness = 0
-		e.mu.Unlock()
-	}
-	note("rig", "run 1 runs on %s, %.2f s after the confirmation", first.id, time.Since(begun).Seconds())
-	time.Sleep(100 * time.Millisecond)
-	first.Fail()
-	if r.trouble {
-		time.Sleep(150 * time.Millisecond)
-		first.Crash()
-		// The next late start is executed 2.6 s after the job came.
-		time.Sleep(time.Until(begun.Add(2600*time.Millisecond - lateWindow)))
-		first.Up()
 	}
+	time.Sleep(time.Until(sent.Add(lateness - lateUp - lateDown)))
+	deaf.SetLateness(0)
+	deaf.firstBeatDelay = lateFirstBeat
+	deaf.GoSilent()
+	time.Sleep(lateDown)
+	deaf.Up()
 	time.Sleep(20 * time.Second)
+	note("rig", "orders that were carried out late: %d, of %d", deaf.lateCount(), lateOthers+deaf.lateCount()+1)
 	return r.ranAtOnce()
 }
 
+// endedUnits returns how many work units have ended.
+func (r *rig) endedUnits() int {
+	count := 0
+	for _, e := range r.executors {
+		count += len(e.History().Ends)
+	}
+	return count
+}
+
 // ranAtOnce reports whether two runs of a work unit were at work at the same time, each in a lifetime that had not ended.
 func (r *rig) ranAtOnce() bool {
 	type span struct {
--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -49,6 +49,9 @@
 	at   time.Time
 }
 
+// lifeKey is the key of the start time of the lifetime to which a channel was opened, in the context of a request.
+type lifeKey struct{}
+
 // Executor is a stand-in of an executor. One value lives through several lifetimes under the same id.
 type Executor struct {
 	id, service string
@@ -68,8 +71,11 @@
 	unhealthy bool
 	// lateness makes the executor leave starts unanswered and execute them that much later, in whatever lifetime there is then.
 	lateness time.Duration
+	// late counts these starts.
+	late     int
 	up       bool
 	server   *http.Server
+	listener net.Listener
 	born     time.Time
 	seq      int
 	lastBeat time.Time
@@ -118,9 +124,10 @@
 		e.address = freeAddress()
 	}
 	e.mu.Lock()
-	former := e.server
+	former := e.listener
 	e.mu.Unlock()
 	if former != nil {
+		// Channels to a lifetime that has gone silent stay as they are.
 		_ = former.Close()
 	}
 	listener, err := net.Listen("tcp", e.address)
@@ -131,8 +138,9 @@
 	e.woken = make(chan struct{})
 	life := e.born
 	ctx, cancel := context.WithCancel(context.Background())
-	e.server = &http.Server{Handler: e, BaseContext: func(net.Listener) context.Context { return ctx }}
+	e.server = &http.Server{Handler: e, BaseContext: func(net.Listener) context.Context { return context.WithValue(ctx, lifeKey{}, life) }}
 	server := e.server
+	e.listener = listener
 	server.RegisterOnShutdown(cancel)
 	e.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
@@ -262,7 +270,7 @@
 		return
 	}
 	e.mu.Lock()
-	silent := !e.up
+	silent := !e.up || r.Context().Value(lifeKey{}) != e.born
 	e.mu.Unlock()
 	if silent {
 		<-r.Context().Done()
@@ -350,6 +358,7 @@
 	if e.lateness == 0 {
 		return false
 	}
+	e.late++
 	note(e.id, "leaves the start of %s run %d unanswered, executes it %v later", q.Task, q.Run, e.lateness)
 	time.AfterFunc(e.lateness, func() {
 		if e.mu.Lock(); !e.up {
@@ -364,6 +373,20 @@
 	return true
 }
 
+// SetLateness makes the executor leave starts unanswered and execute them that much later; 0 makes it answer them.
+func (e *Executor) SetLateness(lateness time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lateness = lateness
+}
+
+// lateCount returns how many starts were left unanswered.
+func (e *Executor) lateCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.late
+}
+
 // unreadResponse is a response that nobody reads.
 type unreadResponse struct {
 	status int
@@ -382,17 +405,6 @@
 	return len(p), nil
 }
 
-// Fail ends all that runs as failed.
-func (e *Executor) Fail() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for task, u := range e.running {
-		u.timer.Stop()
-		note(e.id, "%s run %d fails", task, u.run)
-		e.endLocked(task, u.run, "failed")
-	}
-}
-
 // serveStop serves a stop.
 func (e *Executor) serveStop(w http.ResponseWriter, q request) {
 	e.mu.Lock()
@@ -432,7 +444,7 @@
 		}
 		e.mu.Lock()
 	}
-	if !e.up {
+	if !e.up || r.Context().Value(lifeKey{}) != e.born {
 		e.mu.Unlock()
 		<-r.Context().Done()
 		e.mu.Lock()
