--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -60,6 +60,8 @@
 	capacity    capacity
 	// holdMax is hold_max_ms.
 	holdMax time.Duration
+	// beforeStart is called when a start arrives, before anything is done for it; nil for nothing.
+	beforeStart func()
 	// onStart is called after a work unit has started; nil for nothing.
 	onStart func(task string, run int)
 	// firstBeatDelay is how long after its start a lifetime writes its first entry.
@@ -247,6 +249,13 @@
 	}
 }
 
+// serving reports whether the lifetime to which a request was sent is up.
+func (e *Executor) serving(r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.up && r.Context().Value(lifeKey{}) == e.born
+}
+
 // request is the body of all calls.
 type request struct {
 	Task     string `json:"task"`
@@ -269,16 +278,19 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
-	silent := !e.up || r.Context().Value(lifeKey{}) != e.born
-	e.mu.Unlock()
-	if silent {
+	if !e.serving(r) {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	switch r.URL.Path {
 	case "/-/run-start":
-		if e.takesLate(q) {
+		e.mu.Lock()
+		beforeStart := e.beforeStart
+		e.mu.Unlock()
+		if beforeStart != nil {
+			beforeStart()
+		}
+		if !e.serving(r) || e.takesLate(q) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
