--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -14,10 +14,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -112,6 +114,8 @@
 		}
 	}()
 	note("rig", "case %s, with the disruption: %v", os.Args[1], r.trouble)
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM)
 	result := make(chan int, 1)
 	go func() {
 		defer func() {
@@ -133,6 +137,9 @@
 	case <-time.After(caseTimeout):
 		note("rig", "the case took too long")
 		code = 2
+	case <-told:
+		note("rig", "the case was ended from outside")
+		code = 2
 	}
 	return code
 }
