A second refusal of a job holds for writes that replace the first one

Cause: a submission that finds a refusal under its ID replaces it on condition of the refusal's version. Refuse wrote on condition that the row does not exist, took the failure over an existing refusal for its success, and left that row's version as it was. The late write waited on just that version. In the same way, a submission that was still under way replaced a refusal that another instance had stored, and answered, after it came in.

A submission replaces at most one refusal, the one of its first answer; another one was stored after it came in, and holds.

--- /dev/null
+++ b/sard/entry/creation.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/store"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// creation is one submission's attempt to store a job. Its writes may take effect late, so it replaces at most one refusal:
+// another one was stored after the submission came in, and must hold.
+type creation struct {
+	jobs *Jobs
+	job  *work.Job
+	// replaces is the version of the refusal that the job replaces, or 0 if the ID has no row.
+	replaces store.Version
+	// unanswered is set once a write had an unknown outcome.
+	unanswered bool
+}
+
+// write stores the job if its ID has no row, or one with a refusal. When repeated after an unknown outcome, it finds out
+// whether an earlier write took effect.
+func (c *creation) write(ctx context.Context) error {
+	result, err := c.put(ctx)
+	if !fault.Is(err, fault.Conflict) {
+		return err
+	}
+	accepted, refusal, err := findExisting(result.Current, c.job)
+	if accepted || err != nil {
+		return err
+	}
+	if refusal != 0 && (c.replaces != 0 || c.unanswered) {
+		return fault.New(fault.Unavailable, "submit", "store", "the id %s was refused meanwhile", c.job.ID)
+	}
+	c.replaces = refusal
+	_, err = c.put(ctx)
+	if fault.Is(err, fault.Conflict) {
+		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
+	}
+	return err
+}
+
+// put writes the job's rows on condition of the version that is to be replaced.
+func (c *creation) put(ctx context.Context) (store.Result, error) {
+	key := work.JobKey(c.job.ID)
+	value, err := work.Encode(work.JobRow{Job: c.job})
+	if err != nil {
+		return store.Result{}, err
+	}
+	result, err := c.jobs.apply(ctx, store.Tx{
+		Preconditions: []store.Precondition{{Key: key, Version: c.replaces}},
+		Put:           []store.Put{{Key: key, Value: value}, {Key: work.WaitKey(c.job.Queue, c.job.ID)}},
+	})
+	c.unanswered = c.unanswered || fault.Is(err, fault.OutcomeUnknown)
+	return result, err
+}
+
+// findExisting reports whether the rows of an ID already contain the job. If they contain a refusal, it returns the
+// version of that row. It fails if the ID belongs to another account's job.
+func findExisting(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
+	for _, row := range rows {
+		var decoded work.JobRow
+		if err := work.Decode(row.Value, &decoded); err != nil {
+			return false, 0, err
+		}
+		if decoded.Refused || decoded.Job == nil {
+			refusal = row.Version
+			continue
+		}
+		if decoded.Job.Account != job.Account {
+			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is taken", job.ID)
+		}
+		accepted = true
+	}
+	return accepted, refusal, nil
+}
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -11,7 +11,6 @@
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
-	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -71,9 +70,10 @@
 	submitCtx, cancel := limitTime(ctx, submitPercent)
 	defer cancel()
 	attempts := 0
+	c := creation{jobs: j, job: job}
 	err = j.retryUntilKnown(submitCtx, work.ShardOf(job.ID), func(ctx context.Context) error {
 		attempts++
-		return j.create(ctx, job)
+		return c.write(ctx)
 	})
 	if hadNoEffect(err) && attempts == 1 {
 		return true, err
@@ -117,93 +117,3 @@
 func hadNoEffect(err error) bool {
 	return fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Throttled)
 }
-
-// create writes the job's rows if no job has its ID. When repeated after an unknown outcome, it finds out whether the
-// earlier call took effect.
-func (j *Jobs) create(ctx context.Context, job *work.Job) error {
-	value, err := work.Encode(work.JobRow{Job: job})
-	if err != nil {
-		return err
-	}
-	tx := store.Tx{
-		Preconditions: []store.Precondition{{Key: work.JobKey(job.ID)}},
-		Put:           []store.Put{{Key: work.JobKey(job.ID), Value: value}, {Key: work.WaitKey(job.Queue, job.ID)}},
-	}
-	result, err := j.apply(ctx, tx)
-	if !fault.Is(err, fault.Conflict) {
-		return err
-	}
-	accepted, refusal, err := j.findExisting(result.Current, job)
-	if accepted || err != nil {
-		return err
-	}
-	tx.Preconditions[0].Version = refusal
-	_, err = j.apply(ctx, tx)
-	if fault.Is(err, fault.Conflict) {
-		return fault.Wrap(err, fault.OutcomeUnknown, "submit", "store")
-	}
-	return err
-}
-
-// findExisting reports whether the rows of an ID already contain the job. If they contain a refusal, it returns the
-// version of that row. It fails if the ID belongs to another account's job.
-func (j *Jobs) findExisting(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
-	for _, row := range rows {
-		account, refused, err := j.rowOwner(row)
-		if err != nil {
-			return false, 0, err
-		}
-		if refused {
-			refusal = row.Version
-			continue
-		}
-		if account != job.Account {
-			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is taken", job.ID)
-		}
-		accepted = true
-	}
-	return accepted, refusal, nil
-}
-
-// rowOwner returns the account of the job in a row, or refused if the row has no job.
-func (j *Jobs) rowOwner(row store.Row) (account ident.Account, refused bool, err error) {
-	var decoded work.JobRow
-	if err := work.Decode(row.Value, &decoded); err != nil {
-		return "", false, err
-	}
-	if decoded.Refused || decoded.Job == nil {
-		return "", true, nil
-	}
-	return decoded.Job.Account, false, nil
-}
-
-// Refuse stores a refusal of a job, so that no earlier submission with its ID takes effect any more, at whatever instance it
-// was made. It returns false if the job has been accepted already. A later submission may still use the ID.
-func (j *Jobs) Refuse(ctx context.Context, job *work.Job) (refused bool, err error) {
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-replyTime))
-		defer cancel()
-	}
-	value, err := work.Encode(work.JobRow{Refused: true})
-	if err != nil {
-		return false, err
-	}
-	tx := store.Tx{
-		Preconditions: []store.Precondition{{Key: work.JobKey(job.ID)}},
-		Put:           []store.Put{{Key: work.JobKey(job.ID), Value: value}},
-	}
-	var result store.Result
-	err = j.retryUntilKnown(ctx, work.ShardOf(job.ID), func(ctx context.Context) error {
-		result, err = j.apply(ctx, tx)
-		return err
-	})
-	if err == nil {
-		return true, nil
-	}
-	if !fault.Is(err, fault.Conflict) {
-		return false, fault.Wrap(err, fault.OutcomeUnknown, "settle submission", "store")
-	}
-	accepted, _, err := j.findExisting(result.Current, job)
-	return err == nil && !accepted, err
-}
