A cancellation answered with 410 holds for submissions whose writes land late

Cause: Cancel left nothing under the ID of a job that it did not find, so a write of the submission that was still on its way took effect.

Fix: Cancel stores a withdrawal, a refusal that holds for the account's later submissions too, before it answers that there is no such job. Without the store's answer the cancelling is answered as of unknown outcome.

Other places of the cause, by reading: the job row of an ended job stays for the retention, so a late write of its submission finds it; refusals are deleted on condition of their version; marks of cancellation are written on condition of the version read, and wait rows are written with the job only. GET stores nothing: 410 there tells of the moment. Two answers of 503 are given without a row, when the store refuses the call or is known to be away; what another instance has sent before may still land, and that one's caller was told 504.

--- a/sard/entry/creation.go
+++ b/sard/entry/creation.go
@@ -57,13 +57,16 @@
 }
 
 // findExisting reports whether the rows of an ID already contain the job. If they contain a refusal, it returns the
-// version of that row. It fails if the ID belongs to another account's job.
+// version of that row. It fails if the ID belongs to another account's job, or if the account has withdrawn the job.
 func findExisting(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
 	for _, row := range rows {
 		var decoded work.JobRow
 		if err := work.Decode(row.Value, &decoded); err != nil {
 			return false, 0, err
 		}
+		if decoded.WithdrawnBy(job.Account) {
+			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s was cancelled", job.ID)
+		}
 		if decoded.Refused || decoded.Job == nil {
 			refusal = row.Version
 			continue
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -2,7 +2,7 @@
 // only rows of the store.
 //
 // A refusal is a row that is stored under the ID of a job in place of the job. It prevents an earlier submission, whose
-// outcome is unknown, from taking effect later.
+// outcome is unknown, from taking effect later. A withdrawal is a refusal that holds for later submissions too.
 package entry
 
 import (
--- a/sard/entry/refusal.go
+++ b/sard/entry/refusal.go
@@ -29,7 +29,7 @@
 	return true, nil
 }
 
-// refusal is the attempt to store a refusal in place of a job.
+// refusal is the attempt to store a refusal or a withdrawal in place of a job.
 //
 // A submission that replaces a refusal does so on condition of its version, and its write may take effect late. So a refusal
 // that is found is written again: its new version prevents that.
@@ -58,7 +58,7 @@
 		if found.Job != nil && !found.Refused {
 			return fault.New(fault.Conflict, "refuse", "store", "the id %s has a job", r.id)
 		}
-		if r.isSettledBy(version) {
+		if r.isSettledBy(found, version) {
 			return nil
 		}
 		r.replaces = version
@@ -67,13 +67,20 @@
 
 // isSettledBy reports whether a refusal that was found serves as well as that of r. It does if it was written after another
 // one that was found before.
-func (r *refusal) isSettledBy(version store.Version) bool {
+func (r *refusal) isSettledBy(found work.JobRow, version store.Version) bool {
+	if r.row.Withdrawn {
+		return found.WithdrawnBy(r.row.Account)
+	}
 	return r.replaces != 0 && version > r.replaces
 }
 
-// put writes the row on condition of the version that is to be replaced.
+// put writes the row on condition of the version that is to be replaced. A withdrawal is not replaced by a plain refusal.
 func (r *refusal) put(ctx context.Context) error {
-	value, err := work.Encode(r.row)
+	row := r.row
+	if found, _, err := decodeRow(r.current); err == nil && found.Withdrawn && !row.Withdrawn {
+		row = found
+	}
+	value, err := work.Encode(row)
 	if err != nil {
 		return err
 	}
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -64,31 +64,62 @@
 }
 
 // Cancel marks a job that has not ended as cancelled, so that the scheduler stops its parts and starts no others. It
-// fails with NotFound if the job does not exist.
+// fails with NotFound if the job does not exist. From then on, no submission of the account with its ID takes effect.
 func (j *Jobs) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
 	ctx, cancel := limitTime(ctx, submitPercent)
 	defer cancel()
-	sent := false
-	return j.retryUntilKnown(ctx, work.ShardOf(id), func(ctx context.Context) error {
-		job, version, err := j.readOpenJob(ctx, id)
-		if err != nil && sent && j.config.Check != nil {
-			// An earlier write may have taken effect.
-			return fault.Wrap(err, fault.OutcomeUnknown, "cancel", "store")
-		}
-		if err != nil {
-			return err
-		}
-		if job == nil {
-			// An ended job has nothing left to cancel.
-			_, err := j.endedState(ctx, account, id)
-			return err
-		}
-		if err := checkAccess(account, job.Account); err != nil || job.Cancelled {
-			return err
-		}
-		sent = true
-		return j.markCancelled(ctx, job, version)
-	})
+	c := cancellation{jobs: j, account: account, id: id}
+	return j.retryUntilKnown(ctx, work.ShardOf(id), c.run)
+}
+
+// cancellation is one caller's attempt to cancel a job.
+type cancellation struct {
+	jobs    *Jobs
+	account ident.Account
+	id      ident.Job
+	// sent is set once a write was sent.
+	sent bool
+}
+
+// run cancels the job, if there is one, or else withdraws it.
+func (c *cancellation) run(ctx context.Context) error {
+	job, version, err := c.jobs.readOpenJob(ctx, c.id)
+	if err != nil && c.sent && c.jobs.config.Check != nil {
+		// An earlier write may have taken effect.
+		return fault.Wrap(err, fault.OutcomeUnknown, "cancel", "store")
+	}
+	if err != nil {
+		return err
+	}
+	if job == nil {
+		return c.withoutJob(ctx)
+	}
+	if err := checkAccess(c.account, job.Account); err != nil || job.Cancelled {
+		return err
+	}
+	c.sent = true
+	return c.jobs.markCancelled(ctx, job, version)
+}
+
+// withoutJob ends the cancellation of a job that has no job row. One that has ended has nothing left to cancel. One that is
+// not known is withdrawn, as the write of an earlier submission may still be on its way.
+func (c *cancellation) withoutJob(ctx context.Context) error {
+	_, err := c.jobs.endedState(ctx, c.account, c.id)
+	if !fault.Is(err, fault.NotFound) {
+		return err
+	}
+	unknown := err
+	c.sent = true
+	r := refusal{jobs: c.jobs, id: c.id, row: work.JobRow{Refused: true, Withdrawn: true, Account: c.account}}
+	err = r.write(ctx)
+	if fault.Is(err, fault.Conflict) {
+		// The job was accepted after it was read. The unknown outcome makes retryUntilKnown read it again.
+		return fault.Wrap(err, fault.OutcomeUnknown, "cancel", "store")
+	}
+	if err != nil {
+		return err
+	}
+	return unknown
 }
 
 // markCancelled sets Cancelled in the job's row if the row still has the given version.
@@ -149,12 +180,9 @@
 	if err != nil || len(listing.Rows) == 0 {
 		return nil, 0, err
 	}
-	var decoded work.JobRow
-	if err := work.Decode(listing.Rows[0].Value, &decoded); err != nil {
+	decoded, version, err := decodeRow(listing.Rows)
+	if err != nil || decoded.Refused {
 		return nil, 0, err
 	}
-	if decoded.Refused {
-		return nil, 0, nil
-	}
-	return decoded.Job, listing.Rows[0].Version, nil
+	return decoded.Job, version, nil
 }
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -59,7 +59,16 @@
 type JobRow struct {
 	// Refused is set if a submission with this ID was refused. A later submission may still use the ID.
 	Refused bool `cbor:",omitempty"`
-	Job     *Job `cbor:",omitempty"`
+	// Withdrawn is set, together with Refused, if Account cancelled the job before it was accepted. Later submissions of that
+	// account have no effect either.
+	Withdrawn bool          `cbor:",omitempty"`
+	Account   ident.Account `cbor:",omitempty"`
+	Job       *Job          `cbor:",omitempty"`
+}
+
+// WithdrawnBy reports whether an account cancelled the job before it was accepted.
+func (r JobRow) WithdrawnBy(account ident.Account) bool {
+	return r.Withdrawn && r.Account == account
 }
 
 // Progress is the recorded progress of a job, from which a new lease holder continues.
