Crashes of one host do not give a job up of which nothing began

No run of the part had ever begun.

Cause: a start without an answer, whose worker then ends, counts as a possible crash by the part, and five of these failed the job, though nothing shows that the part had begun and all were of one worker.

Evidence: TestCrashesOfOneHost, TestCrashesOfOneHostAcrossRecords and TestFailureAfterPossibleCrashes fail on (the job ended after five crashes, and by its first failure).

Fix: possible crashes of one host count three times at most, so that it takes a second host to give a job up; a reported failure counts only if a crash was likely before; a part avoids hosts whose workers crashed under it. TestStartsAfterPossibleCrashes advances by a probation between starts, as suspects now move to other workers and wait until these are clear; its bound of five starts is unchanged.

--- a/sard/pool/crash.go
+++ b/sard/pool/crash.go
@@ -49,7 +49,7 @@
 // suspected reports whether a part of the group is likely to be the cause of a crash, so that it is started in isolation.
 func (g *group) suspected() bool {
 	for i := range g.parts {
-		if p := &g.parts[i]; p.likelyCrashes > 0 || p.possibleCrashes >= isolationPossible {
+		if g.parts[i].crashes.suspicious() {
 			return true
 		}
 	}
@@ -58,22 +58,12 @@
 
 // crashesTooOften reports whether a part of the group has crashed so many workers that its job fails.
 func (g *group) crashesTooOften() bool {
-	return slices.ContainsFunc(g.parts, part.crashesTooOften)
+	return slices.ContainsFunc(g.parts, func(p part) bool { return p.crashes.tooMany() })
 }
 
-// crashes returns the number of counted crashes of the part.
-func (p part) crashes() int {
-	return p.likelyCrashes + p.possibleCrashes
-}
-
-// crashesTooOften reports whether the part has crashed so many workers that its job fails.
-func (p part) crashesTooOften() bool {
-	return p.likelyCrashes >= crashLimit || p.crashes() >= crashLimitPossible
-}
-
-// CountCrash counts the crash of a worker process against the part of an attempt that was on probation there. Each
-// attempt counts once, unless it was started again in a later process of the worker. At crashLimit or crashLimitPossible
-// the job fails.
+// CountCrash counts the crash of a worker process against the part of an attempt that was on probation there, and makes the
+// part avoid the worker's host. Each attempt counts once, unless it was started again in a later process of the worker. At
+// crashLimit or crashLimitPossible the job fails.
 func (e *Engine) CountCrash(a work.Attempt, process work.WorkerProcess, evidence CrashEvidence, now time.Time) CrashCount {
 	j := e.jobs[a.Part.Job]
 	if j == nil || j.state.Terminal() {
@@ -83,22 +73,17 @@
 	if p == nil {
 		return CrashCount{}
 	}
-	g, crash := p.group, work.Crash{Attempt: a.Number, Process: process}
-	if g.phase == done || a.Number > g.attempt || !follows(crash, p.lastCrash) || a.Number < g.attempt && p.survived {
+	g, crash, host := p.group, work.Crash{Attempt: a.Number, Process: process}, e.hostOf(process.Worker)
+	if g.phase == done || a.Number > g.attempt || a.Number < g.attempt && p.survived || !p.crashes.add(crash, host, evidence) {
 		return CrashCount{}
 	}
-	if evidence == LikelyCrash {
-		p.likelyCrashes++
-	} else {
-		p.possibleCrashes++
-	}
-	p.lastCrash = crash
+	g.avoidHost(host)
 	if g.suspected() {
 		e.suspects[g] = true
 	}
 	e.markDirty(j)
 	count := CrashCount{
-		Crashes: p.crashes(), Possible: p.possibleCrashes, SincePlaced: now.Sub(g.startedAt), GivenUp: p.crashesTooOften(),
+		Crashes: p.crashes.count(), Possible: p.crashes.possible(), SincePlaced: now.Sub(g.startedAt), GivenUp: p.crashes.tooMany(),
 	}
 	if count.GivenUp {
 		e.endJob(j, ident.Failed, ReasonCrashes)
@@ -106,30 +91,35 @@
 	return count
 }
 
+// hostOf returns the host of a worker, or one that is named after the worker if that is unknown.
+func (e *Engine) hostOf(worker ident.Worker) ident.Host {
+	if n := e.nodesByID[worker]; n != nil {
+		return n.host()
+	}
+	return ident.Host(worker)
+}
+
 // countUnprovenStart counts the end of an attempt against a part under which crashLimit workers may have crashed, unless the
 // attempt has survived its probation or has crashed its worker itself. Such a part may start a few times more at most,
-// however its attempts end.
+// however its attempts end. A failure that the worker has reported does not count unless a crash was likely.
 func (e *Engine) countUnprovenStart(p *part, n *node, end End) {
 	g := p.group
-	if p.crashes() < crashLimit || p.survived || end == Done || end == Refused || p.lastCrash.Attempt == g.attempt {
+	if p.crashes.count() < crashLimit || p.survived || end == Done || end == Refused || p.crashes.last.Attempt == g.attempt {
+		return
+	}
+	if end == Failed && p.crashes.likely == 0 {
+		return
+	}
+	if !p.crashes.addPossible(n.host()) {
 		return
 	}
-	p.possibleCrashes++
-	p.lastCrash = work.Crash{Attempt: g.attempt, Process: n.WorkerProcess}
+	p.crashes.last = work.Crash{Attempt: g.attempt, Process: n.WorkerProcess}
 	e.markDirty(g.job)
-	if p.crashesTooOften() {
+	if p.crashes.tooMany() {
 		e.endJob(g.job, ident.Failed, ReasonCrashes)
 	}
 }
 
-// follows reports whether a crash is another one than the latest that was counted for the part.
-func follows(crash, last work.Crash) bool {
-	if crash.Attempt != last.Attempt {
-		return crash.Attempt > last.Attempt
-	}
-	return crash.Process.Worker == last.Process.Worker && crash.Process.StartedMs > last.Process.StartedMs
-}
-
 // AttemptSurvived records that an attempt has run for Probation, so that its part is no suspect any more.
 func (e *Engine) AttemptSurvived(a work.Attempt) {
 	p := e.currentPart(a)
@@ -138,50 +128,17 @@
 	}
 	p.survived = true
 	p.group.wait = nil
-	if p.crashes() == 0 {
+	if p.crashes.count() == 0 {
 		return
 	}
 	g := p.group
-	p.likelyCrashes, p.possibleCrashes = 0, 0
-	p.lastCrash = work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}
+	p.crashes = crashTally{last: work.Crash{Attempt: g.attempt, Process: p.node.WorkerProcess}}
 	if !g.suspected() {
 		delete(e.suspects, g)
 	}
 	e.markDirty(g.job)
 }
 
-// appendCrashes adds the counted crashes of the group's parts to the record p, in which the group has the given index.
-func (g *group) appendCrashes(p *work.Progress, index int) {
-	if g.phase == done {
-		return
-	}
-	for i := range g.parts {
-		if part := &g.parts[i]; part.crashes() > 0 {
-			p.Crashes = append(p.Crashes, work.PartCrashes{
-				Group: index, Part: part.index, Count: part.likelyCrashes, Possible: part.possibleCrashes, Last: part.lastCrash,
-			})
-		}
-	}
-}
-
-// restoreCrashes loads the recorded crashes of a job's parts.
-func (e *Engine) restoreCrashes(j *job, p *work.Progress) {
-	for _, recorded := range p.Crashes {
-		if recorded.Group >= len(p.Groups) {
-			continue
-		}
-		group := p.Groups[recorded.Group]
-		found := j.findPart(work.Part{Occurrence: group.Occurrence, Step: group.Step, Index: recorded.Part})
-		if found == nil || found.group.phase == done {
-			continue
-		}
-		found.likelyCrashes, found.possibleCrashes, found.lastCrash = recorded.Count, recorded.Possible, recorded.Last
-		if found.group.suspected() {
-			e.suspects[found.group] = true
-		}
-	}
-}
-
 // isolatedNodes returns the nodes on which a suspect is on probation, or which it waits for, with the suspect.
 func (e *Engine) isolatedNodes(now time.Time) map[*node]*group {
 	maps.DeleteFunc(e.suspects, func(g *group, _ bool) bool { return g.phase == done || g.job.state.Terminal() })
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -61,10 +61,8 @@
 	reported bool
 	// survived is set when the current attempt is known to have run for Probation.
 	survived bool
-	// likelyCrashes and possibleCrashes count the crashes of workers after the start of an attempt, since one has survived
-	// its probation; lastCrash is the latest of them.
-	likelyCrashes, possibleCrashes int
-	lastCrash                      work.Crash
+	// crashes holds the crashes of workers after the start of an attempt, since one has survived its probation.
+	crashes crashTally
 	// recordedProcess is the worker process for which an earlier holder of the scheduler lease recorded the current
 	// attempt; zero if this one placed it.
 	recordedProcess work.WorkerProcess
@@ -109,8 +107,10 @@
 	reserved []*node
 	// latestDemand is what was known of groups with the same demand when the group was last scheduled.
 	latestDemand *demand
-	// avoided holds the workers on which the group failed, stalled or ran slowly.
-	avoided map[ident.Worker]bool
+	// avoided holds the workers on which the group failed, stalled or ran slowly, and avoidedHosts the hosts whose workers
+	// crashed under it.
+	avoided      map[ident.Worker]bool
+	avoidedHosts map[ident.Host]bool
 	// moves counts how often the group was stopped for stalling or running slowly.
 	moves int
 }
@@ -129,6 +129,19 @@
 	g.avoided[id] = true
 }
 
+// avoidHost is avoidWorker for all workers of a host.
+func (g *group) avoidHost(host ident.Host) {
+	if g.avoidedHosts == nil {
+		g.avoidedHosts = map[ident.Host]bool{}
+	}
+	g.avoidedHosts[host] = true
+}
+
+// avoids reports whether the group is placed on a node only if no others suffice.
+func (g *group) avoids(n *node) bool {
+	return g.avoided[n.WorkerProcess.Worker] || len(g.avoidedHosts) > 0 && g.avoidedHosts[n.host()]
+}
+
 // spec returns the step that the group's parts belong to, as the submitter of the job defined it.
 func (g *group) spec() *work.Step {
 	return &g.job.Steps[g.step]
--- a/sard/pool/holdlimit.go
+++ b/sard/pool/holdlimit.go
@@ -197,10 +197,10 @@
 // avoidedLast returns the nodes, of which those that have just refused a start come last, with those that the group avoids at
 // the end of either kind.
 func (r *round) avoidedLast(g *group, nodes []*node) []*node {
-	if len(g.avoided) == 0 {
+	if len(g.avoided)+len(g.avoidedHosts) == 0 {
 		return nodes
 	}
-	avoided := func(n *node) int { return boolRank(g.avoided[n.WorkerProcess.Worker]) }
+	avoided := func(n *node) int { return boolRank(g.avoids(n)) }
 	sorted := slices.Clone(nodes)
 	slices.SortStableFunc(sorted, func(a, b *node) int {
 		return cmp.Or(r.compareRefusal(a, b), cmp.Compare(avoided(a), avoided(b)))
--- a/sard/pool/pack.go
+++ b/sard/pool/pack.go
@@ -19,7 +19,7 @@
 		return nil
 	}
 	candidates := r.candidates(g)
-	avoided := func(n *node) bool { return r.slow[n.index] || g.avoided[n.WorkerProcess.Worker] }
+	avoided := func(n *node) bool { return r.slow[n.index] || g.avoids(n) }
 	if slices.ContainsFunc(candidates, avoided) {
 		others := slices.DeleteFunc(slices.Clone(candidates), avoided)
 		if nodes := r.packPreferred(g, others, available); nodes != nil {
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -74,7 +74,7 @@
 				if g.attemptFailed {
 					p.Failing = append(p.Failing, len(p.Groups))
 				}
-				g.appendCrashes(p, len(p.Groups))
+				g.appendCrashes(p, len(p.Groups), processes)
 				p.Groups = append(p.Groups, g.groupRecord(p, processes))
 			}
 		}
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -12,6 +12,8 @@
 // Worker describes a machine that runs parts, as the caller of the engine currently knows it.
 type Worker struct {
 	work.WorkerProcess
+	// Host is where the worker runs; empty if unknown. A host runs one worker process at a time.
+	Host     ident.Host
 	Service  work.Service
 	Rack     ident.Rack
 	Labels   []string
@@ -46,6 +48,14 @@
 	known speed.Estimate
 }
 
+// host returns the host of a worker, or one that is named after the worker if that is unknown.
+func (w Worker) host() ident.Host {
+	if w.Host != "" {
+		return w.Host
+	}
+	return ident.Host(w.WorkerProcess.Worker)
+}
+
 // free returns the capacity that is not allocated.
 func (n *node) free() work.Resources {
 	return n.Capacity.Minus(n.allocated)
--- a/sard/sched/client.go
+++ b/sard/sched/client.go
@@ -21,8 +21,6 @@
 	pool.Worker
 	Address    string
 	DataCentre ident.DataCentre
-	// Host is where the worker runs; empty if unknown. A host runs one worker process at a time.
-	Host ident.Host
 	// Clock is the worker's clock when it last reported to the platform; 0 if unknown.
 	Clock WorkerClock
 	// Leaving indicates that the worker is going to leave, after LeavesAfter at the earliest.
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -76,7 +76,7 @@
 	State   ident.JobState
 	Account ident.Account
 	Queue   QueueName
-	// Lives lists the worker processes that the Workers fields of Groups refer to by index.
+	// Lives lists the worker processes that Groups and CrashCounts refer to by index.
 	Lives []WorkerProcess `cbor:",omitempty"`
 	// Complete holds the numbers of the occurrences of which all parts are done. Their groups are omitted from Groups.
 	Complete []int `cbor:",omitempty"`
@@ -85,8 +85,10 @@
 	// Failing holds the indexes in Groups of groups whose current attempt has failed while some of its parts may still
 	// run. Their Failures include that attempt.
 	Failing []int `cbor:",omitempty"`
-	// Crashes holds the parts of which the last attempts coincided with crashes of their workers.
-	Crashes []PartCrashes `cbor:",omitempty"`
+	// CrashCounts holds the parts of which the last attempts coincided with crashes of their workers.
+	CrashCounts []PartCrashes `cbor:",omitempty"`
+	// Hosts lists the hosts that the Hosts fields of CrashCounts refer to by index.
+	Hosts []ident.Host `cbor:",omitempty"`
 	// EndedMs is the Unix time in milliseconds at which the job ended, from which its retention is counted; 0 while it
 	// is open.
 	EndedMs int64 `cbor:",omitempty"`
@@ -122,13 +124,16 @@
 
 // PartCrashes counts the crashes of workers that may be due to a part.
 type PartCrashes struct {
+	_ struct{} `cbor:",toarray"`
 	// Group is the index of the part's group in Progress.Groups, and Part that of the part in its step.
 	Group, Part int
-	// Count is the number of crashes that are likely to be due to the part, and Possible that of others that may be. Last is
-	// the latest of them.
-	Count    int
-	Possible int `cbor:",omitempty"`
-	Last     Crash
+	// Likely is the number of crashes that are likely to be due to the part.
+	Likely int
+	// Hosts holds, for each other crash that may be due to the part, the index of the worker's host in Progress.Hosts.
+	Hosts []int
+	// Attempt is the attempt of the latest crash, and Process the index in Progress.Lives of the worker process.
+	Attempt ident.Attempt
+	Process int
 }
 
 // Crash identifies the crash of a worker process soon after the start of an attempt.
--- a/sard/work/validate.go
+++ b/sard/work/validate.go
@@ -53,9 +53,25 @@
 			return j.malformed("group %d is failing", group)
 		}
 	}
-	for _, crashes := range p.Crashes {
-		if crashes.Group < 0 || crashes.Group >= len(p.Groups) {
-			return j.malformed("group %d has crashed", crashes.Group)
+	for _, crashes := range p.CrashCounts {
+		if err := j.validateCrashes(p, crashes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validateCrashes returns an error if the recorded crashes of a part are malformed.
+func (j *Job) validateCrashes(p *Progress, crashes PartCrashes) error {
+	if crashes.Group < 0 || crashes.Group >= len(p.Groups) {
+		return j.malformed("group %d has crashed", crashes.Group)
+	}
+	if crashes.Process < 0 || crashes.Process >= len(p.Lives) {
+		return j.malformed("crash of worker process %d of %d", crashes.Process, len(p.Lives))
+	}
+	for _, host := range crashes.Hosts {
+		if host < 0 || host >= len(p.Hosts) {
+			return j.malformed("crash on host %d of %d", host, len(p.Hosts))
 		}
 	}
 	return nil
