A progress record that is too large stops no other job

Cause: the record of one job grew over the store's limit of a row.

With a store in memory that has the limits, TestCrashUnderManyPartsStopsNoOtherJob and TestRefusedRecordStopsNoOtherJob fail on (j1 is Queued after 20 s).

Fix, for each of the two causes by itself: - A record that does not fit into one row is cut into up to 11, which one transaction writes. Names and checkpoints are recorded up to a limit; in the worst case the counts of crashes are left out. Records of 800 groups take 24 KB, 33 KB with a crash under each. - A transaction that the store refuses for good is split; a job whose record is refused by itself is set aside for 10 s at a time: none of its parts is started, and the ends of its parts are not acknowledged. All others go on. - A job's row leaves room for the mark of its cancellation, and a job that is too large is answered with 400 in place of 503.

Store.Memory refuses what is too large where a test asks for it; all tests of sched do.

--- a/sard/entry/creation.go
+++ b/sard/entry/creation.go
@@ -8,6 +8,9 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
+// maxJobBytes is the maximum size of a job's record. It leaves room for the mark of its cancellation.
+const maxJobBytes = store.MaxRowBytes - 1<<10
+
 // creation is one submission's attempt to store a job. Its writes may take effect late, so it replaces at most one refusal:
 // another one was stored after the submission came in, and must hold.
 type creation struct {
@@ -48,6 +51,9 @@
 	if err != nil {
 		return store.Result{}, err
 	}
+	if len(value) > maxJobBytes {
+		return store.Result{}, fault.New(fault.Invalid, "submit", "", "the record of the job has %d bytes, the maximum is %d", len(value), maxJobBytes)
+	}
 	result, err := c.jobs.apply(ctx, store.Tx{
 		Preconditions: []store.Precondition{{Key: key, Version: c.replaces}},
 		Put:           []store.Put{{Key: key, Value: value}, {Key: work.WaitKey(c.job.Queue, c.job.ID)}},
--- a/sard/entry/entry.go
+++ b/sard/entry/entry.go
@@ -78,7 +78,7 @@
 	if hadNoEffect(err) && attempts == 1 {
 		return true, err
 	}
-	if err == nil || fault.Is(err, fault.Conflict) {
+	if err == nil || fault.Is(err, fault.Conflict) || fault.Is(err, fault.Invalid) && !c.unanswered {
 		return false, err
 	}
 	if j.isClosed(work.ShardOf(job.ID)) {
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -230,6 +230,7 @@
 // endJob sets a job's final state and stops all of its attempts.
 func (e *Engine) endJob(j *job, state ident.JobState, reason StopReason) {
 	j.state = state
+	j.setAside = false
 	e.markDirty(j)
 	j.forEachGroup(func(g *group) {
 		e.stopGroup(g, reason)
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -97,9 +97,10 @@
 	e.stopGroup(p.group, ReasonUnconfirmed)
 }
 
-// saveCheckpoint stores a group's latest checkpoint and the time at which it changed.
+// saveCheckpoint stores a group's latest checkpoint and the time at which it changed. One that is too long for the record
+// is left out.
 func (e *Engine) saveCheckpoint(g *group, checkpoint work.Checkpoint, now time.Time) {
-	if checkpoint != "" && checkpoint != g.checkpoint {
+	if checkpoint != "" && checkpoint != g.checkpoint && len(checkpoint) <= work.MaxCheckpointBytes {
 		g.checkpoint = checkpoint
 		g.savedAt = now
 	}
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -30,6 +30,8 @@
 	leavesHeadroomIn roundNumber
 	// dirty is set while the stored record is out of date.
 	dirty bool
+	// setAside is set while the record is not written, as the store refuses it.
+	setAside bool
 }
 
 // occurrence is the state of one run of all steps of a job.
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -17,27 +17,56 @@
 	PartPlaced bool
 	// Elapsed is the time since the job was accepted; Objective is the time within which it should complete.
 	Elapsed, Objective time.Duration
+	job                *job
 }
 
 // TakeChanges returns up to limit jobs whose records are out of date, in the order in which they changed, and marks
 // them as up to date. The caller must call ChangesWritten once they are stored.
 func (e *Engine) TakeChanges(limit int, now time.Time) []Change {
-	count := min(limit, len(e.dirty))
-	changes := make([]Change, 0, count)
-	for _, j := range e.dirty[:count] {
+	changes := make([]Change, 0, min(limit, len(e.dirty)))
+	for i := 0; i < len(e.dirty) && len(changes) < limit; {
+		j := e.dirty[i]
+		if j.setAside {
+			i++
+			continue
+		}
 		j.dirty = false
+		e.dirty = slices.Delete(e.dirty, i, i+1)
 		changes = append(changes, Change{
 			Job: j.ID, Queue: j.Queue, Progress: j.progressRecord(), PartPlaced: j.started,
-			Elapsed: now.Sub(j.acceptedAt), Objective: j.objective(),
+			Elapsed: now.Sub(j.acceptedAt), Objective: j.objective(), job: j,
 		})
 	}
-	e.dirty = slices.Delete(e.dirty, 0, count)
 	return changes
 }
 
-// PendingChanges returns the number of jobs whose records are out of date.
+// PendingChanges returns the number of jobs whose records are out of date, without those that are set aside.
 func (e *Engine) PendingChanges() int {
-	return len(e.dirty)
+	count := 0
+	for _, j := range e.dirty {
+		if !j.setAside {
+			count++
+		}
+	}
+	return count
+}
+
+// ChangesNotWritten takes back changes that TakeChanges has returned. They come before all others.
+func (e *Engine) ChangesNotWritten(changes []Change) {
+	for _, c := range slices.Backward(changes) {
+		j := c.job
+		e.jobs[c.Job] = j
+		e.dirty = slices.DeleteFunc(e.dirty, func(other *job) bool { return other == j })
+		j.dirty = true
+		e.dirty = slices.Insert(e.dirty, 0, j)
+	}
+}
+
+// SetAside leaves the changes of a job out of TakeChanges, or no longer. No part of a job that is set aside is placed.
+func (e *Engine) SetAside(id ident.Job, aside bool) {
+	if j := e.jobs[id]; j != nil {
+		j.setAside = aside
+	}
 }
 
 // ChangesWritten confirms that changes were stored. It removes ended jobs of which no part may run.
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -353,6 +353,9 @@
 
 // appendPlaceable appends the result of placeableGroups to found.
 func (j *job) appendPlaceable(found []*group, now time.Time) []*group {
+	if j.setAside {
+		return found
+	}
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			if o.steps[s].unfinished == 0 || !o.stepReady(j, s) {
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -50,7 +50,7 @@
 
 // host returns the host of a worker, or one that is named after the worker if that is unknown.
 func (w Worker) host() ident.Host {
-	if w.Host != "" {
+	if w.Host != "" && len(w.Host) <= work.MaxNameBytes {
 		return w.Host
 	}
 	return ident.Host(w.WorkerProcess.Worker)
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -87,7 +87,7 @@
 
 // newHarness returns a harness with the given number of workers and no instances.
 func newHarness(t *testing.T, workers int) *harness {
-	r := &harness{t: t, ctx: t.Context(), store: &store.Memory{}, failingJobs: map[ident.Job]bool{}, crashingParts: map[ident.Job]map[int]bool{}, logger: hclog.NewNullLogger()}
+	r := &harness{t: t, ctx: t.Context(), store: &store.Memory{LimitSizes: true}, failingJobs: map[ident.Job]bool{}, crashingParts: map[ident.Job]map[int]bool{}, logger: hclog.NewNullLogger()}
 	r.fleet = fakes.NewFleet(func(time.Duration) bool { return !r.disturbed.Load() })
 	if testing.Verbose() {
 		r.logger = hclog.New(&hclog.LoggerOptions{Output: t.Output()})
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,8 +17,10 @@
 const (
 	// batchBytes is the size of a transaction at which no more progress records are added to it.
 	batchBytes = 256 << 10
-	// chunkSize is the number of progress records that are added to a transaction at a time.
-	chunkSize = 8
+	// batchMargin is left to store.MaxTxBytes for the row at journalKey.
+	batchMargin = 1 << 10
+	// maxRecordEntries is the maximum number of a transaction's entries that a progress record takes.
+	maxRecordEntries = work.MaxRecordRows
 	// commitTimeout limits the duration of a journal write.
 	commitTimeout = 800 * time.Millisecond
 	// commitPause is the pause after a failed journal write.
@@ -38,6 +41,10 @@
 	batch *batch
 	// batchCount is the number of batches since this instance holds the scheduler lease.
 	batchCount uint64
+	// furtherRows holds the number of further rows of the stored progress records that have some.
+	furtherRows furtherRows
+	// rejected holds what the store refuses to write.
+	rejected rejectedRecords
 	// failures is the number of failed attempts to write the batch.
 	failures int
 	// writeStarted is when the first attempt to write the batch started.
@@ -47,11 +54,25 @@
 // batch is a transaction that writes progress records, with the changes that it records and the actions to take once it
 // is written.
 type batch struct {
-	id       string
-	tx       store.Tx
-	changes  []pool.Change
-	starts   []pool.Start
-	seenEnds map[work.WorkerProcess]EndSequence
+	id      string
+	tx      store.Tx
+	changes []pool.Change
+	// furtherRows holds the numbers of further rows of the records of all changes.
+	furtherRows furtherRows
+	starts      []pool.Start
+	seenEnds    map[work.WorkerProcess]EndSequence
+}
+
+// furtherRows holds the numbers of further rows of progress records; jobs without any may be left out.
+type furtherRows map[ident.Job]int
+
+// set records the number of further rows of a job's record.
+func (f furtherRows) set(id ident.Job, rows int) {
+	if rows == 0 {
+		delete(f, id)
+		return
+	}
+	f[id] = rows
 }
 
 // loadJournal takes over the version of the row at journalKey, which an earlier holder of the scheduler lease may have
@@ -82,21 +103,23 @@
 		return nil
 	}
 	s.journal.batchCount++
-	b := &batch{id: strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.batchCount, 10)}
+	b := &batch{id: strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.batchCount, 10), furtherRows: furtherRows{}}
 	b.tx = store.Tx{
 		Preconditions: []store.Precondition{s.lease.Fence(), {Key: journalKey, Version: s.journal.version}},
 		Put:           []store.Put{{Key: journalKey, Value: []byte(b.id)}},
 	}
 	size := 0
-	for size < batchBytes && b.tx.Len() < store.MaxEntries-chunkSize {
-		changes := s.engine.TakeChanges(chunkSize, time.Now())
+	for size < batchBytes && b.tx.Len() <= store.MaxEntries-maxRecordEntries && !s.journal.rejected.full(b) {
+		changes := s.engine.TakeChanges(1, time.Now())
 		if len(changes) == 0 {
 			break
 		}
-		for _, c := range changes {
-			size += s.addChange(&b.tx, c)
+		added, ok := s.addChange(b, changes[0], size)
+		if !ok {
+			s.engine.ChangesNotWritten(changes)
+			break
 		}
-		b.changes = append(b.changes, changes...)
+		size += added
 	}
 	b.starts, s.journal.pendingStarts = s.splitStarts(b.changes)
 	if s.engine.PendingChanges() == 0 {
@@ -124,18 +147,29 @@
 	return recorded, rest
 }
 
-// addChange adds the progress record of a job to a transaction and returns its size in bytes.
-func (s *Scheduler) addChange(tx *store.Tx, c pool.Change) int {
+// addChange adds the progress record of a job to a batch of the given size and returns its size in bytes. It returns false if
+// the batch would be too large.
+func (s *Scheduler) addChange(b *batch, c pool.Change, batchSize int) (size int, ok bool) {
 	if c.Progress.State.Terminal() {
 		c.Progress.EndedMs = time.Now().UnixMilli()
 	}
-	value, err := work.Encode(c.Progress)
+	rows, err := work.EncodeProgress(c.Job, c.Progress)
 	if err != nil {
-		s.config.Logger.Error("progress record not encoded", "job", c.Job, "error", err)
-		return 0
+		s.rejectRecord(c, err)
+		return 0, true
 	}
-	tx.Put = append(tx.Put, store.Put{Key: work.ProgressKey(c.Job), Value: value})
-	return len(value)
+	for _, row := range rows {
+		size += len(row.Value)
+	}
+	if batchSize > 0 && batchSize+size > store.MaxTxBytes-batchMargin {
+		return 0, false
+	}
+	b.changes = append(b.changes, c)
+	further := len(rows) - 1
+	b.tx.Put = append(b.tx.Put, rows...)
+	b.tx.Delete = append(b.tx.Delete, work.FurtherProgressKeys(c.Job, further+1, s.journal.furtherRows[c.Job])...)
+	b.furtherRows[c.Job] = further
+	return size, true
 }
 
 // write makes an attempt to write a batch, in the background.
@@ -170,6 +204,10 @@
 		s.lease.MarkLost()
 		return
 	}
+	if fault.Is(ev.err, fault.Invalid) {
+		s.batchRejected(b, ev.err)
+		return
+	}
 	if ev.err != nil {
 		s.writeFailed(b, ev.err)
 		s.retryWrite(ctx, b)
@@ -179,7 +217,9 @@
 	s.journal.batch = nil
 	s.journal.version = ev.version
 	now := time.Now()
+	s.journal.rejected.written(b)
 	for _, c := range b.changes {
+		s.journal.furtherRows.set(c.Job, b.furtherRows[c.Job])
 		if c.Progress.State.Terminal() {
 			s.jobEnded(c, now)
 		}
@@ -228,8 +268,11 @@
 	}
 	ends := map[work.WorkerProcess]EndSequence{}
 	for id, w := range s.unconfirmed {
+		if end := s.confirmableEnd(w); end > w.confirmedEnd {
+			ends[w.entry.WorkerProcess] = end
+			continue
+		}
 		if w.seenEnd > w.confirmedEnd {
-			ends[w.entry.WorkerProcess] = w.seenEnd
 			continue
 		}
 		delete(s.unconfirmed, id)
@@ -246,6 +289,7 @@
 				w.ackDueSince = clock.Now()
 			}
 			w.confirmedEnd = max(w.confirmedEnd, sequence)
+			w.unrecordedEnds = slices.DeleteFunc(w.unrecordedEnds, func(end recordedEnd) bool { return end.sequence <= sequence })
 			s.renewSoon(w)
 		}
 	}
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -19,6 +19,7 @@
 	workersLost     prometheus.Counter
 	crashesCounted  prometheus.Counter
 	partsGivenUp    prometheus.Counter
+	recordsRejected prometheus.Counter
 	jobSeconds      prometheus.Histogram
 	recordSeconds   prometheus.Histogram
 	decideSeconds   prometheus.Histogram
@@ -53,6 +54,9 @@
 			Namespace: "sardine", Subsystem: "sched", Name: "crashes_counted_total",
 			Help: "Crashes of workers that were counted against a part that had just started, once for each part.",
 		}),
+		recordsRejected: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "sardine", Subsystem: "sched", Name: "records_rejected_total", Help: "Progress records that the store refused for good.",
+		}),
 		partsGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "parts_given_up_total", Help: "Parts whose job failed because their workers crash.",
 		}),
@@ -71,7 +75,7 @@
 	if registerer != nil {
 		registerer.MustRegister(
 			m.holding, m.jobsEnded, m.attemptsEnded, m.attemptsStopped, m.violations, m.workersLost, m.crashesCounted,
-			m.partsGivenUp, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.longestRound, m.roundShare, m.pool, m.speeds, m.choices, m.expectedWait,
+			m.partsGivenUp, m.recordsRejected, m.jobSeconds, m.recordSeconds, m.decideSeconds, m.longestRound, m.roundShare, m.pool, m.speeds, m.choices, m.expectedWait,
 		)
 	}
 	return m
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -252,6 +252,7 @@
 			continue
 		}
 		w.seenEnd = max(w.seenEnd, end.Sequence)
+		w.unrecordedEnds = append(w.unrecordedEnds, recordedEnd{sequence: end.Sequence, job: end.Attempt.Part.Job})
 		s.unconfirmed[w.id()] = w
 		s.config.Metrics.attemptsEnded.WithLabelValues(end.Outcome.String()).Inc()
 		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -181,6 +181,7 @@
 		ended:           map[ident.Job]time.Time{},
 		cleaner:         cleaner{waitingRows: map[string][]store.Key{}, scheduled: map[ident.Job]bool{}},
 		refusals:        refusals{},
+		journal:         journal{furtherRows: furtherRows{}, rejected: newRejectedRecords()},
 		jobVersions:     map[ident.Job]store.Version{},
 		events:          make(chan event, eventBuffer),
 		group:           group,
@@ -258,6 +259,7 @@
 	s.applyEvacuations()
 	s.renewLeases(ctx)
 	if err == nil {
+		s.retryRejected()
 		s.decide()
 		s.commit(ctx)
 		s.cleanUp(ctx)
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -62,6 +62,8 @@
 	// seenEnd is the last end of an attempt that was processed, and confirmedEnd the last one whose consequences
 	// are recorded in the store.
 	seenEnd, confirmedEnd EndSequence
+	// unrecordedEnds holds the processed ends after confirmedEnd.
+	unrecordedEnds []recordedEnd
 	// ackedEnd is the last end whose acknowledgement the worker has received. It has discarded the ends up to
 	// there.
 	ackedEnd EndSequence
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -8,7 +8,6 @@
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
-	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -67,10 +66,11 @@
 // ended.
 func (s *Scheduler) loadProgress(rows []store.Row) {
 	now := time.Now()
-	for _, row := range rows {
-		id := ident.Job(row.Key.Name)
-		progress := &work.Progress{}
-		if err := work.Decode(row.Value, progress); err != nil {
+	collected := work.CollectProgress(rows)
+	for id := range collected {
+		progress, further, err := collected.Decode(id)
+		s.journal.furtherRows.set(id, further)
+		if err != nil {
 			s.config.Logger.Error("progress record not decoded, job ignored", "job", id, "error", err)
 			s.ended[id] = now.Add(s.config.JobRetention)
 			continue
--- a/sard/store/memory.go
+++ b/sard/store/memory.go
@@ -16,6 +16,9 @@
 	// InjectError, if set, simulates outages and lost responses. It is called before each operation, and again with
 	// applied set after a transaction took effect; an error that it returns replaces the result of the operation.
 	InjectError func(op string, applied bool) error
+	// LimitSizes refuses transactions that exceed MaxRowBytes or MaxTxBytes, as the platform's store does. The operator's own
+	// rows have no such limit.
+	LimitSizes bool
 
 	mu   sync.Mutex
 	rows map[Key]Row
@@ -41,6 +44,9 @@
 	if tx.Len() > MaxEntries {
 		return Result{}, fault.New(fault.Invalid, "apply", "store", "transaction has %d entries, limit is %d", tx.Len(), MaxEntries)
 	}
+	if err := tx.checkSize(); m.LimitSizes && err != nil {
+		return Result{}, err
+	}
 	if err := m.injectedError("apply", false); err != nil {
 		return Result{}, err
 	}
@@ -51,6 +57,21 @@
 	return result, m.injectedError("apply", true)
 }
 
+// checkSize returns an error if the values of the transaction are too large.
+func (t Tx) checkSize() error {
+	size := 0
+	for _, p := range t.Put {
+		if len(p.Value) > MaxRowBytes {
+			return fault.New(fault.Invalid, "apply", "store", "row %s has %d bytes, limit is %d", p.Key.Name, len(p.Value), MaxRowBytes)
+		}
+		size += len(p.Value)
+	}
+	if size > MaxTxBytes {
+		return fault.New(fault.Invalid, "apply", "store", "transaction has %d bytes, limit is %d", size, MaxTxBytes)
+	}
+	return nil
+}
+
 func (m *Memory) apply(tx Tx) (Result, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/sard/store/store.go
+++ b/sard/store/store.go
@@ -1,7 +1,8 @@
 // Package store defines the interface of a transactional row store with a change feed. Operations return errors of type
 // *fault.Error with one of these kinds: Conflict (a precondition failed), Throttled or Unavailable (the operation had
 // no effect), OutcomeUnknown (a write may have taken effect, or may still do so while its preconditions hold), NotFound
-// (the changes that a feed asks for have been compacted, that is dropped from the history) or Invalid.
+// (the changes that a feed asks for have been compacted, that is dropped from the history) or Invalid (the store never accepts
+// the call).
 package store
 
 import (
@@ -54,6 +55,13 @@
 	return len(t.Preconditions) + len(t.Put) + len(t.Delete)
 }
 
+const (
+	// MaxRowBytes is the maximum size of a row's value.
+	MaxRowBytes = 64 << 10
+	// MaxTxBytes is the maximum size of the values in a transaction.
+	MaxTxBytes = 700 << 10
+)
+
 // MaxEntries is the maximum number of entries in a transaction, as counted by Tx.Len.
 const MaxEntries = 100
 
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -92,6 +92,8 @@
 	// EndedMs is the Unix time in milliseconds at which the job ended, from which its retention is counted; 0 while it
 	// is open.
 	EndedMs int64 `cbor:",omitempty"`
+	// FurtherRows is the number of further rows that hold the record, if it is too large for one row.
+	FurtherRows int `cbor:",omitempty"`
 }
 
 // WorkerProcess identifies one process of a worker. A restarted worker has a different StartedMs.
