The record of a repeating job does not grow with its occurrences

Cause: the record listed the number of each complete occurrence, for ever; the engine kept all of them too.

Fix: occurrences up to the first that is not complete are counted, and dropped from the engine once no part of them may run. Groups point to their occurrence.

TestRecordOfManyOccurrences: 100,000 occurrences over 10 holders, the record stays under 1 KB.

--- a/sard/pool/endings.go
+++ b/sard/pool/endings.go
@@ -56,7 +56,7 @@
 
 // waitCost returns what callers lose if a group starts later by the given time.
 func (r *round) waitCost(g *group, wait time.Duration) time.Duration {
-	e, o := r.engine, g.job.occurrences[g.occurrence]
+	e, o := r.engine, g.occurrence
 	expected := e.outlook(o, r.now)
 	return limitLoss(e.standing(g, expected.rest, expected.work, r.now).DelayCost(wait))
 }
--- a/sard/pool/engine.go
+++ b/sard/pool/engine.go
@@ -182,7 +182,7 @@
 func compareGroup(a, b *group) int {
 	return cmp.Or(
 		cmp.Compare(a.job.ID, b.job.ID),
-		cmp.Compare(a.occurrence, b.occurrence),
+		cmp.Compare(a.occurrence.number, b.occurrence.number),
 		cmp.Compare(a.step, b.step),
 		cmp.Compare(a.first, b.first),
 	)
@@ -200,6 +200,9 @@
 	j.settings = e.config.QueueSettings(spec)
 	e.jobs[spec.ID] = j
 	e.open = append(e.open, jobUrgency{job: j})
+	if recorded != nil {
+		j.completeBelow = min(recorded.CompleteBelow, j.Repeat.Occurrences()-1)
+	}
 	e.createDueOccurrences(j, now, nowMs)
 	if recorded != nil {
 		e.restore(j, recorded, now)
--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -71,9 +71,8 @@
 // group is a set of parts that are started and retried together: a gang, or a single part.
 type group struct {
 	job *job
-	// occurrence and step are the indexes of the occurrence and of the step that the parts belong to; first is the
-	// index of the first part in the step.
-	occurrence int
+	// occurrence and step, an index, are those that the parts belong to; first is the index of the first part in the step.
+	occurrence *occurrence
 	step       int
 	first      int
 	parts      []part
@@ -150,7 +149,7 @@
 // stepState returns the scheduling state of the step that the group's parts belong to, within their occurrence of the
 // job.
 func (g *group) stepState() *stepState {
-	return &g.job.occurrences[g.occurrence].steps[g.step]
+	return &g.occurrence.steps[g.step]
 }
 
 // demand returns the resources that each part reserves on its worker.
@@ -173,7 +172,7 @@
 func (p *part) attemptID() work.Attempt {
 	g := p.group
 	return work.Attempt{
-		Part:   work.Part{Job: g.job.ID, Occurrence: g.occurrence, Step: g.step, Index: p.index},
+		Part:   work.Part{Job: g.job.ID, Occurrence: g.occurrence.number, Step: g.step, Index: p.index},
 		Number: g.attempt,
 	}
 }
--- a/sard/pool/invariants.go
+++ b/sard/pool/invariants.go
@@ -69,7 +69,7 @@
 
 // stepReady reports whether all steps that the group's step depends on are done.
 func (g *group) stepReady() bool {
-	return g.job.occurrences[g.occurrence].stepReady(g.job, g.step)
+	return g.occurrence.stepReady(g.job, g.step)
 }
 
 // Violations returns the placements that were rejected since the last call.
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -14,8 +14,10 @@
 	state    ident.JobState
 	// acceptedAt is when the job was accepted, computed from its recorded age, which is limited to maxRecordedAge.
 	acceptedAt time.Time
-	// occurrences holds the occurrences that have become due, indexed by number.
-	occurrences []*occurrence
+	// occurrences holds the occurrences that have become due, in the order of their numbers, without the first completeBelow
+	// ones, which are complete.
+	occurrences   []*occurrence
+	completeBelow int
 	// started is set once any part was placed.
 	started bool
 	// withinGuarantee is set if the account's guarantee covers the job.
@@ -60,14 +62,14 @@
 func newOccurrence(j *job, number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, dueAt: due, steps: make([]stepState, len(j.Steps))}
 	for s := range j.Steps {
-		o.steps[s] = newStepState(j, number, s)
+		o.steps[s] = newStepState(j, o, s)
 	}
 	return o
 }
 
 // newStepState returns the state of a step of which no group has been placed. A gang forms one group; otherwise each
 // part is a group of its own.
-func newStepState(j *job, occurrence, step int) stepState {
+func newStepState(j *job, o *occurrence, step int) stepState {
 	spec := &j.Steps[step]
 	size := 1
 	if spec.Gang {
@@ -75,7 +77,7 @@
 	}
 	var state stepState
 	for first := 0; first < spec.Parts; first += size {
-		g := &group{job: j, occurrence: occurrence, step: step, first: first, parts: make([]part, size)}
+		g := &group{job: j, occurrence: o, step: step, first: first, parts: make([]part, size)}
 		for i := range g.parts {
 			g.parts[i] = part{group: g, index: first + i}
 		}
@@ -107,7 +109,7 @@
 
 // complete reports whether all parts of all occurrences are done.
 func (j *job) complete() bool {
-	if len(j.occurrences) < j.Repeat.Occurrences() {
+	if j.createdOccurrences() < j.Repeat.Occurrences() {
 		return false
 	}
 	for _, o := range j.occurrences {
@@ -148,10 +150,11 @@
 
 // findPart returns the job's part with the given occurrence, step and index, or nil if there is none.
 func (j *job) findPart(p work.Part) *part {
-	if p.Occurrence < 0 || p.Occurrence >= len(j.occurrences) || p.Step < 0 || p.Step >= len(j.Steps) {
+	index := p.Occurrence - j.completeBelow
+	if index < 0 || index >= len(j.occurrences) || p.Step < 0 || p.Step >= len(j.Steps) {
 		return nil
 	}
-	return j.occurrences[p.Occurrence].steps[p.Step].findPart(p.Index)
+	return j.occurrences[index].steps[p.Step].findPart(p.Index)
 }
 
 // findPart returns the step's part with the given index, or nil if there is none. All groups of a step have the same
--- a/sard/pool/match.go
+++ b/sard/pool/match.go
@@ -61,7 +61,7 @@
 // timeLeft returns the time in which a group should end: until its job's objective, less what the steps after it take. A
 // group that has missed that should end while the result is still of use.
 func (r *round) timeLeft(g *group) time.Duration {
-	o := g.job.occurrences[g.occurrence]
+	o := g.occurrence
 	objective := g.job.objective()
 	left := objective - r.now.Sub(o.dueAt) - r.engine.timesAfter(o)[g.step]
 	if left <= 0 {
--- a/sard/pool/promise_test.go
+++ b/sard/pool/promise_test.go
@@ -35,7 +35,7 @@
 	if !g.spec().Lasting {
 		return heldKey{job: g.job.ID}
 	}
-	return heldKey{job: g.job.ID, occurrence: g.occurrence, step: g.step, first: g.first, lasting: true}
+	return heldKey{job: g.job.ID, occurrence: g.occurrence.number, step: g.step, first: g.first, lasting: true}
 }
 
 // compareHeld orders the keys of jobs and groups.
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -217,7 +217,7 @@
 	}
 	g.phase = ending
 	clear(r.stopCosts)
-	delete(r.outlooks, g.job.occurrences[g.occurrence])
+	delete(r.outlooks, g.occurrence)
 	r.engine.stopGroup(g, ReasonReclaimed)
 }
 
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -84,6 +84,7 @@
 	if j.state.Terminal() {
 		return p
 	}
+	p.CompleteBelow = j.completeBelow
 	processes := map[work.WorkerProcess]int{}
 	for _, o := range j.occurrences {
 		if o.complete() {
@@ -113,7 +114,7 @@
 // groupRecord returns a group's progress as it is stored, adding the processes of its workers to p.
 func (g *group) groupRecord(p *work.Progress, processes map[work.WorkerProcess]int) work.Group {
 	recorded := work.Group{
-		Occurrence: g.occurrence, Step: g.step, First: g.first, Attempt: g.attempt,
+		Occurrence: g.occurrence.number, Step: g.step, First: g.first, Attempt: g.attempt,
 		Failures: g.failures, Done: g.phase == done,
 	}
 	if recorded.Done {
@@ -153,7 +154,7 @@
 // restore loads a job's recorded progress. Placed groups stay placed on their recorded workers; reports from the
 // workers then show whether their parts run, need to be started or are lost.
 func (e *Engine) restore(j *job, p *work.Progress, now time.Time) {
-	j.started = len(p.Groups) > 0 || len(p.Complete) > 0
+	j.started = len(p.Groups) > 0 || len(p.Complete) > 0 || p.CompleteBelow > 0
 	j.restoreOccurrences(p, now)
 	for _, number := range p.Complete {
 		e.restoreCompleted(j, number)
@@ -180,10 +181,11 @@
 
 // restoreCompleted marks all groups of an occurrence as done.
 func (e *Engine) restoreCompleted(j *job, number int) {
-	if number >= len(j.occurrences) {
+	index := number - j.completeBelow
+	if index < 0 || index >= len(j.occurrences) {
 		return
 	}
-	for _, step := range j.occurrences[number].steps {
+	for _, step := range j.occurrences[index].steps {
 		for _, g := range step.groups {
 			e.completeGroup(g)
 		}
--- a/sard/pool/record_test.go
+++ b/sard/pool/record_test.go
@@ -79,6 +79,81 @@
 	assert.Assert(t, !h.engine.HasOpenJob("j"))
 }
 
+// maxRepeatingRecordBytes is the size that the record of a job with single parts never exceeds, however often it repeats.
+const maxRepeatingRecordBytes = 1 << 10
+
+// TestRecordOfManyOccurrences guards against the record of a repeating job that grows with each occurrence until the store
+// refuses it. A new holder, which reads it now and then, runs each occurrence once.
+func TestRecordOfManyOccurrences(t *testing.T) {
+	const occurrences, perHolder = 100_000, 9973
+	h := newHarness(t, 2)
+	spec := h.repeatingJob(1)
+	spec.Repeat = work.Repeat{Count: occurrences, StartMs: h.now.UnixMilli(), Interval: 2 * time.Millisecond}
+	h.engine.AddJob(spec, nil, h.now, h.now.UnixMilli())
+	next := 0
+	for next < occurrences {
+		h.advance(2 * time.Millisecond)
+		h.engine.ForEachAttempt(func(a work.Attempt, _ work.WorkerProcess) {
+			assert.Equal(t, a.Part.Occurrence, next)
+			next++
+			h.engine.AttemptEnded(a, Done, "", h.now)
+		})
+		j := h.engine.jobs["j"]
+		if next%perHolder != 0 || j == nil {
+			continue
+		}
+		recorded := j.progressRecord()
+		value, err := work.Encode(recorded)
+		assert.NilError(t, err)
+		assert.Assert(t, len(value) <= maxRepeatingRecordBytes, "%d bytes after %d occurrences", len(value), next)
+		assert.Assert(t, len(j.occurrences) < maxKeptOccurrences)
+		restored := newHarness(t, 2)
+		restored.now = h.now
+		restored.engine.AddJob(spec, &recorded, h.now, h.now.UnixMilli())
+		h = restored
+	}
+	h.decide()
+	assert.Equal(t, h.engine.jobs["j"] == nil, true)
+}
+
+// TestOccurrencesBehindAnUnfinishedOne checks that a job goes on while one of its occurrences does not end, up to
+// maxKeptOccurrences, and that a new holder knows which are complete.
+func TestOccurrencesBehindAnUnfinishedOne(t *testing.T) {
+	h := newHarness(t, 2)
+	spec := h.repeatingJob(1)
+	spec.Repeat = work.Repeat{Count: 2 * maxKeptOccurrences, StartMs: h.now.UnixMilli(), Interval: time.Millisecond}
+	h.engine.AddJob(spec, nil, h.now, h.now.UnixMilli())
+	ended := map[int]bool{}
+	endOthers := func() {
+		h.engine.ForEachAttempt(func(a work.Attempt, _ work.WorkerProcess) {
+			if a.Part.Occurrence > 0 {
+				assert.Assert(t, !ended[a.Part.Occurrence])
+				ended[a.Part.Occurrence] = true
+				h.engine.AttemptEnded(a, Done, "", h.now)
+			}
+		})
+	}
+	for range maxKeptOccurrences + 100 {
+		h.advance(time.Millisecond)
+		endOthers()
+	}
+	assert.Equal(t, len(ended), maxKeptOccurrences-1)
+	recorded := h.engine.jobs["j"].progressRecord()
+	puts, err := work.EncodeProgress("j", recorded)
+	assert.NilError(t, err)
+	assert.Equal(t, len(puts), 1)
+	restored := newHarness(t, 2)
+	restored.now = h.now
+	restored.engine.AddJob(spec, &recorded, h.now, h.now.UnixMilli())
+	h = restored
+	h.endJob("j", Done)
+	for range maxKeptOccurrences + 100 {
+		h.advance(time.Millisecond)
+		endOthers()
+	}
+	assert.Equal(t, len(ended), 2*maxKeptOccurrences-1)
+}
+
 // TestGangFailureCountsOnceAcrossTakeover checks that failures of several parts of a gang count as one failed attempt,
 // even if a new lease holder receives some of them.
 func TestGangFailureCountsOnceAcrossTakeover(t *testing.T) {
--- a/sard/pool/standing.go
+++ b/sard/pool/standing.go
@@ -105,7 +105,7 @@
 // standing returns how an occurrence of a job stands if it takes the given time until it is complete. The group is one of
 // its groups.
 func (e *Engine) standing(g *group, rest time.Duration, total admit.CoreTime, now time.Time) admit.Standing {
-	j, o := g.job, g.job.occurrences[g.occurrence]
+	j, o := g.job, g.occurrence
 	forecast := e.forecast(g)
 	objective := j.objective()
 	return admit.Standing{
@@ -117,7 +117,7 @@
 // stopLoss returns what callers lose if a placed group is stopped now: the work that is done again, and the value of its
 // job that comes later than without the stop.
 func (r *round) stopLoss(g *group) time.Duration {
-	e, now, o := r.engine, r.now, g.job.occurrences[g.occurrence]
+	e, now, o := r.engine, r.now, g.occurrence
 	expected, known := r.outlooks[o]
 	if !known {
 		expected = e.outlook(o, now)
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -139,7 +139,7 @@
 
 // currentWait returns the group's wait.
 func (g *group) currentWait(now time.Time) Wait {
-	first := work.Part{Job: g.job.ID, Occurrence: g.occurrence, Step: g.step, Index: g.first}
+	first := work.Part{Job: g.job.ID, Occurrence: g.occurrence.number, Step: g.step, Index: g.first}
 	return Wait{Part: first, Reason: g.wait.reason, For: now.Sub(g.wait.since)}
 }
 
--- a/sard/work/record.go
+++ b/sard/work/record.go
@@ -78,7 +78,10 @@
 	Queue   QueueName
 	// Lives lists the worker processes that Groups and CrashCounts refer to by index.
 	Lives []WorkerProcess `cbor:",omitempty"`
-	// Complete holds the numbers of the occurrences of which all parts are done. Their groups are omitted from Groups.
+	// CompleteBelow is the number of the first occurrence that may not be complete, which means that all its parts are done.
+	CompleteBelow int `cbor:",omitempty"`
+	// Complete holds the numbers of the later occurrences that are complete. Groups of complete occurrences are omitted from
+	// Groups.
 	Complete []int `cbor:",omitempty"`
 	// Groups holds the groups that were placed at least once.
 	Groups []Group `cbor:",omitempty"`
--- a/sard/work/validate.go
+++ b/sard/work/validate.go
@@ -38,6 +38,9 @@
 
 // ValidateProgress returns an error if the recorded progress of the job is malformed.
 func (j *Job) ValidateProgress(p *Progress) error {
+	if p.CompleteBelow < 0 {
+		return j.malformed("occurrences below %d are complete", p.CompleteBelow)
+	}
 	for _, occurrence := range p.Complete {
 		if occurrence < 0 {
 			return j.malformed("occurrence %d is complete", occurrence)
