Ends that a report omits are not taken for vanished parts

Cause: a worker lists 500 ends at a time. A started part that a report lists neither as running nor as ended counted as vanished, though its end may be among those that the list leaves out.

Acknowledgements, for which the omitted ends wait, need to know which process has executed each start: a report sent after the confirmation of the start settles that, also if it lists the part nowhere.

--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -30,6 +30,8 @@
 	DropReplies bool
 	// LostStartReplies is the number of start requests to come that are executed but time out.
 	LostStartReplies int
+	// MaxReportedEnds is the number of ends up to which a report lists them; 0 means no limit.
+	MaxReportedEnds int
 	// StopDelay is how long it takes to stop an attempt.
 	StopDelay time.Duration
 	// Failing makes all runs fail immediately; Stalled makes new runs make no progress.
@@ -336,6 +338,9 @@
 	report := sched.WorkerReport{Reply: w.reply()}
 	report.StartedMs = w.Entry.StartedMs
 	report.Ended = append(report.Ended, w.unackedEnds...)
+	if w.MaxReportedEnds > 0 && len(report.Ended) >= w.MaxReportedEnds {
+		report.Ended, report.EndsOmitted = report.Ended[:w.MaxReportedEnds], true
+	}
 	for _, r := range w.runs {
 		report.Running = append(report.Running, sched.RunningAttempt{Attempt: r.attempt, Percent: r.percent(), Checkpoint: r.checkpoint()})
 	}
--- a/sard/sched/client.go
+++ b/sard/sched/client.go
@@ -81,6 +81,8 @@
 	Reply
 	Running []RunningAttempt
 	Ended   []EndedAttempt
+	// EndsOmitted indicates that there may be later ends than those in Ended, which are reported once these are acknowledged.
+	EndsOmitted bool
 }
 
 // attempts returns all running and ended attempts of the report.
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -8,23 +8,44 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// handleMissing handles the attempts that should run on a worker but are missing from its report. First indicates that
-// it is the worker's first report under this epoch.
-func (s *Scheduler) handleMissing(w *session, ev renewalResult, first bool) {
+// handleMissing handles the attempts that should run on a worker but are missing from its report. A report that omits ends does
+// not tell what became of them: their ends may be among these.
+func (s *Scheduler) handleMissing(w *session, ev renewalResult) {
 	reported := map[work.Attempt]bool{}
 	for _, r := range ev.report.Running {
 		reported[r.Attempt] = true
 	}
+	first := w.unresolved
+	w.unresolved = first && ev.report.EndsOmitted
 	for a, state := range w.attempts {
-		if !reported[a] {
+		switch {
+		case reported[a]:
+		case ev.report.EndsOmitted:
+			s.settleProcess(w, a, state, ev)
+		default:
 			s.resolveMissing(w, a, state, ev, first)
 		}
 	}
 }
 
+// settleProcess records that no later process than the one that reports has executed the start of an attempt, if the report was
+// sent after the start was confirmed, or after its stop was, or if the start was an earlier lease holder's. Acknowledgements wait
+// for that, and the omitted ends for them.
+func (s *Scheduler) settleProcess(w *session, a work.Attempt, state *attemptState, ev renewalResult) {
+	confirmed := func(at clock.Instant) bool { return at != clock.Never && at.Before(ev.sentAt) }
+	switch {
+	case confirmed(state.startConfirmed) || confirmed(state.stopConfirmed) || state.startsSent == 0 && w.fenced:
+		state.processUnknown = false
+	case state.startInFlight || state.stopPending || state.unrecorded:
+		// The result of the request or of the write tells more.
+	case state.processReplaced && state.startsSent > 0:
+		s.resolveReplaced(w, a, state)
+	}
+}
+
 // resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal. It has ended
-// as stopped or lost if the worker had confirmed its stop or start before, or had listed it. On the worker's first report, an
-// attempt that an earlier holder of the scheduler lease placed is started if it is meant to run. The order of the cases matters:
+// as stopped or lost if the worker had confirmed its stop or start before, or had listed it. On the worker's first complete report
+// under this epoch, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run. The order of the cases matters:
 // what the worker has confirmed comes before what it can't do any more, and both before requests without a result.
 func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, ev renewalResult, first bool) {
 	switch {
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -171,12 +171,13 @@
 	w.lastReport, w.reportSentAt, w.failedAt, w.failureUndated = clock.Now(), ev.sentAt, clock.Never, false
 	w.otherAnswered, w.refusedSince = false, clock.Never
 	w.recordAlive(w.entry.WorkerProcess, ev.report.Clock)
-	if first {
+	w.unresolved = w.unresolved || first
+	if w.unresolved && !ev.report.EndsOmitted {
 		s.countUnseenCrashes(w, ev.report.attempts())
 	}
 	s.handleEnded(w, ev.report)
 	s.handleRunning(w, ev.report)
-	s.handleMissing(w, ev, first)
+	s.handleMissing(w, ev)
 	switch {
 	case !w.fenced:
 		s.renewSoon(w)
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -55,6 +55,8 @@
 	refusedSince clock.Instant
 	// slow indicates that the last lease renewal timed out, or took longer than renewalMargin after one that did.
 	slow bool
+	// unresolved indicates that no report under this epoch has told yet of all attempts of earlier epochs.
+	unresolved bool
 	// lastReport is when the worker process last sent a report.
 	lastReport clock.Instant
 	// reportSentAt is when the lease renewal was sent that brought the last report.
