A job is accessed by the right of its own queue and account

An ID handed in again under another queue of the account was answered 200, and nothing ran.

Cause: without a key a caller has no account, and no account passed each check of ownership; that of an ID compared accounts only.

Fix: entry.Caller holds the right, which goes by the queue and account of the job. An ID of a job in another queue is answered 409, as that of another account is. The product's own interface asks for a token of an account or an operator in all calls; nothing found there.

--- a/sard/entry/check_test.go
+++ b/sard/entry/check_test.go
@@ -80,11 +80,11 @@
 			return submit(t, jobs)
 		}, fault.OutcomeUnknown, 1300 * time.Millisecond, 1},
 		{"state at the closed partition", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
-			_, err := jobs.State(t.Context(), "a", "00000000000000aa")
+			_, err := jobs.State(t.Context(), entry.Caller{Account: "a"}, "00000000000000aa")
 			return err
 		}, fault.Unavailable, soon, 0},
 		{"cancellation at the closed partition", func(*link) {}, true, 0, func(t *testing.T, jobs *entry.Jobs) error {
-			return jobs.Cancel(t.Context(), "a", "00000000000000aa")
+			return jobs.Cancel(t.Context(), entry.Caller{Account: "a"}, "00000000000000aa")
 		}, fault.Unavailable, soon, 0},
 	}
 	for _, test := range tests {
@@ -150,9 +150,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		memory, d := &store.Memory{}, &switchedCheck{}
 		assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
-		err := entry.New(entry.Config{Store: &silentWrites{memory, d}, Check: d}).Cancel(t.Context(), "a", "00000000000000aa")
+		err := entry.New(entry.Config{Store: &silentWrites{memory, d}, Check: d}).Cancel(t.Context(), entry.Caller{Account: "a"}, "00000000000000aa")
 		assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
-		state, err := entry.New(entry.Config{Store: memory}).State(t.Context(), "a", "00000000000000aa")
+		state, err := entry.New(entry.Config{Store: memory}).State(t.Context(), entry.Caller{Account: "a"}, "00000000000000aa")
 		assert.NilError(t, err)
 		assert.Equal(t, state, ident.Cancelled)
 	})
--- a/sard/entry/creation.go
+++ b/sard/entry/creation.go
@@ -63,7 +63,7 @@
 }
 
 // findExisting reports whether the rows of an ID already contain the job. If they contain a refusal, it returns the
-// version of that row. It fails if the ID belongs to another account's job, or if the account has withdrawn the job.
+// version of that row. It fails if the ID belongs to a job of another account or queue, or if the account has withdrawn the job.
 func findExisting(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
 	for _, row := range rows {
 		var decoded work.JobRow
@@ -80,6 +80,9 @@
 		if decoded.Job.Account != job.Account {
 			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is taken", job.ID)
 		}
+		if decoded.Job.Queue != job.Queue {
+			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is that of a job in queue %s", job.ID, decoded.Job.Queue)
+		}
 		accepted = true
 	}
 	return accepted, refusal, nil
--- a/sard/entry/read_test.go
+++ b/sard/entry/read_test.go
@@ -45,11 +45,13 @@
 // the reads unanswered, and against needless reads (issue 36).
 func TestUnansweredReadIsRepeated(t *testing.T) {
 	state := func(ctx context.Context, jobs *entry.Jobs) error {
-		state, err := jobs.State(ctx, "a", storedJob)
+		state, err := jobs.State(ctx, entry.Caller{Account: "a"}, storedJob)
 		assert.Check(t, err != nil || state == ident.Queued)
 		return err
 	}
-	cancelJob := func(ctx context.Context, jobs *entry.Jobs) error { return jobs.Cancel(ctx, "a", storedJob) }
+	cancelJob := func(ctx context.Context, jobs *entry.Jobs) error {
+		return jobs.Cancel(ctx, entry.Caller{Account: "a"}, storedJob)
+	}
 	tests := []struct {
 		name string
 		// silent is the number of reads that are not answered, and delay the time in which the others are.
@@ -95,7 +97,7 @@
 		within time.Duration
 	}{
 		{"state", func(ctx context.Context, jobs *entry.Jobs) error {
-			_, err := jobs.State(ctx, "a", storedJob)
+			_, err := jobs.State(ctx, entry.Caller{Account: "a"}, storedJob)
 			return err
 		}, fault.Unavailable, 1500 * time.Millisecond},
 		{"count of waiting jobs", func(ctx context.Context, jobs *entry.Jobs) error {
@@ -103,7 +105,9 @@
 			return err
 		}, fault.Unavailable, 1500 * time.Millisecond},
 		{
-			"cancellation", func(ctx context.Context, jobs *entry.Jobs) error { return jobs.Cancel(ctx, "a", storedJob) },
+			"cancellation", func(ctx context.Context, jobs *entry.Jobs) error {
+				return jobs.Cancel(ctx, entry.Caller{Account: "a"}, storedJob)
+			},
 			fault.OutcomeUnknown, 1800 * time.Millisecond,
 		},
 	}
@@ -154,7 +158,7 @@
 		assert.NilError(t, submit(t, entry.New(entry.Config{Store: memory})))
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		assert.Check(t, entry.New(entry.Config{Store: arrivingReads{memory}}).Cancel(ctx, "a", storedJob))
+		assert.Check(t, entry.New(entry.Config{Store: arrivingReads{memory}}).Cancel(ctx, entry.Caller{Account: "a"}, storedJob))
 	})
 }
 
--- a/sard/entry/size_test.go
+++ b/sard/entry/size_test.go
@@ -28,8 +28,8 @@
 		accepted = err == nil
 		assert.Assert(t, accepted || fault.Is(err, fault.Invalid), "%v", err)
 	}
-	assert.NilError(t, jobs.Cancel(ctx, "a", "00000000000000aa"))
-	state, err := jobs.State(ctx, "a", "00000000000000aa")
+	assert.NilError(t, jobs.Cancel(ctx, entry.Caller{Account: "a"}, "00000000000000aa"))
+	state, err := jobs.State(ctx, entry.Caller{Account: "a"}, "00000000000000aa")
 	assert.NilError(t, err)
 	assert.Equal(t, state, ident.Cancelled)
 }
--- a/sard/entry/state.go
+++ b/sard/entry/state.go
@@ -11,72 +11,64 @@
 	"github.com/sardineline/sardineline/sard/work"
 )
 
-// State returns the state of a job. It fails with NotFound if the job does not exist and with Denied if it belongs to
-// another account. An empty account may access all jobs.
-func (j *Jobs) State(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+// State returns the state of a job. It fails with NotFound if the job does not exist or the caller may not access it.
+func (j *Jobs) State(ctx context.Context, caller Caller, id ident.Job) (ident.JobState, error) {
 	ctx, cancel := limitTime(ctx, questionPercent)
 	defer cancel()
-	state, err := j.readState(ctx, account, id)
+	state, err := j.readState(ctx, caller, id)
 	return state, withoutAnswer(err)
 }
 
 // readState is State without a limit for the time.
-func (j *Jobs) readState(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+func (j *Jobs) readState(ctx context.Context, caller Caller, id ident.Job) (ident.JobState, error) {
 	progress, err := j.readProgress(ctx, id)
 	if err != nil {
 		return 0, err
 	}
 	if progress != nil {
-		return progress.State, checkAccess(account, progress.Account)
+		return progress.State, caller.checkAccess(id, progress.Account, progress.Queue)
 	}
 	job, _, err := j.readOpenJob(ctx, id)
 	if err != nil {
 		return 0, err
 	}
 	if job == nil {
-		return j.endedState(ctx, account, id)
+		return j.endedState(ctx, caller, id)
 	}
 	if job.Cancelled {
-		return ident.Cancelled, checkAccess(account, job.Account)
+		return ident.Cancelled, caller.checkAccess(id, job.Account, job.Queue)
 	}
-	return ident.Queued, checkAccess(account, job.Account)
+	return ident.Queued, caller.checkAccess(id, job.Account, job.Queue)
 }
 
 // endedState returns the state of a job that has no job row. It reads the progress again, in case the job ended between
 // the first read of its progress and the read of its job row.
-func (j *Jobs) endedState(ctx context.Context, account ident.Account, id ident.Job) (ident.JobState, error) {
+func (j *Jobs) endedState(ctx context.Context, caller Caller, id ident.Job) (ident.JobState, error) {
 	progress, err := j.readProgress(ctx, id)
 	if err != nil {
 		return 0, err
 	}
 	if progress == nil {
-		return 0, fault.New(fault.NotFound, "read state", "", "no job %s", id)
+		return 0, errUnknownJob(id)
 	}
-	return progress.State, checkAccess(account, progress.Account)
-}
-
-// checkAccess returns an error of kind Denied if the account may not access the owner's jobs.
-func checkAccess(account, owner ident.Account) error {
-	if account == "" || account == owner {
-		return nil
-	}
-	return fault.New(fault.Denied, "read state", "", "the job is another account's")
+	return progress.State, caller.checkAccess(id, progress.Account, progress.Queue)
 }
 
 // Cancel marks a job that has not ended as cancelled, so that the scheduler stops its parts and starts no others. It
-// fails with NotFound if the job does not exist. From then on, no submission of the account with its ID takes effect.
-func (j *Jobs) Cancel(ctx context.Context, account ident.Account, id ident.Job) error {
+// fails with NotFound if the job does not exist or the caller may not access it. From then on, no submission of the account with
+// the ID of a job that does not exist takes effect.
+func (j *Jobs) Cancel(ctx context.Context, caller Caller, id ident.Job) error {
 	ctx, cancel := limitTime(ctx, submitPercent)
 	defer cancel()
-	c := cancellation{jobs: j, account: account, id: id}
+	c := cancellation{jobs: j, caller: caller, id: id}
 	return j.retryUntilKnown(ctx, work.ShardOf(id), c.run)
 }
 
 // cancellation is one caller's attempt to cancel a job.
 type cancellation struct {
-	jobs    *Jobs
-	account ident.Account
-	id      ident.Job
+	jobs   *Jobs
+	caller Caller
+	id     ident.Job
 	// sent is set once a write was sent.
 	sent bool
 }
@@ -94,7 +86,7 @@
 	if job == nil {
 		return c.withoutJob(ctx)
 	}
-	if err := checkAccess(c.account, job.Account); err != nil || job.Cancelled {
+	if err := c.caller.checkAccess(c.id, job.Account, job.Queue); err != nil || job.Cancelled {
 		return err
 	}
 	c.sent = true
@@ -104,13 +96,13 @@
 // withoutJob ends the cancellation of a job that has no job row. One that has ended has nothing left to cancel. One that is
 // not known is withdrawn, as the write of an earlier submission may still be on its way.
 func (c *cancellation) withoutJob(ctx context.Context) error {
-	_, err := c.jobs.endedState(ctx, c.account, c.id)
+	_, err := c.jobs.endedState(ctx, c.caller, c.id)
 	if !fault.Is(err, fault.NotFound) {
 		return err
 	}
 	unknown := err
 	c.sent = true
-	r := refusal{jobs: c.jobs, id: c.id, row: work.JobRow{Refused: true, Withdrawn: true, Account: c.account}}
+	r := refusal{jobs: c.jobs, id: c.id, row: work.JobRow{Refused: true, Withdrawn: true, Account: c.caller.Account}}
 	err = r.write(ctx)
 	if fault.Is(err, fault.Conflict) {
 		// The job was accepted after it was read. The unknown outcome makes retryUntilKnown read it again.
--- a/sard/entry/trace_test.go
+++ b/sard/entry/trace_test.go
@@ -39,7 +39,7 @@
 				}}
 				ctx, cancel := context.WithTimeout(entry.WithTrace(t.Context()), time.Second)
 				defer cancel()
-				_, err := entry.New(entry.Config{Store: memory}).State(ctx, "a", "00000000000000aa")
+				_, err := entry.New(entry.Config{Store: memory}).State(ctx, entry.Caller{Account: "a"}, "00000000000000aa")
 				assert.Assert(t, fault.Is(err, fault.NotFound), "%v", err)
 				trace := entry.TraceOf(ctx)
 				assert.Assert(t, trace.Ends[test.want] > 0, "%v", trace)
--- a/sard/entry/withdrawal_test.go
+++ b/sard/entry/withdrawal_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
-	err := entry.New(entry.Config{Store: s}).Cancel(ctx, account, "00000000000000aa")
+	err := entry.New(entry.Config{Store: s}).Cancel(ctx, entry.Caller{Account: account}, "00000000000000aa")
 	assert.Assert(t, fault.Is(err, fault.NotFound), "%v", err)
 }
 
--- a/sard/policy/policy.go
+++ b/sard/policy/policy.go
@@ -95,6 +95,12 @@
 	return p.byName[name]
 }
 
+// IsPublic reports whether requests to the named queue need no API key.
+func (p *Policy) IsPublic(name work.QueueName) bool {
+	q := p.Queue(name)
+	return q != nil && q.Public
+}
+
 // AccountByKey returns the account that an API key belongs to.
 func (p *Policy) AccountByKey(key string) (ident.Account, bool) {
 	account, ok := p.byKey[sha256.Sum256([]byte(key))]
--- a/sard/sched/frozen_test.go
+++ b/sard/sched/frozen_test.go
@@ -57,7 +57,7 @@
 				r.sleep(3 * time.Second)
 				frozen.Store(true)
 				r.sleep(time.Second)
-				assert.NilError(t, r.api.Cancel(r.ctx, "a", "j1"))
+				assert.NilError(t, r.api.Cancel(r.ctx, accountA, "j1"))
 				r.sleep(fakes.MaxLease - 2*time.Second + thaw)
 				frozen.Store(false)
 				close(thawed)
--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -114,6 +114,9 @@
 	return r
 }
 
+// accountA is the caller that owns all jobs.
+var accountA = entry.Caller{Account: "a"}
+
 // workerName returns the name of a worker: wa, wb and so on.
 func workerName(i int) ident.Worker {
 	return ident.Worker("w" + string(rune('a'+i)))
@@ -298,7 +301,7 @@
 	r.t.Helper()
 	deadline := time.Now().Add(timeout)
 	for {
-		state, err := r.api.State(r.ctx, "a", id)
+		state, err := r.api.State(r.ctx, accountA, id)
 		assert.NilError(r.t, err)
 		if state == want {
 			return
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -256,7 +256,7 @@
 		kill()
 		r.unlistWorker(wa)
 		r.updateFleet(wa.Crash)
-		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j1"))
+		assert.NilError(t, r.api.Cancel(r.ctx, accountA, "j1"))
 		r.startInstance("i2")
 		r.sleep(5 * time.Second)
 		r.listWorker(wa)
@@ -566,7 +566,7 @@
 				}
 				d.requestDelay.Store(int64(400 * time.Millisecond))
 				if test.cancel {
-					assert.NilError(t, r.api.Cancel(r.ctx, "a", "j0"))
+					assert.NilError(t, r.api.Cancel(r.ctx, accountA, "j0"))
 				} else {
 					r.submit("j0", time.Second, work.Step{Parts: 1})
 				}
--- a/sard/sched/promise_test.go
+++ b/sard/sched/promise_test.go
@@ -363,7 +363,7 @@
 func (s *takeoverSeries) checkCauses() {
 	s.t.Helper()
 	for _, id := range s.submitted {
-		state, err := s.api.State(s.ctx, "a", id)
+		state, err := s.api.State(s.ctx, accountA, id)
 		assert.NilError(s.t, err)
 		if state == ident.Failed && !s.fleet.MayBeGivenUp(id) {
 			s.t.Fatalf("job %s has failed without cause: %s", id, s.story(id))
--- a/sard/sched/random_test.go
+++ b/sard/sched/random_test.go
@@ -255,7 +255,7 @@
 		return
 	}
 	id := s.submitted[s.rng.IntN(len(s.submitted))]
-	assert.NilError(s.t, s.api.Cancel(s.ctx, "a", id))
+	assert.NilError(s.t, s.api.Cancel(s.ctx, accountA, id))
 	s.cancelled[id] = true
 }
 
@@ -411,7 +411,7 @@
 func (s *scenario) waitForEnd(id ident.Job) {
 	deadline := time.Now().Add(3 * time.Minute)
 	for {
-		state, err := s.api.State(s.ctx, "a", id)
+		state, err := s.api.State(s.ctx, accountA, id)
 		assert.NilError(s.t, err)
 		if state == ident.Cancelled {
 			assert.Assert(s.t, s.cancelled[id], "job %s is cancelled", id)
--- a/sard/sched/record_test.go
+++ b/sard/sched/record_test.go
@@ -111,7 +111,7 @@
 		r.submit("bad", time.Second, work.Step{Parts: 3})
 		r.sleep(3 * time.Second)
 		refuses.Store(false)
-		assert.NilError(t, r.api.Cancel(r.ctx, "a", "bad"))
+		assert.NilError(t, r.api.Cancel(r.ctx, accountA, "bad"))
 		r.waitForState("bad", ident.Cancelled, time.Second)
 		assert.Equal(t, r.fleet.StartCount(), 0)
 	})
--- a/sard/sched/sched_test.go
+++ b/sard/sched/sched_test.go
@@ -293,7 +293,7 @@
 		r.startInstance("i1")
 		r.submit("j1", 30*time.Second, work.Step{Parts: 4, Gang: true})
 		r.sleep(2 * time.Second)
-		assert.NilError(t, r.api.Cancel(r.ctx, "a", "j1"))
+		assert.NilError(t, r.api.Cancel(r.ctx, accountA, "j1"))
 		r.sleep(time.Second)
 		r.fleet.ForEachWorker(func(w *fakes.Worker) {
 			assert.Equal(t, w.RunningCount(), 0)
