Workers with open starts are probed, so that later processes refuse them

Cause: a stop binds the process that answers it. The next one has seen no epoch until its list entry is read, as an idle worker gets no renewal.

Fix: while a start without an answer may be executed, for 12 s, its worker is probed every 100 ms by a renewal that carries a higher epoch and asks for nothing else. Requests that a probe overtakes are sent again, and what a probe lists as running is confirmed. docs/design/open-starts.md has the table of what counts as the end of an attempt, and what was weighed.

A window of up to 100 ms is left.

--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -90,6 +90,7 @@
 // resolveAdopted handles an attempt of an earlier holder of the scheduler lease that the worker's first report lacks. The
 // worker refuses the start requests of that holder from now on.
 func (s *Scheduler) resolveAdopted(w *session, a work.Attempt, state *attemptState) {
+	s.noteOpenStart(w, w.epoch-1)
 	if s.placedOnFormerProcess(w, a) {
 		delete(w.attempts, a)
 		s.engine.AttemptEnded(a, pool.Lost, "", time.Now())
--- /dev/null
+++ b/sard/sched/openstarts.go
@@ -0,0 +1,115 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sardineline/sardineline/sard/clock"
+	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/work"
+)
+
+// A start request without a response is open: whichever process of the worker runs then may still execute it, and a later process
+// does so whatever was stopped or had ended on the former one. So while a start is open, the worker is probed: each probe is a
+// lease renewal that asks for nothing but carries a higher epoch than the start, so that a process that has got one refuses it.
+// docs/design/open-starts.md says for each observation when an attempt with an open start counts as ended.
+
+const (
+	// maxOrderLateness is how late a worker may execute a request that got no response.
+	maxOrderLateness = 12 * time.Second
+	// probePause is the time between two probes of a worker. A process that starts in between executes open starts until the
+	// next one.
+	probePause = 100 * time.Millisecond
+	// probeTimeout limits the duration of a probe.
+	probeTimeout = 200 * time.Millisecond
+)
+
+// openStarts is what the scheduler knows of the open starts of a worker.
+type openStarts struct {
+	// until is when no open start can be executed any more, and epoch the highest one of their requests.
+	until clock.Instant
+	epoch ident.Epoch
+	// probing indicates that a probe is in flight; nextProbe is when the next one may be sent.
+	probing   bool
+	nextProbe clock.Instant
+}
+
+// probeResult is the result of a probe.
+type probeResult struct {
+	process work.WorkerProcess
+	epoch   ident.Epoch
+	report  WorkerReport
+	err     error
+}
+
+func (probeResult) event() {}
+
+// noteOpenStart records that a start request to a worker, sent under the given epoch by now, may be executed late.
+func (s *Scheduler) noteOpenStart(w *session, epoch ident.Epoch) {
+	w.open.until = clock.Now().Add(maxOrderLateness)
+	w.open.epoch = max(w.open.epoch, epoch)
+	s.withOpenStarts[w.id()] = w
+}
+
+// probeOpenStarts sends the probes that are due.
+func (s *Scheduler) probeOpenStarts(ctx context.Context) {
+	now := clock.Now()
+	for id, w := range s.withOpenStarts {
+		switch {
+		case !now.Before(w.open.until):
+			delete(s.withOpenStarts, id)
+		case !w.open.probing && !now.Before(w.open.nextProbe) && w.client != nil:
+			s.sendProbe(ctx, w)
+		}
+	}
+}
+
+// sendProbe sends a probe in the background, unless the scheduler lease has not been renewed since the open starts were sent. All
+// further requests to the worker carry the probe's epoch.
+func (s *Scheduler) sendProbe(ctx context.Context, w *session) {
+	if w.epoch <= w.open.epoch {
+		w.epoch = max(w.epoch, s.lease.LatestEpoch())
+	}
+	if w.epoch <= w.open.epoch {
+		return
+	}
+	w.open.probing = true
+	client, req := w.client, RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: w.epoch}
+	s.runAsync(ctx, func() event {
+		ctx, cancel := s.stalls.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		report, err := client.RenewLease(ctx, req)
+		return probeResult{process: req.Worker, epoch: req.Epoch, report: report, err: err}
+	})
+}
+
+// handleProbe processes the result of a probe, which may list the attempt of an open start. A later process of the worker that
+// responds gets a lease renewal next.
+func (s *Scheduler) handleProbe(ev probeResult) {
+	w := s.sessions[ev.process.Worker]
+	if w == nil {
+		return
+	}
+	w.open.probing, w.open.nextProbe = false, clock.Now().Add(probePause)
+	if w.entry.WorkerProcess != ev.process {
+		return
+	}
+	var refusal *RefusalError
+	if errors.As(ev.err, &refusal) && refusal.Cause == Superseded {
+		s.superseded(w, ev.epoch)
+		return
+	}
+	if ev.err != nil {
+		return
+	}
+	startedMs := ev.report.StartedMs
+	if startedMs == 0 || startedMs == ev.process.StartedMs {
+		w.recordReply(ev.report.Reply)
+		s.handleRunning(w, ev.report)
+		return
+	}
+	s.replaceProcess(w, work.WorkerProcess{Worker: ev.process.Worker, StartedMs: startedMs}, ev.report.attempts()...)
+	s.renewSoon(w)
+	s.engine.SetWorker(s.engineView(w))
+}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -213,7 +213,11 @@
 	s.config.Logger.Warn("worker refused lease renewal", "worker", w.id(), "cause", refusal.Cause.String())
 	switch refusal.Cause {
 	case Superseded:
-		s.superseded(w, epoch)
+		if !s.superseded(w, epoch) {
+			// A probe with a higher epoch has overtaken the renewal.
+			s.renewSoon(w)
+			return
+		}
 	case OtherLife:
 		s.otherLifeResponded(w, refusal.Reply.StartedMs)
 	default:
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -102,7 +102,11 @@
 	s.config.Logger.Warn("start refused", "part", ev.attempt.Part, "attempt", ev.attempt.Number, "worker", w.id(),
 		"cause", refusal.Cause.String())
 	w.recordReply(refusal.Reply)
-	if refusal.Cause == Superseded && s.superseded(w, ev.epoch) {
+	if refusal.Cause == Superseded {
+		if !s.superseded(w, ev.epoch) {
+			// A probe with a higher epoch has overtaken the request.
+			s.startUnsent(w, state, ev)
+		}
 		return
 	}
 	switch refusal.Cause {
@@ -146,7 +150,10 @@
 // attempt runs, until the limit is reached; then it stops the attempt, which may run, and avoids the worker. There is nothing
 // to do if a report of the worker has listed the attempt in the meantime.
 func (s *Scheduler) startUnanswered(w *session, state *attemptState, ev startResult) {
-	state.startOpen = state.startOpen || !ev.undelivered()
+	if !ev.undelivered() {
+		state.startOpen = true
+		s.noteOpenStart(w, ev.epoch)
+	}
 	if state.startConfirmed != clock.Never {
 		return
 	}
