A worker's later process gets no part by the labels of the former one

Cause: the labels of the session and of the engine outlived the process; a stale entry of the list was applied to the later process as well.

Fix: an entry that describes a former process gives no labels; a start that is queued or repeated looks at them right before it is sent.

Capacity stays that of the former entry until the list names the process, up to a heartbeat: a smaller kind that does not guard its capacity could be given too much in that time (read, not played).

--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
@@ -55,6 +56,13 @@
 	return needed.Fits(p.node.Capacity)
 }
 
+// HasLabel reports whether the worker of an attempt has the label that the attempt's step requires. Another process of the worker
+// may lack it.
+func (e *Engine) HasLabel(a work.Attempt) bool {
+	p := e.currentPart(a)
+	return p != nil && (p.group.spec().Label == "" || slices.Contains(p.node.Labels, p.group.spec().Label))
+}
+
 // AttemptRunning records a worker's report that an attempt is running, with its progress in percent and its latest
 // checkpoint.
 func (e *Engine) AttemptRunning(a work.Attempt, percent int, checkpoint work.Checkpoint, now time.Time) {
--- a/sard/sched/sends.go
+++ b/sard/sched/sends.go
@@ -82,7 +82,7 @@
 
 // acceptsStart reports whether a queued start may still be sent to a worker, which may have changed since it was decided.
 func (s *Scheduler) acceptsStart(w *session, a work.Attempt) bool {
-	return s.listedForStarts(w) && s.hasCapacity(w, a)
+	return s.listedForStarts(w) && s.hasCapacity(w, a) && s.engine.HasLabel(a)
 }
 
 // hasCapacity reports whether a worker has the capacity for an attempt that is about to be started there, which it may have
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -25,6 +25,9 @@
 	formerStartsMs []int64
 	// listed indicates that the platform's list contains the worker.
 	listed bool
+	// formerEntry indicates that entry describes a former process of the worker, whose labels the current one need not have: it
+	// has responded before the list names it.
+	formerEntry bool
 	// successor is the session with a later worker on the same host, or nil.
 	successor *session
 	// epoch is that of the requests to the worker process, and formerEpoch the highest one of requests to a former process,
@@ -164,6 +167,7 @@
 	id := entry.WorkerProcess.Worker
 	w := s.sessions[id]
 	// The list may be stale: the progress records or the worker itself may have named a later process.
+	listedMs := entry.StartedMs
 	entry.StartedMs = max(entry.StartedMs, s.latestStartedMs[id])
 	if w != nil {
 		entry.StartedMs = w.latestStart(entry.StartedMs)
@@ -184,7 +188,7 @@
 	if entry.Leaving {
 		entry.AvailableUntil = time.Now().Add(entry.LeavesAfter)
 	}
-	w.entry, w.listed = entry, true
+	w.entry, w.listed, w.formerEntry = entry, true, listedMs != entry.StartedMs
 	s.engine.SetWorker(s.engineView(w))
 }
 
@@ -239,6 +243,7 @@
 	entry := w.entry
 	entry.WorkerProcess = process
 	next := s.newSession(entry)
+	next.formerEntry = true
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
 	next.epoch, next.formerEpoch = w.epoch, w.epoch
@@ -246,6 +251,9 @@
 	next.formerStartsMs = append(w.formerStartsMs[max(0, len(w.formerStartsMs)+1-maxFormerStarts):], w.entry.StartedMs)
 	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
+	if w.listed {
+		s.engine.SetWorker(s.engineView(w))
+	}
 }
 
 // resetForProcess discards what is known of a kept attempt from the former process of its worker.
@@ -276,6 +284,9 @@
 // engineView returns the worker as it is passed to the engine.
 func (s *Scheduler) engineView(w *session) pool.Worker {
 	view := w.entry.Worker
+	if w.formerEntry {
+		view.Labels = nil
+	}
 	view.Accepting = s.barred(w) == noBar
 	return view
 }
