Jobs count as waiting until one of their parts has begun

Cause: a job's row among the waiting ones was deleted once a part was placed.

Fix: it is deleted once a worker has confirmed a start, listed a part, or reported its end, also under the next lease holder.

--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -71,6 +71,7 @@
 		return
 	}
 	g := p.group
+	g.job.begun = true
 	e.saveCheckpoint(g, checkpoint, now)
 	p.percent, p.reported = percent, true
 	if e.config.RunTimes && !p.slowestOfGang() {
@@ -93,6 +94,22 @@
 	return true
 }
 
+// AttemptBegan records that a worker has confirmed the start of an attempt.
+func (e *Engine) AttemptBegan(a work.Attempt) {
+	if j := e.jobs[a.Part.Job]; j != nil {
+		j.begun = true
+	}
+}
+
+// QueueOfBegun returns the queue of a job of which a part is known to have run, or false.
+func (e *Engine) QueueOfBegun(id ident.Job) (work.QueueName, bool) {
+	j := e.jobs[id]
+	if j == nil || !j.begun {
+		return "", false
+	}
+	return j.Queue, true
+}
+
 // StopUnconfirmed stops the group of an attempt because it is unknown whether the attempt was started.
 func (e *Engine) StopUnconfirmed(a work.Attempt) {
 	p := e.currentPart(a)
@@ -125,6 +142,9 @@
 // it.
 func (e *Engine) endAttempt(p *part, end End, checkpoint work.Checkpoint, now time.Time) {
 	g, n := p.group, p.node
+	if end == Done || end == Failed {
+		g.job.begun = true
+	}
 	if end == Done {
 		e.learnedEnds++
 		e.learnRunTime(g, now)
--- a/sard/pool/job.go
+++ b/sard/pool/job.go
@@ -18,8 +18,8 @@
 	// ones, which are complete.
 	occurrences   []*occurrence
 	completeBelow int
-	// started is set once any part was placed.
-	started bool
+	// begun is set once any part is known to have run.
+	begun bool
 	// withinGuarantee is set if the account's guarantee covers the job.
 	withinGuarantee bool
 	// lengths holds how long each step takes by the forecasts as of lengthsAt; nil if the estimates are used.
--- a/sard/pool/record.go
+++ b/sard/pool/record.go
@@ -13,8 +13,8 @@
 	Job      ident.Job
 	Queue    work.QueueName
 	Progress work.Progress
-	// PartPlaced is set once any part of the job was placed.
-	PartPlaced bool
+	// Begun is set once any part of the job is known to have run.
+	Begun bool
 	// Elapsed is the time since the job was accepted; Objective is the time within which it should complete.
 	Elapsed, Objective time.Duration
 	job                *job
@@ -33,7 +33,7 @@
 		j.dirty = false
 		e.dirty = slices.Delete(e.dirty, i, i+1)
 		changes = append(changes, Change{
-			Job: j.ID, Queue: j.Queue, Progress: j.progressRecord(), PartPlaced: j.started,
+			Job: j.ID, Queue: j.Queue, Progress: j.progressRecord(), Begun: j.begun,
 			Elapsed: now.Sub(j.acceptedAt), Objective: j.objective(), job: j,
 		})
 	}
@@ -154,7 +154,7 @@
 // restore loads a job's recorded progress. Placed groups stay placed on their recorded workers; reports from the
 // workers then show whether their parts run, need to be started or are lost.
 func (e *Engine) restore(j *job, p *work.Progress, now time.Time) {
-	j.started = len(p.Groups) > 0 || len(p.Complete) > 0 || p.CompleteBelow > 0
+	j.begun = len(p.Complete) > 0 || p.CompleteBelow > 0
 	j.restoreOccurrences(p, now)
 	for _, number := range p.Complete {
 		e.restoreCompleted(j, number)
@@ -195,6 +195,9 @@
 // restoreGroup loads a group's recorded progress.
 func (e *Engine) restoreGroup(g *group, recorded work.Group, processes []work.WorkerProcess, now time.Time) {
 	g.attempt, g.failures, g.checkpoint = recorded.Attempt, recorded.Failures, recorded.Checkpoint
+	if recorded.Done || recorded.Failures > 0 {
+		g.job.begun = true
+	}
 	if recorded.Done {
 		e.completeGroup(g)
 		return
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -310,7 +310,6 @@
 	g.progress = attemptProgress{fromStart: g.checkpoint == ""}
 	g.paceSample = paceSample{}
 	j := g.job
-	j.started = true
 	j.state = ident.Running
 	r.engine.markDirty(j)
 	for i, n := range nodes {
--- a/sard/sched/cleanup.go
+++ b/sard/sched/cleanup.go
@@ -6,7 +6,6 @@
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/ident"
-	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/store"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -45,15 +44,22 @@
 
 func (cleanupResult) event() {}
 
-// scheduleWaitingRowDeletion schedules the deletion of a job's row in the table of waiting jobs, once one of its parts
-// is placed or the job has ended.
-func (s *Scheduler) scheduleWaitingRowDeletion(c pool.Change) {
-	if !c.PartPlaced && !c.Progress.State.Terminal() || s.cleaner.scheduled[c.Job] {
+// jobBegan schedules the deletion of a job's row in the table of waiting jobs, if one of its parts is known to have run. A part
+// that was only placed may be refused by its worker.
+func (s *Scheduler) jobBegan(id ident.Job) {
+	if queue, begun := s.engine.QueueOfBegun(id); begun {
+		s.scheduleWaitingRowDeletion(id, queue)
+	}
+}
+
+// scheduleWaitingRowDeletion schedules the deletion of a job's row in the table of waiting jobs, once.
+func (s *Scheduler) scheduleWaitingRowDeletion(id ident.Job, queue work.QueueName) {
+	if s.cleaner.scheduled[id] {
 		return
 	}
-	s.cleaner.scheduled[c.Job] = true
-	shard := work.ShardOf(c.Job)
-	s.cleaner.waitingRows[shard] = append(s.cleaner.waitingRows[shard], work.WaitKey(c.Queue, c.Job))
+	s.cleaner.scheduled[id] = true
+	shard := work.ShardOf(id)
+	s.cleaner.waitingRows[shard] = append(s.cleaner.waitingRows[shard], work.WaitKey(queue, id))
 }
 
 // cleanUp starts a transaction that deletes rows of one shard, if one is due.
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -223,7 +223,9 @@
 		if c.Progress.State.Terminal() {
 			s.jobEnded(c, now)
 		}
-		s.scheduleWaitingRowDeletion(c)
+		if c.Begun || c.Progress.State.Terminal() {
+			s.scheduleWaitingRowDeletion(c.Job, c.Queue)
+		}
 	}
 	s.engine.ChangesWritten(b.changes)
 	s.confirmEnds(b.seenEnds)
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -287,6 +287,7 @@
 		s.recordSurvival(w, r.Attempt)
 		if s.engine.ShouldRun(r.Attempt, w.id()) {
 			s.engine.AttemptRunning(r.Attempt, r.Percent, r.Checkpoint, now)
+			s.jobBegan(r.Attempt.Part.Job)
 			continue
 		}
 		s.stopUnexpected(w, r.Attempt)
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -71,6 +71,8 @@
 		return
 	}
 	state.startConfirmed = clock.Now()
+	s.engine.AttemptBegan(a)
+	s.jobBegan(a.Part.Job)
 	fields := []any{
 		"part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(), "sent", state.startsSent, "born", startedMs,
 	}
