Guaranteed jobs reclaim capacity from work that lasts

Cause: work that lasts was never stopped to make room, whatever for.

Fix: work that lasts and is outside its account's guarantee yields to jobs within theirs, at the usual cost of a stop. A step that limits how many of its parts may be missing is left alone, so that this limit is kept: a guarantee behind such work still waits (partial).

--- a/sard/pool/placement_test.go
+++ b/sard/pool/placement_test.go
@@ -193,3 +193,42 @@
 	assert.Equal(t, len(h.starts), 2)
 	assert.Equal(t, h.starts[1].Attempt.Part.Occurrence, 1)
 }
+
+// TestGuaranteedJobReclaimsFromLastingWork guards against guaranteed jobs that wait for ever behind work that lasts and is outside
+// its account's guarantee. Work whose step limits how many of its parts may be missing is left alone.
+func TestGuaranteedJobReclaimsFromLastingWork(t *testing.T) {
+	tests := []struct {
+		name     string
+		priority work.Priority
+		mayMiss  int
+		reclaims bool
+	}{
+		{"guaranteed job", work.Guaranteed, 0, true},
+		{"guaranteed job, parts that may not be missing", work.Guaranteed, 1, false},
+		{"job of a higher priority without a guarantee", 1, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.submit("other", "lasting", 2, work.Step{Parts: 4, Need: largePart, Lasting: true, MayMiss: test.mayMiss})
+			h.advance(20 * time.Second)
+			assert.Equal(t, len(h.workersOf("lasting")), 4)
+			h.advance(time.Minute)
+			h.addJob("job", test.priority, work.Step{Parts: 2, Need: largePart, Estimate: time.Second})
+			h.confirmStops()
+			h.advance(time.Second)
+			want := 0
+			if test.reclaims {
+				want = 2
+			}
+			assert.Equal(t, len(h.workersOf("job")), want)
+			if !test.reclaims {
+				return
+			}
+			assert.Equal(t, len(h.workersOf("lasting")), 2)
+			h.endJob("job", Done)
+			h.advance(time.Second)
+			assert.Equal(t, len(h.workersOf("lasting")), 4)
+		})
+	}
+}
--- a/sard/pool/reclaim.go
+++ b/sard/pool/reclaim.go
@@ -192,10 +192,11 @@
 	return list
 }
 
-// mayPreempt reports whether the other group may be stopped to make room for g.
+// mayPreempt reports whether the other group may be stopped to make room for g. A group that lasts yields to guaranteed work only,
+// and not at all if its step limits how many of its parts may be missing.
 func (g *group) mayPreempt(other *group) bool {
 	if other.spec().Lasting {
-		return false
+		return g.job.withinGuarantee && !other.job.withinGuarantee && other.spec().MayMiss == 0
 	}
 	if other.job.settings.Priority > g.job.settings.Priority {
 		return true
