--- a/sard/pool/crash_test.go
+++ b/sard/pool/crash_test.go
@@ -88,8 +88,8 @@
 				h.crashPossibly("job")
 				worker.StartedMs++
 				if renamed {
-					h.engine.DropWorker(worker.WorkerProcess.Worker)
-					worker.WorkerProcess.Worker += "x"
+					h.engine.DropWorker(worker.Worker)
+					worker.Worker += "x"
 				}
 				h.engine.SetWorker(worker)
 				h.advance(isolationLimit)
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -53,7 +53,7 @@
 	if w.Host != "" && len(w.Host) <= work.MaxNameBytes {
 		return w.Host
 	}
-	return ident.Host(w.WorkerProcess.Worker)
+	return ident.Host(w.Worker)
 }
 
 // free returns the capacity that is not allocated.
