--- a/sard/sched/events.go
+++ b/sard/sched/events.go
@@ -90,8 +90,8 @@
 		s.handleStop(ev)
 	case renewalResult:
 		s.handleRenewal(ev)
-	case probeResult:
-		s.handleProbe(ev)
+	case fenceResult:
+		s.handleFence(ev)
 	case learnedResult:
 		s.handleLearned(ev)
 	case cleanupResult:
--- a/sard/sched/openstarts.go
+++ b/sard/sched/openstarts.go
@@ -11,18 +11,18 @@
 )
 
 // A start request without a response is open: whichever process of the worker runs then may still execute it, and a later process
-// does so whatever was stopped or had ended on the former one. So while a start is open, the worker is probed: each probe is a
-// lease renewal that asks for nothing but carries a higher epoch than the start, so that a process that has got one refuses it.
+// does so whatever was stopped or had ended on the former one. So while a start is open, the worker gets fencing renewals: lease
+// renewals that ask for nothing but carry a higher epoch than the start, so that a process that has got one refuses it.
 // docs/design/open-starts.md says for each observation when an attempt with an open start counts as ended.
 
 const (
 	// maxOrderLateness is how late a worker may execute a request that got no response.
 	maxOrderLateness = 12 * time.Second
-	// probePause is the time between two probes of a worker. A process that starts in between executes open starts until the
+	// fencePause is the time between two fencing renewals of a worker. A process that starts in between executes open starts until the
 	// next one.
-	probePause = 100 * time.Millisecond
-	// probeTimeout limits the duration of a probe.
-	probeTimeout = 200 * time.Millisecond
+	fencePause = 100 * time.Millisecond
+	// fenceTimeout limits the duration of a fencing renewal.
+	fenceTimeout = 200 * time.Millisecond
 )
 
 // openStarts is what the scheduler knows of the open starts of a worker.
@@ -30,20 +30,20 @@
 	// until is when no open start can be executed any more, and epoch the highest one of their requests.
 	until clock.Instant
 	epoch ident.Epoch
-	// probing indicates that a probe is in flight; nextProbe is when the next one may be sent.
-	probing   bool
-	nextProbe clock.Instant
+	// fencing indicates that a fencing renewal is in flight; nextFence is when the next one may be sent.
+	fencing   bool
+	nextFence clock.Instant
 }
 
-// probeResult is the result of a probe.
-type probeResult struct {
+// fenceResult is the result of a fencing renewal.
+type fenceResult struct {
 	process work.WorkerProcess
 	epoch   ident.Epoch
 	report  WorkerReport
 	err     error
 }
 
-func (probeResult) event() {}
+func (fenceResult) event() {}
 
 // noteOpenStart records that a start request to a worker, sent under the given epoch by now, may be executed late.
 func (s *Scheduler) noteOpenStart(w *session, epoch ident.Epoch) {
@@ -52,46 +52,46 @@
 	s.withOpenStarts[w.id()] = w
 }
 
-// probeOpenStarts sends the probes that are due.
-func (s *Scheduler) probeOpenStarts(ctx context.Context) {
+// fenceOpenStarts sends the fencing renewals that are due.
+func (s *Scheduler) fenceOpenStarts(ctx context.Context) {
 	now := clock.Now()
 	for id, w := range s.withOpenStarts {
 		switch {
 		case !now.Before(w.open.until):
 			delete(s.withOpenStarts, id)
-		case !w.open.probing && !now.Before(w.open.nextProbe) && w.client != nil:
-			s.sendProbe(ctx, w)
+		case !w.open.fencing && !now.Before(w.open.nextFence) && w.client != nil:
+			s.sendFence(ctx, w)
 		}
 	}
 }
 
-// sendProbe sends a probe in the background, unless the scheduler lease has not been renewed since the open starts were sent. All
-// further requests to the worker carry the probe's epoch.
-func (s *Scheduler) sendProbe(ctx context.Context, w *session) {
+// sendFence sends a fencing renewal in the background, unless the scheduler lease has not been renewed since the open starts were sent. All
+// further requests to the worker carry its epoch.
+func (s *Scheduler) sendFence(ctx context.Context, w *session) {
 	if w.epoch <= w.open.epoch {
 		w.epoch = max(w.epoch, s.lease.LatestEpoch())
 	}
 	if w.epoch <= w.open.epoch {
 		return
 	}
-	w.open.probing = true
+	w.open.fencing = true
 	client, req := w.client, RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: w.epoch}
 	s.runAsync(ctx, func() event {
-		ctx, cancel := s.stalls.WithTimeout(ctx, probeTimeout)
+		ctx, cancel := s.stalls.WithTimeout(ctx, fenceTimeout)
 		defer cancel()
 		report, err := client.RenewLease(ctx, req)
-		return probeResult{process: req.Worker, epoch: req.Epoch, report: report, err: err}
+		return fenceResult{process: req.Worker, epoch: req.Epoch, report: report, err: err}
 	})
 }
 
-// handleProbe processes the result of a probe, which may list the attempt of an open start. A later process of the worker that
+// handleFence processes the result of a fencing renewal, which may list the attempt of an open start. A later process of the worker that
 // responds gets a lease renewal next.
-func (s *Scheduler) handleProbe(ev probeResult) {
+func (s *Scheduler) handleFence(ev fenceResult) {
 	w := s.sessions[ev.process.Worker]
 	if w == nil {
 		return
 	}
-	w.open.probing, w.open.nextProbe = false, clock.Now().Add(probePause)
+	w.open.fencing, w.open.nextFence = false, clock.Now().Add(fencePause)
 	if w.entry.WorkerProcess != ev.process {
 		return
 	}
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -214,7 +214,7 @@
 	switch refusal.Cause {
 	case Superseded:
 		if !s.superseded(w, epoch) {
-			// A probe with a higher epoch has overtaken the renewal.
+			// A fencing renewal with a higher epoch has overtaken the renewal.
 			s.renewSoon(w)
 			return
 		}
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -106,7 +106,7 @@
 	w.recordReply(refusal.Reply)
 	if refusal.Cause == Superseded {
 		if !s.superseded(w, ev.epoch) {
-			// A probe with a higher epoch has overtaken the request.
+			// A fencing renewal with a higher epoch has overtaken the request.
 			s.startUnsent(w, state, ev)
 		}
 		return
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -262,7 +262,7 @@
 	s.applyEvacuations()
 	s.renewLeases(ctx)
 	if err == nil {
-		s.probeOpenStarts(ctx)
+		s.fenceOpenStarts(ctx)
 		s.retryRejected()
 		s.decide()
 		s.commit(ctx)
