Fencing renewals do not wait for each other

Cause: one fencing renewal at a time, each of which may wait out its 0.2 s on a connection that went silent with the former process; two such, and the pauses, were longer than the 0.4 s.

Fix: one is sent every 100 ms, up to four at a time.

--- a/sard/sched/openstarts.go
+++ b/sard/sched/openstarts.go
@@ -23,6 +23,9 @@
 	fencePause = 100 * time.Millisecond
 	// fenceTimeout limits the duration of a fencing renewal.
 	fenceTimeout = 200 * time.Millisecond
+	// maxFences is how many fencing renewals of a worker may be in flight. They do not wait for each other, as some may be sent on
+	// connections that have gone silent with a former process.
+	maxFences = 4
 )
 
 // openStarts is what the scheduler knows of the open starts of a worker.
@@ -30,8 +33,8 @@
 	// until is when no open start can be executed any more, and epoch the highest one of their requests.
 	until clock.Instant
 	epoch ident.Epoch
-	// fencing indicates that a fencing renewal is in flight; nextFence is when the next one may be sent.
-	fencing   bool
+	// fences is the number of fencing renewals in flight; nextFence is when the next one may be sent.
+	fences    int
 	nextFence clock.Instant
 }
 
@@ -59,7 +62,7 @@
 		switch {
 		case !now.Before(w.open.until):
 			delete(s.withOpenStarts, id)
-		case !w.open.fencing && !now.Before(w.open.nextFence) && w.client != nil:
+		case w.open.fences < maxFences && !now.Before(w.open.nextFence) && w.client != nil:
 			s.sendFence(ctx, w)
 		}
 	}
@@ -74,7 +77,8 @@
 	if w.epoch <= w.open.epoch {
 		return
 	}
-	w.open.fencing = true
+	w.open.fences++
+	w.open.nextFence = clock.Now().Add(fencePause)
 	client, req := w.client, RenewLeaseRequest{Worker: w.entry.WorkerProcess, Epoch: w.epoch}
 	s.runAsync(ctx, func() event {
 		ctx, cancel := s.stalls.WithTimeout(ctx, fenceTimeout)
@@ -91,7 +95,7 @@
 	if w == nil {
 		return
 	}
-	w.open.fencing, w.open.nextFence = false, clock.Now().Add(fencePause)
+	w.open.fences = max(0, w.open.fences-1)
 	if w.entry.WorkerProcess != ev.process {
 		return
 	}
