Workers with open starts are found by their names

Cause: a session may be replaced by another one of the same worker. Change: the set holds names; comments are wrapped.

--- a/sard/sched/openstarts.go
+++ b/sard/sched/openstarts.go
@@ -18,8 +18,8 @@
 const (
 	// maxOrderLateness is how late a worker may execute a request that got no response.
 	maxOrderLateness = 12 * time.Second
-	// fencePause is the time between two fencing renewals of a worker. A process that starts in between executes open starts until the
-	// next one.
+	// fencePause is the time between two fencing renewals of a worker. A process that starts in between executes open starts until
+	// the next one.
 	fencePause = 100 * time.Millisecond
 	// fenceTimeout limits the duration of a fencing renewal.
 	fenceTimeout = 200 * time.Millisecond
@@ -52,15 +52,16 @@
 func (s *Scheduler) noteOpenStart(w *session, epoch ident.Epoch) {
 	w.open.until = clock.Now().Add(maxOrderLateness)
 	w.open.epoch = max(w.open.epoch, epoch)
-	s.withOpenStarts[w.id()] = w
+	s.withOpenStarts[w.id()] = true
 }
 
 // fenceOpenStarts sends the fencing renewals that are due.
 func (s *Scheduler) fenceOpenStarts(ctx context.Context) {
 	now := clock.Now()
-	for id, w := range s.withOpenStarts {
+	for id := range s.withOpenStarts {
+		w := s.sessions[id]
 		switch {
-		case !now.Before(w.open.until):
+		case w == nil || !now.Before(w.open.until):
 			delete(s.withOpenStarts, id)
 		case w.open.fences < maxFences && !now.Before(w.open.nextFence) && w.client != nil:
 			s.sendFence(ctx, w)
@@ -68,8 +69,8 @@
 	}
 }
 
-// sendFence sends a fencing renewal in the background, unless the scheduler lease has not been renewed since the open starts were sent. All
-// further requests to the worker carry its epoch.
+// sendFence sends a fencing renewal in the background, unless the scheduler lease has not been renewed since the open starts were
+// sent. All further requests to the worker carry its epoch.
 func (s *Scheduler) sendFence(ctx context.Context, w *session) {
 	if w.epoch <= w.open.epoch {
 		w.epoch = max(w.epoch, s.lease.LatestEpoch())
@@ -88,8 +89,8 @@
 	})
 }
 
-// handleFence processes the result of a fencing renewal, which may list the attempt of an open start. A later process of the worker that
-// responds gets a lease renewal next.
+// handleFence processes the result of a fencing renewal, which may list the attempt of an open start. A later process of the
+// worker that responds gets a lease renewal next.
 func (s *Scheduler) handleFence(ev fenceResult) {
 	w := s.sessions[ev.process.Worker]
 	if w == nil {
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -124,8 +124,8 @@
 	lease    Lease
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
-	// withOpenStarts holds the sessions with workers that may execute a start late.
-	withOpenStarts map[ident.Worker]*session
+	// withOpenStarts holds the workers that may execute a start late.
+	withOpenStarts map[ident.Worker]bool
 	// latestOnHost holds the session with the latest worker of each host.
 	latestOnHost map[ident.Host]*session
 	// renewalDue holds sessions whose renewal has become due since the last check, and nextRenewalScan is when the
@@ -178,7 +178,7 @@
 		sessions:        map[ident.Worker]*session{},
 		latestOnHost:    map[ident.Host]*session{},
 		unconfirmed:     map[ident.Worker]*session{},
-		withOpenStarts:  map[ident.Worker]*session{},
+		withOpenStarts:  map[ident.Worker]bool{},
 		loadedProgress:  map[ident.Job]*work.Progress{},
 		latestStartedMs: map[ident.Worker]int64{},
 		ended:           map[ident.Job]time.Time{},
