One predicate for required labels, one decoder for the row of an ID

Cause: the last read of the change found two checks written twice (the label of a step, in eligibleFor and HasLabel; the row of an ID, in findExisting and decodeRow), changes taken back twice for a batch of one, and an overlong line. Change: hasLabelFor and decodeRow serve both; the second call is gone.

--- a/sard/entry/creation.go
+++ b/sard/entry/creation.go
@@ -62,28 +62,21 @@
 	return result, err
 }
 
-// findExisting reports whether the rows of an ID already contain the job. If they contain a refusal, it returns the
-// version of that row. It fails if the ID belongs to a job of another account or queue, or if the account has withdrawn the job.
+// findExisting reports whether the row of an ID already contains the job. If it contains a refusal, it returns the version of
+// that row. It fails if the ID belongs to a job of another account or queue, or if the account has withdrawn the job.
 func findExisting(rows []store.Row, job *work.Job) (accepted bool, refusal store.Version, err error) {
-	for _, row := range rows {
-		var decoded work.JobRow
-		if err := work.Decode(row.Value, &decoded); err != nil {
-			return false, 0, err
-		}
-		if decoded.WithdrawnBy(job.Account) {
-			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s was cancelled", job.ID)
-		}
-		if decoded.Refused || decoded.Job == nil {
-			refusal = row.Version
-			continue
-		}
-		if decoded.Job.Account != job.Account {
-			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is taken", job.ID)
-		}
-		if decoded.Job.Queue != job.Queue {
-			return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is that of a job in queue %s", job.ID, decoded.Job.Queue)
-		}
-		accepted = true
+	decoded, version, err := decodeRow(rows)
+	switch {
+	case err != nil:
+		return false, 0, err
+	case decoded.WithdrawnBy(job.Account):
+		return false, 0, fault.New(fault.Conflict, "submit", "", "id %s was cancelled", job.ID)
+	case decoded.Refused || decoded.Job == nil:
+		return false, version, nil
+	case decoded.Job.Account != job.Account:
+		return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is taken", job.ID)
+	case decoded.Job.Queue != job.Queue:
+		return false, 0, fault.New(fault.Conflict, "submit", "", "id %s is that of a job in queue %s", job.ID, decoded.Job.Queue)
 	}
-	return accepted, refusal, nil
+	return true, 0, nil
 }
--- a/sard/pool/events.go
+++ b/sard/pool/events.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sardineline/sardineline/sard/ident"
@@ -60,7 +59,7 @@
 // may lack it.
 func (e *Engine) HasLabel(a work.Attempt) bool {
 	p := e.currentPart(a)
-	return p != nil && (p.group.spec().Label == "" || slices.Contains(p.node.Labels, p.group.spec().Label))
+	return p != nil && p.node.hasLabelFor(p.group.spec())
 }
 
 // AttemptRunning records a worker's report that an attempt is running, with its progress in percent and its latest
--- a/sard/pool/worker.go
+++ b/sard/pool/worker.go
@@ -92,6 +92,11 @@
 	if n.Service != g.job.settings.Service || !g.demand().Fits(n.Capacity) {
 		return false
 	}
+	return n.hasLabelFor(step)
+}
+
+// hasLabelFor reports whether the node has the label that a step requires, if it requires one.
+func (n *node) hasLabelFor(step *work.Step) bool {
 	return step.Label == "" || slices.Contains(n.Labels, step.Label)
 }
 
--- a/sard/sched/missing.go
+++ b/sard/sched/missing.go
@@ -45,8 +45,9 @@
 
 // resolveMissing determines what happened to an attempt that is missing from the response to a lease renewal. It has ended
 // as stopped or lost if the worker had confirmed its stop or start before, or had listed it. On the worker's first complete report
-// under this epoch, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run. The order of the cases matters:
-// what the worker has confirmed comes before what it can't do any more, and both before requests without a result.
+// under this epoch, an attempt that an earlier holder of the scheduler lease placed is started if it is meant to run. The order of
+// the cases matters: what the worker has confirmed comes before what it can't do any more, and both before requests without a
+// result.
 func (s *Scheduler) resolveMissing(w *session, a work.Attempt, state *attemptState, ev renewalResult, first bool) {
 	switch {
 	case state.stopConfirmed != clock.Never && state.stopConfirmed.Before(ev.sentAt):
--- a/sard/sched/rejected.go
+++ b/sard/sched/rejected.go
@@ -44,7 +44,6 @@
 	s.journal.batch = nil
 	s.journal.pendingStarts = append(b.starts, s.journal.pendingStarts...)
 	if len(b.changes) == 1 {
-		s.engine.ChangesNotWritten(b.changes)
 		s.rejectRecord(b.changes[0], err)
 		return
 	}
