Review: a completed work unit runs again while the store is down

Fencing renewals are sent only while the scheduler lease is valid, so a later process of an executor carries a late start out during an outage.

--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -102,6 +103,8 @@
 	store    *tableStore
 	registry string
 	servers  []*http.Server
+	// ports holds the ports that freePort has returned.
+	ports map[int]bool
 	// instances and executors are the processes, by number from 1.
 	instances []*instance
 	executors []*executorProcess
@@ -154,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{folder: folder, root: filepath.Dir(filepath.Dir(folder)), temp: temp, trouble: os.Getenv("TROUBLE") != "0", record: rec, store: newTableStore()}
+	r := &rig{folder: folder, root: filepath.Dir(filepath.Dir(folder)), temp: temp, trouble: os.Getenv("TROUBLE") != "0", record: rec, store: newTableStore(), ports: map[int]bool{}}
 	r.ctx, r.cancel = context.WithTimeout(context.Background(), limit)
 	if r.registry, err = r.serve(r.store.registry()); err != nil {
 		return nil, err
@@ -181,14 +184,29 @@
 	return listener.Addr().String(), nil
 }
 
-// freePort returns a port that nothing listens on.
-func freePort() (int, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+const (
+	// firstPort and portCount are the ports that processes are told to listen on. They lie below those that the system gives
+	// to outgoing connections, which could take one between its choice and its use.
+	firstPort, portCount = 15000, 15000
+	// portTries is how many ports are tried.
+	portTries = 100
+)
+
+// freePort returns a port that nothing listens on and that was not returned before.
+func (r *rig) freePort() (int, error) {
+	for range portTries {
+		port := firstPort + rand.IntN(portCount)
+		if r.ports[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		r.ports[port] = true
+		return port, listener.Close()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return 0, fmt.Errorf("no free port in %d tries", portTries)
 }
 
 // sleep waits, and returns false when the case has taken too long.
@@ -241,7 +259,7 @@
 	var ports [3]int
 	for i := range ports {
 		var err error
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = r.freePort(); err != nil {
 			return err
 		}
 	}
@@ -319,7 +337,7 @@
 // newExecutor returns an executor that has not been started.
 func (r *rig) newExecutor(kind string) (*executorProcess, error) {
 	number := len(r.executors) + 1
-	port, err := freePort()
+	port, err := r.freePort()
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -68,6 +68,8 @@
 	changed chan struct{}
 	// beats holds when each executor last registered.
 	beats map[string]time.Time
+	// refuseUntil is until when the store answers 503 to all calls of the instances.
+	refuseUntil time.Time
 	// lastWriter is the instance that last wrote under a condition on the table that all instances compete for.
 	lastWriter int
 }
@@ -83,7 +85,27 @@
 	mux.HandleFunc("POST /-/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.serveTx(w, r, instance) })
 	mux.HandleFunc("GET /-/rows-get", s.serveGet)
 	mux.HandleFunc("GET /-/rows-feed", s.serveFeed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.refuses() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// refuseFor makes the store answer 503 to all calls of the instances for a time.
+func (s *tableStore) refuseFor(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseUntil = time.Now().Add(d)
+}
+
+// refuses reports whether the store answers 503 now.
+func (s *tableStore) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.refuseUntil)
 }
 
 // serveTx serves a transaction of an instance.
@@ -94,21 +116,20 @@
 		return
 	}
 	time.Sleep(txTime)
-	part, parts := "", map[string]bool{}
+	parts := map[string]bool{}
 	for _, p := range tx.SetKeys {
-		part, parts[p.Part] = p.Part, true
+		parts[p.Part] = true
 		if p.Table == "op" || p.Table == "servers" {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
 	}
 	for _, k := range tx.Remove {
-		part, parts[k.Part] = k.Part, true
+		parts[k.Part] = true
 	}
 	for _, e := range tx.Expected {
-		part, parts[e.Part] = e.Part, true
+		parts[e.Part] = true
 	}
-	_ = part
 	if len(parts) > 1 && !tx.Across || len(tx.Expected)+len(tx.SetKeys)+len(tx.Remove) > 100 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
