Logs and metrics tell a late start from a repeated one

Change: "part started" and "start not answered" name the epoch of the request, and the latter whether it may still be executed. A run that is stopped on a worker with open starts has the reason "its start was executed late", with the worker's process and the number of its former ones. New metrics: workers_with_open_starts, fencing_renewals_total{outcome}. Stops of unexpected runs count in attempts_stopped_total as well.

--- a/sard/pool/decision.go
+++ b/sard/pool/decision.go
@@ -60,6 +60,7 @@
 	ReasonSlowWorker    StopReason = "worker slows its work down"
 	ReasonStalled       StopReason = "no progress"
 	ReasonNotCurrent    StopReason = "not a current attempt"
+	ReasonLateStart     StopReason = "its start was executed late"
 )
 
 // decision marks Start as a Decision.
--- a/sard/sched/metrics.go
+++ b/sard/sched/metrics.go
@@ -31,6 +31,7 @@
 	learned         learnedMetrics
 	waits           waitMetrics
 	groupWaits      groupWaitMetrics
+	fences          fenceMetrics
 	choices         *prometheus.CounterVec
 }
 
@@ -40,6 +41,7 @@
 		learned:    newLearnedMetrics(registerer),
 		waits:      newWaitMetrics(registerer),
 		groupWaits: newGroupWaitMetrics(registerer),
+		fences:     newFenceMetrics(registerer),
 		holding: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "sardine", Subsystem: "sched", Name: "holding", Help: "1 while the instance holds the scheduler lease.",
 		}),
--- a/sard/sched/openstarts.go
+++ b/sard/sched/openstarts.go
@@ -48,6 +48,19 @@
 
 func (fenceResult) event() {}
 
+// outcome returns what became of the renewal, as a label of metrics.
+func (r fenceResult) outcome() string {
+	var refusal *RefusalError
+	switch {
+	case r.err == nil:
+		return "answered"
+	case errors.As(r.err, &refusal):
+		return "refused"
+	default:
+		return "unanswered"
+	}
+}
+
 // noteOpenStart records that a start request to a worker, sent under the given epoch by now, may be executed late.
 func (s *Scheduler) noteOpenStart(w *session, epoch ident.Epoch) {
 	w.open.until = clock.Now().Add(maxOrderLateness)
@@ -92,6 +105,7 @@
 // handleFence processes the result of a fencing renewal, which may list the attempt of an open start. A later process of the
 // worker that responds gets a lease renewal next.
 func (s *Scheduler) handleFence(ev fenceResult) {
+	s.config.Metrics.fences.renewals.WithLabelValues(ev.outcome()).Inc()
 	w := s.sessions[ev.process.Worker]
 	if w == nil {
 		return
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -281,7 +281,7 @@
 			state.listedAt = clock.Now()
 			state.processUnknown = state.processUnknown && state.startInFlight
 			if state.startsSent > 0 {
-				s.confirmStart(w, state, r.Attempt, w.entry.StartedMs)
+				s.confirmStart(w, state, r.Attempt, confirmation{startedMs: w.entry.StartedMs})
 			}
 		}
 		s.recordSurvival(w, r.Attempt)
--- a/sard/sched/results.go
+++ b/sard/sched/results.go
@@ -6,6 +6,7 @@
 
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -54,7 +55,7 @@
 		w.recordAlive(ev.process, ev.reply.Clock)
 		w.recordRunning(state, ev.process, ev.reply.Clock)
 		state.processUnknown = ev.reply.StartedMs == 0
-		s.confirmStart(w, state, ev.attempt, ev.reply.StartedMs)
+		s.confirmStart(w, state, ev.attempt, confirmation{epoch: ev.epoch, startedMs: ev.reply.StartedMs})
 	case errors.As(ev.err, &refusal):
 		s.startRefused(state, w, ev, refusal)
 	case ev.first && ev.undelivered():
@@ -64,9 +65,16 @@
 	}
 }
 
-// confirmStart records that an attempt was started on a worker, unless that is known. StartedMs is the start time of the
-// worker process that confirmed it, or 0 if that is unknown.
-func (s *Scheduler) confirmStart(w *session, state *attemptState, a work.Attempt, startedMs int64) {
+// confirmation tells by what the start of an attempt was confirmed.
+type confirmation struct {
+	// epoch is that of the start request that was answered, or 0 if a report has listed the attempt.
+	epoch ident.Epoch
+	// startedMs is the start time of the worker process that confirmed the start, or 0 if that is unknown.
+	startedMs int64
+}
+
+// confirmStart records that an attempt was started on a worker, unless that is known.
+func (s *Scheduler) confirmStart(w *session, state *attemptState, a work.Attempt, by confirmation) {
 	if state.startConfirmed != clock.Never {
 		return
 	}
@@ -74,7 +82,8 @@
 	s.engine.AttemptBegan(a)
 	s.jobBegan(a.Part.Job)
 	fields := []any{
-		"part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(), "sent", state.startsSent, "born", startedMs,
+		"part", a.Part, "attempt", a.Number, "worker", w.id(), "epoch", s.lease.Epoch(), "request_epoch", by.epoch,
+		"sent", state.startsSent, "born", by.startedMs,
 	}
 	s.config.Logger.Info("part started", append(fields, s.speedFields(w.id())...)...)
 }
@@ -160,7 +169,7 @@
 		return
 	}
 	s.config.Logger.Warn("start not answered", "part", ev.attempt.Part, "attempt", ev.attempt.Number,
-		"worker", ev.process.Worker, "tries", state.startsSent, "error", ev.err)
+		"worker", ev.process.Worker, "request_epoch", ev.epoch, "tries", state.startsSent, "open", !ev.undelivered(), "error", ev.err)
 	if !ev.timedOut && !ev.undelivered() {
 		state.startBroken = clock.Now()
 	}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -351,6 +351,7 @@
 	summary := s.engine.Summary()
 	s.config.Metrics.setSummary(summary)
 	s.config.Metrics.groupWaits.set(s.engine.Waits())
+	s.config.Metrics.fences.workers.Set(float64(len(s.withOpenStarts)))
 	s.reportRounds(summary)
 	s.reportLearned()
 	if summary == s.lastSummary {
--- a/sard/sched/sends.go
+++ b/sard/sched/sends.go
@@ -126,7 +126,10 @@
 // stopUnexpected stops an attempt that a worker runs but should not.
 func (s *Scheduler) stopUnexpected(w *session, a work.Attempt) {
 	if w.attempts[a] == nil {
-		s.config.Logger.Info("part is stopped", "part", a.Part, "attempt", a.Number, "worker", w.id(), "reason", pool.ReasonNotCurrent)
+		reason := s.unexpectedReason(w)
+		s.config.Metrics.attemptsStopped.WithLabelValues(string(reason)).Inc()
+		s.config.Logger.Info("part is stopped", "part", a.Part, "attempt", a.Number, "worker", w.id(), "reason", reason,
+			"born", w.entry.StartedMs, "former_processes", len(w.formerStartsMs))
 	}
 	state := w.ensureAttempt(a)
 	if clock.Since(state.stopConfirmed) > s.config.MaxStopTime+stopRetryPause {
@@ -134,6 +137,14 @@
 	}
 }
 
+// unexpectedReason returns why a worker probably runs an attempt that it should not.
+func (s *Scheduler) unexpectedReason(w *session) pool.StopReason {
+	if s.withOpenStarts[w.id()] {
+		return pool.ReasonLateStart
+	}
+	return pool.ReasonNotCurrent
+}
+
 // sendStop sends a queued stop request in the background.
 func (s *Scheduler) sendStop(ctx context.Context, w *session, a work.Attempt) {
 	if w.attempts[a] == nil {
