--- a/sard/sched/commands.go
+++ b/sard/sched/commands.go
@@ -156,6 +156,7 @@
 // sendCommands sends queued commands. Starts are sent only while the scheduler lease is held and the worker list is read.
 func (s *Scheduler) sendCommands(ctx context.Context) {
 	s.commands.releaseSlow()
+	s.releaseHeldStarts()
 	last := startClass
 	if s.lease.Check() != nil || !s.workerListCurrent() {
 		last = stopClass
@@ -183,11 +184,16 @@
 		return
 	}
 	state.startQueued = true
-	class := startClass
+	s.starts.unsettled[w.id()] = true
+	s.commands.add(w, startClassOf(start), startCommand{start: start})
+}
+
+// startClassOf returns the class of the command that starts an attempt.
+func startClassOf(start pool.Start) commandClass {
 	if start.Priority == work.Guaranteed {
-		class = guaranteedStartClass
+		return guaranteedStartClass
 	}
-	s.commands.add(w, class, startCommand{start: start})
+	return startClass
 }
 
 // queueStop queues the stop of an attempt, unless one is queued or in flight.
--- a/sard/sched/epoch.go
+++ b/sard/sched/epoch.go
@@ -6,13 +6,18 @@
 // was sent to, which has seen no epoch. So a later process first gets a lease renewal with a higher epoch than all requests to
 // its former ones, and starts only when it has responded to that.
 
-// raiseEpoch makes sure that the worker process gets requests with a higher epoch than its former ones. It returns false while
-// the scheduler lease has not been renewed often enough for that.
-func (s *Scheduler) raiseEpoch(w *session) bool {
-	if w.epoch <= w.formerEpoch {
-		w.epoch = max(w.epoch, s.lease.LatestEpoch())
+// raiseAbove makes sure that the worker gets requests with a higher epoch than a given one. It returns false while the holder has
+// no such epoch, since the scheduler lease has not been renewed often enough for that.
+func (s *Scheduler) raiseAbove(w *session, epoch ident.Epoch) bool {
+	if w.epoch > epoch {
+		return true
 	}
-	return w.epoch > w.formerEpoch
+	if s.lease.LatestEpoch() <= epoch {
+		return false
+	}
+	w.epoch = epoch + 1
+	s.fencer.raise(w.id(), w.epoch)
+	return true
 }
 
 // superseded handles the refusal of a request because of its epoch. It returns whether another instance holds the scheduler
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -61,6 +61,8 @@
 	furtherRows furtherRows
 	starts      []pool.Start
 	seenEnds    map[work.WorkerProcess]EndSequence
+	// listed holds the entries of the start list that it writes; nil if it writes none.
+	listed map[ident.Worker]storedStart
 }
 
 // furtherRows holds the numbers of further rows of progress records; jobs without any may be left out.
@@ -79,7 +81,9 @@
 // written.
 func (s *Scheduler) loadJournal(rows []store.Row) {
 	for _, row := range rows {
-		s.journal.version = row.Version
+		if row.Key == journalKey {
+			s.journal.version = row.Version
+		}
 	}
 }
 
@@ -100,7 +104,9 @@
 func (s *Scheduler) newBatch() *batch {
 	if s.engine.PendingChanges() == 0 {
 		s.confirmEnds(s.unconfirmedEnds())
-		return nil
+		if !s.starts.unlisted {
+			return nil
+		}
 	}
 	s.journal.batchCount++
 	b := &batch{id: strconv.FormatUint(uint64(s.lease.Epoch()), 10) + "." + strconv.FormatUint(s.journal.batchCount, 10), furtherRows: furtherRows{}}
@@ -109,7 +115,7 @@
 		Put:           []store.Put{{Key: journalKey, Value: []byte(b.id)}},
 	}
 	size := 0
-	for size < batchBytes && b.tx.Len() <= store.MaxEntries-maxRecordEntries && !s.journal.rejected.full(b) {
+	for size < batchBytes && b.tx.Len() < store.MaxEntries-maxRecordEntries && !s.journal.rejected.full(b) {
 		changes := s.engine.TakeChanges(1, time.Now())
 		if len(changes) == 0 {
 			break
@@ -122,6 +128,10 @@
 		size += added
 	}
 	b.starts, s.journal.pendingStarts = s.splitStarts(b.changes)
+	s.addStartList(b)
+	if len(b.changes) == 0 && !s.starts.gains(b.listed) {
+		return nil
+	}
 	if s.engine.PendingChanges() == 0 {
 		// The processed ends may affect any of the pending changes, so they are confirmed only by a batch that
 		// contains all of them.
@@ -214,6 +224,7 @@
 		return
 	}
 	s.writeSucceeded(b)
+	s.starts.written(b)
 	s.journal.batch = nil
 	s.journal.version = ev.version
 	now := time.Now()
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -72,7 +72,7 @@
 	if w.awaitsStartBeforeAck() {
 		return
 	}
-	if !w.fenced && !s.raiseEpoch(w) {
+	if !w.fenced && !s.raiseAbove(w, w.formerEpoch) {
 		return
 	}
 	s.sendRenewal(ctx, w, busy)
@@ -203,6 +203,9 @@
 	if !w.unanswered {
 		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.lastAnswer).Milliseconds(), "error", ev.err)
 	}
+	if !ev.timedOut {
+		s.fencer.hurry(w.id())
+	}
 	w.recordFailure(ev.timedOut || fault.Is(ev.err, fault.Unavailable))
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 	s.engine.SetWorker(s.engineView(w))
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -46,7 +46,7 @@
 type Lease interface {
 	Epoch() ident.Epoch
 	// LatestEpoch returns the highest number that belongs to this holder for certain. It is at least Epoch, lower than the
-	// epoch of each later holder, and increases with the renewals of the lease.
+	// epoch of each later holder, and increases with the renewals of the lease. All numbers from Epoch on belong to the holder.
 	LatestEpoch() ident.Epoch
 	// Fence returns a precondition that holds until another instance takes the lease.
 	Fence() store.Precondition
@@ -124,8 +124,8 @@
 	lease    Lease
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
-	// withOpenStarts holds the workers that may execute a start late.
-	withOpenStarts map[ident.Worker]bool
+	fencer   *fencer
+	starts   startList
 	// latestOnHost holds the session with the latest worker of each host.
 	latestOnHost map[ident.Host]*session
 	// renewalDue holds sessions whose renewal has become due since the last check, and nextRenewalScan is when the
@@ -178,7 +178,7 @@
 		sessions:        map[ident.Worker]*session{},
 		latestOnHost:    map[ident.Host]*session{},
 		unconfirmed:     map[ident.Worker]*session{},
-		withOpenStarts:  map[ident.Worker]bool{},
+		starts:          newStartList(),
 		loadedProgress:  map[ident.Job]*work.Progress{},
 		latestStartedMs: map[ident.Worker]int64{},
 		ended:           map[ident.Job]time.Time{},
@@ -202,8 +202,10 @@
 		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds, MinSpeedRacks: config.MinSpeedRacks,
 		CostOrder: config.Admission, StartLimit: config.StartLimit,
 	})
+	s.fencer = newFencer(s.sendFence)
 	defer config.Inspector.attach(s)()
 	group.Go(func() error { return s.stalls.Run(ctx) })
+	group.Go(func() error { return s.runFencer(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return s.run(ctx)
@@ -262,7 +264,6 @@
 	s.applyEvacuations()
 	s.renewLeases(ctx)
 	if err == nil {
-		s.fenceOpenStarts(ctx)
 		s.retryRejected()
 		s.decide()
 		s.commit(ctx)
@@ -270,6 +271,9 @@
 		s.saveLearned(ctx)
 	}
 	s.sendCommands(ctx)
+	if err == nil && s.starts.unlisted {
+		s.commit(ctx)
+	}
 	s.reportSummary()
 	s.reportWaits()
 	s.announceLoad()
@@ -351,7 +355,7 @@
 	summary := s.engine.Summary()
 	s.config.Metrics.setSummary(summary)
 	s.config.Metrics.groupWaits.set(s.engine.Waits())
-	s.config.Metrics.fences.workers.Set(float64(len(s.withOpenStarts)))
+	s.config.Metrics.fences.workers.Set(float64(len(s.fencer.current())))
 	s.reportRounds(summary)
 	s.reportLearned()
 	if summary == s.lastSummary {
--- a/sard/sched/sends.go
+++ b/sard/sched/sends.go
@@ -20,6 +20,7 @@
 func (s *Scheduler) trackStart(start pool.Start) {
 	if w := s.session(start.Worker); w != nil {
 		w.ensureAttempt(start.Attempt).unrecorded = true
+		s.starts.unsettled[w.id()] = true
 	}
 }
 
@@ -45,6 +46,10 @@
 	if state == nil || !state.startQueued || !s.engine.ShouldRun(start.Attempt, w.id()) {
 		return
 	}
+	if state.startConfirmed == clock.Never && !s.sendable(w) {
+		s.starts.hold(w, start)
+		return
+	}
 	state.startQueued = false
 	if state.startConfirmed != clock.Never {
 		return
@@ -139,7 +144,7 @@
 
 // unexpectedReason returns why a worker probably runs an attempt that it should not.
 func (s *Scheduler) unexpectedReason(w *session) pool.StopReason {
-	if s.withOpenStarts[w.id()] {
+	if s.fencer.fences(w.id()) {
 		return pool.ReasonLateStart
 	}
 	return pool.ReasonNotCurrent
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -84,8 +84,8 @@
 	// otherAnswered indicates that another process has refused the last lease renewal, and crashCounted that the crash of
 	// this process was counted.
 	otherAnswered, crashCounted bool
-	// open is what is known of start requests that got no response.
-	open openStarts
+	// openEpoch is the highest epoch of requests that got no response, which the worker may execute late; 0 if there are none.
+	openEpoch ident.Epoch
 	// attempts holds the attempts that were requested to start or stop on the worker.
 	attempts map[work.Attempt]*attemptState
 	// commands holds the queued commands by class, and flight the active one.
@@ -181,6 +181,7 @@
 	}
 	if w.client == nil || w.entry.Address != entry.Address {
 		w.client = s.config.NewClient(entry)
+		s.fencer.move(id, entry.Address, w.client)
 	}
 	if w.entry.WorkerProcess != entry.WorkerProcess {
 		s.replaceProcess(w, entry.WorkerProcess)
@@ -247,7 +248,7 @@
 	next.client, next.listed, next.attempts, next.commands = w.client, w.listed, kept, w.commands
 	next.nextProcessExpiry = w.nextProcessExpiry
 	next.epoch, next.formerEpoch = w.epoch, w.epoch
-	next.bar, next.open = w.bar, w.open
+	next.bar, next.openEpoch = w.bar, w.openEpoch
 	next.formerStartsMs = append(w.formerStartsMs[max(0, len(w.formerStartsMs)+1-maxFormerStarts):], w.entry.StartedMs)
 	*w = *next
 	s.engine.WorkerRestarted(process, func(a work.Attempt) bool { return kept[a] != nil }, time.Now())
--- a/sard/sched/watch.go
+++ b/sard/sched/watch.go
@@ -35,14 +35,17 @@
 // so that a job whose progress record was deleted is not taken for a new one.
 func (s *Scheduler) load(ctx context.Context) error {
 	learned := s.readLearned(ctx)
+	journalRead := s.readJournal(ctx)
 	readAt := clock.Now()
-	listings, err := s.listAll(ctx, mainRange(work.ProgressTable), store.KeyRange(journalKey), mainRange(s.config.WorkerTable))
+	listings, err := s.listAll(ctx, mainRange(work.ProgressTable), mainRange(s.config.WorkerTable))
 	if err != nil {
 		return err
 	}
+	if err := journalRead(); err != nil {
+		return err
+	}
 	s.loadProgress(listings[0].Rows)
-	s.loadJournal(listings[1].Rows)
-	s.loadWatched(ctx, s.config.WorkerTable, listings[2], readAt)
+	s.loadWatched(ctx, s.config.WorkerTable, listings[1], readAt)
 	readAt = clock.Now()
 	if listings, err = s.listAll(ctx, tableRanges(work.JobTable)...); err != nil {
 		return err
@@ -56,6 +59,22 @@
 	return nil
 }
 
+// readJournal reads the journal's version and the start list in the background, and takes them over. The function that it returns
+// waits for that.
+func (s *Scheduler) readJournal(ctx context.Context) (wait func() error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		listing, err := s.listWithRetry(ctx, mainRange(work.JournalTable))
+		if err != nil {
+			return err
+		}
+		s.loadJournal(listing.Rows)
+		s.inheritStarts(listing.Rows)
+		return nil
+	})
+	return group.Wait
+}
+
 // loadWatched processes the rows of a table that was listed at readAt, and starts to watch it.
 func (s *Scheduler) loadWatched(ctx context.Context, table string, listing store.Listing, readAt clock.Instant) {
 	s.handleRows(rowsChanged{table: table, rows: listing.Rows, snapshot: true, readAt: readAt})
