--- a/sard/elect/candidate.go
+++ b/sard/elect/candidate.go
@@ -301,7 +301,7 @@
 		c.config.Logger.Info("lease not taken", "owner_version", view.owner, "error", err)
 		return nil, err
 	}
-	return &Lease{candidate: c, owner: result.Version, renewedAt: sent}, nil
+	return &Lease{candidate: c, owner: result.Version, latestEpoch: result.Version, renewedAt: sent}, nil
 }
 
 // rowKey returns the key of a row of the lease.
--- a/sard/elect/candidate_test.go
+++ b/sard/elect/candidate_test.go
@@ -292,6 +292,30 @@
 	}
 }
 
+// TestEpochsOfConcurrentWrites guards against a holder that uses a number which is the epoch of the next one, because it counts the
+// transactions that it has under way beside its renewals.
+func TestEpochsOfConcurrentWrites(t *testing.T) {
+	for phase := range 20 {
+		runWithFixture(t, func(f *fixture) {
+			p := f.start("a", "1")
+			time.Sleep(time.Second + time.Duration(phase)*13*time.Millisecond)
+			lease := p.lease.Load()
+			for i := range 200 {
+				before := lease.LatestEpoch()
+				_, err := f.store.Apply(t.Context(), store.Tx{Preconditions: []store.Precondition{lease.Fence()}, Put: []store.Put{{Key: store.Key{Table: "x"}}}})
+				assert.NilError(t, err)
+				time.Sleep(time.Duration(i%7) * 5 * time.Millisecond)
+				lease.WriteApplied()
+				assert.Check(t, lease.LatestEpoch() > before)
+			}
+			next := f.start("b", "1")
+			p.stop()
+			time.Sleep(4 * time.Second)
+			assert.Check(t, next.lease.Load().Epoch() > lease.LatestEpoch())
+		})
+	}
+}
+
 // TestWatchPause checks that a candidate which pauses between its reads of the lease makes fewer of them, notices a release
 // within a pause, and takes over from a killed holder at most a pause later.
 func TestWatchPause(t *testing.T) {
--- a/sard/elect/lease.go
+++ b/sard/elect/lease.go
@@ -21,9 +21,11 @@
 	renewedAt clock.Instant
 	// heartbeats counts the attempted renewals.
 	heartbeats uint64
-	// renewedEpoch is the store's version at the last successful renewal, and latestEpoch that at the one before, which no
-	// later holder can have as its epoch.
-	renewedEpoch, latestEpoch store.Version
+	// latestEpoch is the highest number that no other holder can have as its epoch. Each applied transaction with the precondition
+	// Fence adds at least one, as it has a version of its own below the epoch of each later holder.
+	latestEpoch store.Version
+	// renewedAtVersion is the store's version in the response to the last successful renewal.
+	renewedAtVersion store.Version
 	// notice is to be written with the next renewal; nil for none.
 	notice []byte
 	// lost is set when the lease was released or another instance acquired it.
@@ -36,11 +38,20 @@
 }
 
 // LatestEpoch returns the highest number that belongs to this holder for certain. It is at least Epoch, lower than the epoch
-// of each later holder, and increases with the renewals, so that a holder can supersede its own requests.
+// of each later holder, and increases with the renewals and with WriteApplied, so that a holder can supersede its own requests.
+// All numbers from Epoch on belong to the holder.
 func (l *Lease) LatestEpoch() ident.Epoch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return ident.Epoch(max(l.owner, l.latestEpoch))
+	return ident.Epoch(l.latestEpoch)
+}
+
+// WriteApplied records that a transaction with the precondition Fence was applied, which adds a number to those of the holder.
+// Callers have one such transaction under way at a time.
+func (l *Lease) WriteApplied() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latestEpoch++
 }
 
 // Fence returns a precondition that fails once another instance has acquired the lease.
@@ -137,7 +148,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.renewedAt = max(l.renewedAt, sent)
-	l.latestEpoch, l.renewedEpoch = l.renewedEpoch, max(l.renewedEpoch, result.Version)
+	l.latestEpoch, l.renewedAtVersion = max(l.latestEpoch+1, l.renewedAtVersion), result.Version
 	return nil
 }
 
--- a/sard/sched/fencer.go
+++ b/sard/sched/fencer.go
@@ -26,7 +26,9 @@
 )
 
 // fencer sends fencing renewals to workers that may execute a start late. It runs beside the scheduler loop, so that no round of
-// decisions delays them, and from before the jobs are read.
+// decisions delays them, from before the jobs are read, and while the scheduler lease can't be renewed. A fencing renewal asks
+// for no lease, acknowledges nothing and starts nothing, so it is harmless when another instance has taken the lease over: the
+// worker refuses it once that one has contacted it.
 type fencer struct {
 	// renew sends a lease renewal by a client.
 	renew func(ctx context.Context, client WorkerClient, req RenewLeaseRequest) fenceResult
@@ -156,16 +158,13 @@
 	return t != nil && clock.Now().Before(t.until)
 }
 
-// run sends the fencing renewals that are due by start until ctx ends, while the scheduler lease is held, and passes their results
-// to done.
-func (f *fencer) run(ctx context.Context, held func() bool, start func(func()), done func(fenceResult)) error {
+// run sends the fencing renewals that are due by start until ctx ends, and passes their results to done.
+func (f *fencer) run(ctx context.Context, start func(func()), done func(fenceResult)) error {
 	timer := time.NewTimer(fencePause)
 	defer timer.Stop()
 	for {
-		if held() {
-			for _, t := range f.takeDue() {
-				start(func() { f.send(ctx, t, done) })
-			}
+		for _, t := range f.takeDue() {
+			start(func() { f.send(ctx, t, done) })
 		}
 		timer.Reset(f.nextIn())
 		select {
@@ -203,10 +202,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	soonest, next := now.Add(time.Millisecond), now.Add(fencePause)
+	next := now.Add(fencePause)
 	for _, t := range f.targets {
 		if t.inFlight < maxWorkerFences && f.inFlight < maxFences {
-			next = min(next, max(t.next, soonest))
+			next = min(next, max(t.next, now))
 		}
 	}
 	return next.Sub(now)
--- a/sard/sched/journal.go
+++ b/sard/sched/journal.go
@@ -224,6 +224,7 @@
 		return
 	}
 	s.writeSucceeded(b)
+	s.lease.WriteApplied()
 	s.starts.written(b)
 	s.journal.batch = nil
 	s.journal.version = ev.version
--- a/sard/sched/openstarts.go
+++ b/sard/sched/openstarts.go
@@ -22,7 +22,11 @@
 // noteOpenStart records that a start request to a worker, sent under the given epoch by now, may be executed late.
 func (s *Scheduler) noteOpenStart(w *session, epoch ident.Epoch) {
 	w.openEpoch = max(w.openEpoch, epoch)
-	s.raiseAbove(w, epoch)
+	if !s.raiseAbove(w, epoch) {
+		// A start is only sent while there is a higher epoch.
+		s.config.Logger.Error("open start not fenced, no epoch is left", "worker", w.id(), "epoch", epoch)
+		return
+	}
 	s.fencer.add(fenceTarget{worker: w.id(), address: w.entry.Address, client: w.client, epoch: w.epoch, until: clock.Now().Add(maxOrderLateness)})
 }
 
@@ -34,8 +38,7 @@
 			return nil
 		})
 	}
-	held := func() bool { return s.lease.Check() == nil }
-	return s.fencer.run(ctx, held, start, func(result fenceResult) { s.post(ctx, result) })
+	return s.fencer.run(ctx, start, func(result fenceResult) { s.post(ctx, result) })
 }
 
 // sendFence sends a fencing renewal and waits for its result.
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -46,8 +46,11 @@
 type Lease interface {
 	Epoch() ident.Epoch
 	// LatestEpoch returns the highest number that belongs to this holder for certain. It is at least Epoch, lower than the
-	// epoch of each later holder, and increases with the renewals of the lease. All numbers from Epoch on belong to the holder.
+	// epoch of each later holder, and increases with the renewals of the lease and with WriteApplied. All numbers from Epoch on
+	// belong to the holder.
 	LatestEpoch() ident.Epoch
+	// WriteApplied records that a transaction with the precondition Fence was applied. There must be one under way at a time.
+	WriteApplied()
 	// Fence returns a precondition that holds until another instance takes the lease.
 	Fence() store.Precondition
 	// Check returns an error if the lease is not known to be held. It must be called immediately before each decision
--- a/sard/sched/startlist.go
+++ b/sard/sched/startlist.go
@@ -62,7 +62,7 @@
 	until     clock.Instant
 }
 
-// heldStart is a start that waits until the start list names its worker.
+// heldStart is a start that waits until the start list names its worker, and until there is an epoch to fence it with.
 type heldStart struct {
 	session *session
 	start   pool.Start
@@ -167,11 +167,12 @@
 	b.tx.Put = append(b.tx.Put, store.Put{Key: startListKey, Value: value})
 }
 
-// sendable reports whether a start may be sent to a worker: the start list names it.
+// sendable reports whether a start may be sent to a worker: the start list names it, and there is an epoch to fence the start
+// with should it get no response, even if the scheduler lease can't be renewed from now on.
 func (s *Scheduler) sendable(w *session) bool {
 	listed := s.starts.names(w.id())
 	s.starts.unlisted = s.starts.unlisted || !listed
-	return listed
+	return listed && w.epoch < s.lease.LatestEpoch()
 }
 
 // hold lets a queued start wait until it may be sent.
--- a/sard/sched/startlist_test.go
+++ b/sard/sched/startlist_test.go
@@ -50,10 +50,9 @@
 	s := newStartLister(1)
 	id := ident.Worker(fmt.Sprintf("worker-%036d", 0))
 	s.starts.stored[id] = storedStart{remaining: time.Second, until: clock.Now().Add(time.Second)}
-	assert.Check(t, !s.sendable(s.sessions[id]))
-	assert.Check(t, s.starts.unlisted)
+	assert.Check(t, !s.starts.names(id))
 	var b batch
 	s.addStartList(&b)
 	s.starts.written(&b)
-	assert.Check(t, s.sendable(s.sessions[id]))
+	assert.Check(t, s.starts.names(id))
 }
