--- a/sard/sched/lateorders_test.go
+++ b/sard/sched/lateorders_test.go
@@ -306,3 +306,52 @@
 		r.waitForState("j1", ident.Succeeded, 20*time.Second)
 	})
 }
+
+// TestLateAcknowledgementBeforeLaterProcessIsKnown guards against parts that run again after they are done, because an
+// acknowledgement without a response is executed late, by a later process of the worker that has got a start but no lease renewal
+// yet, and discards the end of that part.
+func TestLateAcknowledgementBeforeLaterProcessIsKnown(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Second)
+		wa := r.fleet.Worker("wa")
+		d.ackLateness.Store(int64(1500 * time.Millisecond))
+		r.submit("j1", 100*time.Millisecond, work.Step{Parts: 1})
+		r.waitForState("j1", ident.Succeeded, 5*time.Second)
+		r.sleep(100 * time.Millisecond)
+		d.renewalsFail.Store(true)
+		r.sleep(700 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.submit("j2", 30*time.Millisecond, work.Step{Parts: 1})
+		r.sleep(800 * time.Millisecond)
+		d.renewalsFail.Store(false)
+		r.waitForState("j2", ident.Succeeded, 30*time.Second)
+		assert.Check(t, is.Equal(r.fleet.StartCount(), 2))
+	})
+}
+
+// TestLateExtensionBeforeLaterProcessIsKnown guards against parts that run twice, because a lease renewal without a response is
+// executed late, by a later process of the worker that has got a start but no renewal yet, and which is cut off then: its lease
+// lasts longer than anybody knows.
+func TestLateExtensionBeforeLaterProcessIsKnown(t *testing.T) {
+	runTest(t, 1, func(r *harness) {
+		d := r.disturb()
+		r.startInstance("i1")
+		r.sleep(2 * time.Minute)
+		wa := r.fleet.Worker("wa")
+		r.submit("j0", 10*time.Second, work.Step{Parts: 1})
+		r.sleep(500 * time.Millisecond)
+		d.extensionLateness.Store(int64(6 * time.Second))
+		r.sleep(3 * time.Second)
+		d.renewalsFail.Store(true)
+		r.sleep(100 * time.Millisecond)
+		r.updateFleet(wa.Crash)
+		r.submit("j1", 20*time.Second, work.Step{Parts: 1})
+		r.sleep(300 * time.Millisecond)
+		assert.Check(t, is.Equal(wa.RunningCount(), 1))
+		d.cutOff.Store(true)
+		r.listWorker(r.fleet.AddWorker(newListedWorker("wb", "r0")))
+		r.waitForState("j1", ident.Succeeded, time.Minute)
+	})
+}
--- a/sard/sched/laterprocess_test.go
+++ b/sard/sched/laterprocess_test.go
@@ -23,14 +23,17 @@
 
 // disturbances are the disturbances of a disturbedClient.
 type disturbances struct {
-	// renewalsFail makes renewals fail before they are sent.
-	renewalsFail atomic.Bool
+	// renewalsFail makes renewals fail before they are sent. cutOff makes all requests time out before they are sent; late ones
+	// are executed all the same.
+	renewalsFail, cutOff atomic.Bool
 	// startDelay is how long starts take to arrive; their responses are lost if it is set. requestDelay is how long starts and
 	// stops take to arrive, with a response. responseDelay is how long the responses to starts take.
 	startDelay, requestDelay, responseDelay atomic.Int64
 	// startLateness and ackLateness are how late the next start and the next acknowledgement of ends are executed, without a
 	// response.
 	startLateness, ackLateness atomic.Int64
+	// extensionLateness is how late the next renewal that extends the lease is executed, without a response.
+	extensionLateness atomic.Int64
 	// ackDelay is how long acknowledgements of ends take to arrive.
 	ackDelay atomic.Int64
 	// lostIndex is the index of the part whose starts are lost, or 0.
@@ -47,6 +50,9 @@
 
 // RenewLease sends a lease renewal.
 func (c *disturbedClient) RenewLease(ctx context.Context, o sched.RenewLeaseRequest) (sched.WorkerReport, error) {
+	if err := c.cutOffErr(ctx, o.Worker.Worker); err != nil {
+		return sched.WorkerReport{}, err
+	}
 	if o.Worker.Worker == "wa" && c.renewalsFail.Load() {
 		return sched.WorkerReport{}, fault.New(fault.Unavailable, "renew", "wa", "refused")
 	}
@@ -56,11 +62,19 @@
 			return sched.WorkerReport{}, executeLate(ctx, late, func() { _, _ = c.WorkerClient.RenewLease(context.Background(), o) })
 		}
 	}
+	if o.Worker.Worker == "wa" && o.Deadline > 0 {
+		if late := c.extensionLateness.Swap(0); late > 0 {
+			return sched.WorkerReport{}, executeLate(ctx, late, func() { _, _ = c.WorkerClient.RenewLease(context.Background(), o) })
+		}
+	}
 	return c.WorkerClient.RenewLease(ctx, o)
 }
 
 // Start sends a start request.
 func (c *disturbedClient) Start(ctx context.Context, o sched.StartRequest) (sched.Reply, error) {
+	if err := c.cutOffErr(ctx, o.Worker.Worker); err != nil {
+		return sched.Reply{}, err
+	}
 	if o.Worker.Worker != "wa" {
 		return c.WorkerClient.Start(ctx, o)
 	}
@@ -84,12 +98,24 @@
 
 // Stop sends a stop request.
 func (c *disturbedClient) Stop(ctx context.Context, o sched.StopRequest) (sched.Reply, error) {
+	if err := c.cutOffErr(ctx, o.Worker.Worker); err != nil {
+		return sched.Reply{}, err
+	}
 	if o.Worker.Worker == "wa" {
 		time.Sleep(time.Duration(c.requestDelay.Load()))
 	}
 	return c.WorkerClient.Stop(ctx, o)
 }
 
+// cutOffErr returns the error of a request to a worker that is cut off, once ctx ends, or nil.
+func (c *disturbedClient) cutOffErr(ctx context.Context, worker ident.Worker) error {
+	if worker != "wa" || !c.cutOff.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "call", "wa")
+}
+
 // executeLate schedules the execution of a request, and returns the error of its sender, which gets no response.
 func executeLate(ctx context.Context, late int64, request func()) error {
 	time.AfterFunc(time.Duration(late), request)
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -203,10 +203,14 @@
 	if !w.unanswered {
 		s.config.Logger.Warn("worker does not answer", "worker", w.id(), "answered_ago_ms", clock.Since(w.lastAnswer).Milliseconds(), "error", ev.err)
 	}
+	undelivered := !ev.timedOut && fault.Is(ev.err, fault.Unavailable)
+	if !undelivered {
+		w.openEpoch = max(w.openEpoch, ev.epoch)
+	}
 	if !ev.timedOut {
 		s.fencer.hurry(w.id())
 	}
-	w.recordFailure(ev.timedOut || fault.Is(ev.err, fault.Unavailable))
+	w.recordFailure(ev.timedOut || undelivered)
 	w.nextRenewal = clock.Now().Add(renewalRetryPause)
 	s.engine.SetWorker(s.engineView(w))
 }
--- a/sard/sched/startlist.go
+++ b/sard/sched/startlist.go
@@ -62,7 +62,7 @@
 	until     clock.Instant
 }
 
-// heldStart is a start that waits until the start list names its worker, and until there is an epoch to fence it with.
+// heldStart is a start that waits until it is sendable.
 type heldStart struct {
 	session *session
 	start   pool.Start
@@ -167,12 +167,13 @@
 	b.tx.Put = append(b.tx.Put, store.Put{Key: startListKey, Value: value})
 }
 
-// sendable reports whether a start may be sent to a worker: the start list names it, and there is an epoch to fence the start
-// with should it get no response, even if the scheduler lease can't be renewed from now on.
+// sendable reports whether a start may be sent to a worker: the start list names it, it can carry a higher epoch than all requests
+// that may be executed late, and there is a still higher one to fence it with should it get no response, even if the scheduler
+// lease can't be renewed from now on.
 func (s *Scheduler) sendable(w *session) bool {
 	listed := s.starts.names(w.id())
 	s.starts.unlisted = s.starts.unlisted || !listed
-	return listed && w.epoch < s.lease.LatestEpoch()
+	return listed && s.raiseAbove(w, w.openEpoch) && w.epoch < s.lease.LatestEpoch()
 }
 
 // hold lets a queued start wait until it may be sent.
