--- a/sard/sched/harness_test.go
+++ b/sard/sched/harness_test.go
@@ -45,8 +45,9 @@
 	storeDown, readsFail, dropStoreReplies atomic.Bool
 	// disturbed disables the check of invariants that only hold without disturbances.
 	disturbed atomic.Bool
-	// wrapClient, if not nil, returns the client to use in place of c.
-	wrapClient func(c sched.WorkerClient) sched.WorkerClient
+	// wrapClient, if not nil, returns the client to use in place of c, and wrapClientOf that of an instance.
+	wrapClient   func(c sched.WorkerClient) sched.WorkerClient
+	wrapClientOf func(instance string, c sched.WorkerClient) sched.WorkerClient
 	// slowStore is how long the instances' transactions take, and slowLists how long their listings take.
 	slowStore, slowLists time.Duration
 	// slowPolicy is how long each look at the policy takes, a time.Duration. Decisions look at it once for each job.
@@ -198,6 +199,7 @@
 		inner = r.wrapStore(inner)
 	}
 	rows := &killableStore{Store: inner, killed: &killed}
+	fencer := r.startFencer(ctx, &killed)
 	c := elect.New(elect.Config{Store: rows, Instance: ident.Instance(name), ProcessID: "1", Logger: r.logger.Named(name)})
 	r.group.Go(func() error {
 		return c.Run(ctx, func(ctx context.Context, held *elect.Lease) error {
@@ -205,7 +207,9 @@
 			if r.wrapLease != nil {
 				lease = r.wrapLease(lease)
 			}
-			return sched.Run(ctx, lease, r.schedulerConfig(name, rows, &killed))
+			config := r.schedulerConfig(name, rows, &killed)
+			config.Fencer = fencer
+			return sched.Run(ctx, lease, config)
 		})
 	})
 	return func() {
@@ -214,6 +218,25 @@
 	}
 }
 
+// drainTime is how long the process of an instance that is stopped as planned goes on after its scheduler.
+const drainTime = 2 * time.Second
+
+// startFencer starts the fencer of an instance, which ends with its process.
+func (r *harness) startFencer(ctx context.Context, killed *atomic.Bool) *sched.Fencer {
+	fencer := sched.NewFencer(sched.NewMetrics(nil))
+	processCtx, end := context.WithCancel(r.ctx)
+	r.group.Go(func() error {
+		defer end()
+		<-ctx.Done()
+		if !killed.Load() {
+			clock.Sleep(processCtx, drainTime)
+		}
+		return nil
+	})
+	r.group.Go(func() error { return fencer.Run(processCtx) })
+	return fencer
+}
+
 // killableStore fails all transactions after its instance was killed.
 type killableStore struct {
 	store.Store
@@ -241,6 +264,9 @@
 			if r.wrapClient != nil {
 				client = r.wrapClient(client)
 			}
+			if r.wrapClientOf != nil {
+				client = r.wrapClientOf(name, client)
+			}
 			return client
 		},
 		Policy: func() *policy.Policy {
--- a/sard/sched/lateorders_test.go
+++ b/sard/sched/lateorders_test.go
@@ -108,6 +108,43 @@
 	}
 }
 
+// TestLateStartBetweenHolders guards against parts that run again after they are done, because their first start is executed late,
+// by a later process of the worker, while no instance holds the lease, though the process that sent it still runs.
+func TestLateStartBetweenHolders(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(r *harness, lease sched.Lease)
+	}{
+		{"the holder is stopped", func(r *harness, _ sched.Lease) { r.stopInstances[0]() }},
+		{"the holder has lost its lease", func(r *harness, lease sched.Lease) {
+			r.storeDown.Store(true)
+			lease.MarkLost()
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				var lease sched.Lease
+				r.wrapLease = func(l sched.Lease) sched.Lease {
+					lease = l
+					return l
+				}
+				r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				late := r.completeWithLateStart()
+				late.sleepUntilBefore(1700 * time.Millisecond)
+				test.end(r, lease)
+				late.crashWorker()
+				late.sleep(upBeforeLateStart + 100*time.Millisecond)
+				assert.Check(t, is.Equal(r.fleet.StartCount(), 1))
+				r.storeDown.Store(false)
+				r.startInstance("i2")
+				late.listLaterProcess()
+			})
+		})
+	}
+}
+
 // TestLateStartDuringOutage guards against parts that run again after they are done, because their first start is executed late,
 // by a later process of the worker, while the lease holder can't renew its lease.
 func TestLateStartDuringOutage(t *testing.T) {
--- a/sard/sched/openstarts.go
+++ b/sard/sched/openstarts.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -30,40 +28,17 @@
 	s.fencer.add(fenceTarget{worker: w.id(), address: w.entry.Address, client: w.client, epoch: w.epoch, until: clock.Now().Add(maxOrderLateness)})
 }
 
-// runFencer sends fencing renewals until ctx ends, and posts their results to the scheduler loop.
-func (s *Scheduler) runFencer(ctx context.Context) error {
-	start := func(send func()) {
-		s.group.Go(func() error {
-			send()
-			return nil
-		})
-	}
-	return s.fencer.run(ctx, start, func(result fenceResult) { s.post(ctx, result) })
-}
-
-// sendFence sends a fencing renewal and waits for its result.
-func (s *Scheduler) sendFence(ctx context.Context, client WorkerClient, req RenewLeaseRequest) fenceResult {
-	sentAt := clock.Now()
-	ctx, cancel := s.stalls.WithTimeout(ctx, fenceTimeout)
-	defer cancel()
-	report, err := client.RenewLease(ctx, req)
-	return fenceResult{worker: req.Worker.Worker, epoch: req.Epoch, sentAt: sentAt, report: report, timedOut: ctx.Err() != nil, err: err}
-}
-
 // handleFence processes the result of a fencing renewal, which may list the attempt of an open start. A later process of the
 // worker that responds gets a lease renewal next.
 func (s *Scheduler) handleFence(ev fenceResult) {
-	s.config.Metrics.fences.renewals.WithLabelValues(ev.outcome()).Inc()
 	w := s.sessions[ev.worker]
-	var refusal *RefusalError
-	superseded := errors.As(ev.err, &refusal) && refusal.Cause == Superseded
 	switch {
-	case w == nil && superseded:
-		s.lease.MarkLost()
-		return
 	case w == nil:
+		if ev.superseded() && ev.epoch >= s.lease.Epoch() {
+			s.lease.MarkLost()
+		}
 		return
-	case superseded:
+	case ev.superseded():
 		s.superseded(w, ev.epoch)
 		return
 	}
--- a/sard/sched/sched.go
+++ b/sard/sched/sched.go
@@ -100,6 +100,8 @@
 	Announce func(summary []byte)
 	// StartLimit is the time limit on the start of a guaranteed job that its account's guarantee covers; 0 for none.
 	StartLimit time.Duration
+	// Fencer sends fencing renewals, for longer than the scheduler runs; nil means one that ends with the scheduler.
+	Fencer *Fencer
 	// Inspector answers operators' questions; nil answers none.
 	Inspector *Inspector
 	Metrics   *Metrics
@@ -127,7 +129,7 @@
 	lease    Lease
 	engine   *pool.Engine
 	sessions map[ident.Worker]*session
-	fencer   *fencer
+	fencer   *Fencer
 	starts   startList
 	// latestOnHost holds the session with the latest worker of each host.
 	latestOnHost map[ident.Host]*session
@@ -205,10 +207,14 @@
 		QueueSettings: s.queueSettings, Guarantee: s.guarantee, RunTimes: config.RunTimes, WorkerSpeeds: config.WorkerSpeeds, MinSpeedRacks: config.MinSpeedRacks,
 		CostOrder: config.Admission, StartLimit: config.StartLimit,
 	})
-	s.fencer = newFencer(s.sendFence)
+	if s.fencer = config.Fencer; s.fencer == nil {
+		s.fencer = NewFencer(s.config.Metrics)
+		group.Go(func() error { return s.fencer.Run(ctx) })
+	}
+	s.fencer.attach(fenceHolder{done: func(result fenceResult) { s.post(ctx, result) }, stalls: &s.stalls})
+	defer s.fencer.detach()
 	defer config.Inspector.attach(s)()
 	group.Go(func() error { return s.stalls.Run(ctx) })
-	group.Go(func() error { return s.runFencer(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return s.run(ctx)
--- a/sard/sched/startlist_test.go
+++ b/sard/sched/startlist_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -18,7 +17,7 @@
 func newStartLister(workers int) *Scheduler {
 	s := &Scheduler{
 		config: Config{Logger: hclog.NewNullLogger()}, starts: newStartList(), sessions: map[ident.Worker]*session{},
-		fencer: newFencer(func(context.Context, WorkerClient, RenewLeaseRequest) fenceResult { return fenceResult{} }),
+		fencer: NewFencer(NewMetrics(nil)),
 	}
 	for i := range workers {
 		id := ident.Worker(fmt.Sprintf("worker-%036d", i))
