--- a/sard/pool/group.go
+++ b/sard/pool/group.go
@@ -87,6 +87,8 @@
 	attemptFailed bool
 	// retryAt is the earliest time at which the group may be placed again.
 	retryAt time.Time
+	// strays is the number of strays of the group's parts.
+	strays int
 	// startedAt is when the current attempt was placed.
 	startedAt time.Time
 	// savedAt is when the checkpoint last changed, or startedAt if it has not changed during this attempt.
--- a/sard/pool/holdlimit.go
+++ b/sard/pool/holdlimit.go
@@ -140,7 +140,7 @@
 
 // heldForLong reports whether the group has been held back for as long as it may.
 func (g *group) heldForLong(now time.Time) bool {
-	return g.phase == waiting && !now.Before(g.retryAt) && g.waited(now) >= maxHold && now.Sub(g.wait.triedAt) >= refusedPause
+	return g.due(now) && g.waited(now) >= maxHold && now.Sub(g.wait.triedAt) >= refusedPause
 }
 
 // packHeldBack returns nodes for a group that nothing holds back any more but what would do harm, or nil. A suspect gets
--- a/sard/pool/holdturns.go
+++ b/sard/pool/holdturns.go
@@ -117,7 +117,7 @@
 		if len(found) == maxTurns {
 			break
 		}
-		if g.phase != waiting || r.now.Before(g.retryAt) {
+		if !g.due(r.now) {
 			continue
 		}
 		if !g.spec().Lasting {
--- a/sard/pool/schedule.go
+++ b/sard/pool/schedule.go
@@ -361,7 +361,7 @@
 				continue
 			}
 			for _, g := range o.steps[s].groups {
-				if g.phase == waiting && !now.Before(g.retryAt) {
+				if g.due(now) {
 					found = append(found, g)
 				}
 			}
--- a/sard/pool/wait.go
+++ b/sard/pool/wait.go
@@ -223,7 +223,7 @@
 
 // toExamine reports whether the reason of the group's wait is to be examined.
 func (g *group) toExamine(now time.Time) bool {
-	return g.phase == waiting && !now.Before(g.retryAt) && now.Sub(g.wait.examinedAt) >= examinedEvery
+	return g.due(now) && now.Sub(g.wait.examinedAt) >= examinedEvery
 }
 
 // examine finds out why a group waits, and reports it if that has lasted for long although there is room.
--- a/sard/sched/expiry.go
+++ b/sard/sched/expiry.go
@@ -26,7 +26,11 @@
 		if ended {
 			s.countCrash(w, nil)
 		}
-		if !ended && !w.expired(now) || !s.engine.ProcessBusy(w.entry.WorkerProcess) {
+		if !ended && !w.expired(now) {
+			continue
+		}
+		s.endStrays(w)
+		if !s.engine.ProcessBusy(w.entry.WorkerProcess) {
 			continue
 		}
 		w.lost = true
--- a/sard/sched/renewal.go
+++ b/sard/sched/renewal.go
@@ -8,6 +8,7 @@
 	"github.com/sardineline/sardineline/sard/clock"
 	"github.com/sardineline/sardineline/sard/fault"
 	"github.com/sardineline/sardineline/sard/ident"
+	"github.com/sardineline/sardineline/sard/pool"
 	"github.com/sardineline/sardineline/sard/work"
 )
 
@@ -66,7 +67,7 @@
 	if !busy && w.departed(now) {
 		return
 	}
-	if w.fenced && !busy && w.unexpected == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered && w.refusedSince == clock.Never && !w.lost {
+	if w.fenced && !busy && len(w.strays) == 0 && w.confirmedEnd == w.ackedEnd && !w.unanswered && w.refusedSince == clock.Never && !w.lost {
 		return
 	}
 	if w.awaitsStartBeforeAck() {
@@ -183,7 +184,7 @@
 		s.renewSoon(w)
 	case w.seenEnd > w.confirmedEnd:
 		w.nextRenewal = clock.Now().Add(unconfirmedPause)
-	case w.unexpected > 0:
+	case len(w.strays) > 0:
 		w.nextRenewal = clock.Now().Add(unexpectedPause)
 	case w.ackDue() && !w.mayAcknowledge() || w.awaitsReport():
 		w.nextRenewal = clock.Now().Add(ackRetryPause)
@@ -269,21 +270,26 @@
 		s.config.Metrics.attemptsEnded.WithLabelValues(end.Outcome.String()).Inc()
 		s.config.Logger.Info("part ended", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id(),
 			"how", end.Outcome.String(), "end", end.Sequence)
-		if s.engine.MayRun(end.Attempt, w.id()) {
-			s.engine.AttemptEnded(end.Attempt, end.Outcome, end.Checkpoint, now)
-		}
+		s.endAttempt(w, end, now)
 		delete(w.attempts, end.Attempt)
 	}
 }
 
+// endAttempt passes the end of an attempt to the engine. Work is done by whichever attempt has done it.
+func (s *Scheduler) endAttempt(w *session, end EndedAttempt, now time.Time) {
+	switch {
+	case s.engine.MayRun(end.Attempt, w.id()):
+		s.engine.AttemptEnded(end.Attempt, end.Outcome, end.Checkpoint, now)
+	case end.Outcome == pool.Done && s.engine.StrayDone(end.Attempt):
+		s.config.Logger.Warn("part done by a late run", "part", end.Attempt.Part, "attempt", end.Attempt.Number, "worker", w.id())
+	}
+}
+
 // handleRunning passes the running attempts of a worker's report to the engine, and stops those that should not run.
 func (s *Scheduler) handleRunning(w *session, report WorkerReport) {
 	now := time.Now()
-	w.unexpected = 0
+	s.updateStrays(w, report)
 	for _, r := range report.Running {
-		if !s.engine.MayRun(r.Attempt, w.id()) {
-			w.unexpected++
-		}
 		if state := w.attempts[r.Attempt]; state != nil {
 			state.listedAt = clock.Now()
 			state.processUnknown = state.processUnknown && state.startInFlight
--- a/sard/sched/session.go
+++ b/sard/sched/session.go
@@ -91,8 +91,9 @@
 	// commands holds the queued commands by class, and flight the active one.
 	commands [classCount][]command
 	flight   *flight
-	// unexpected is the number of running attempts that the engine does not account for on this worker.
-	unexpected int
+	// strays holds the running attempts that the engine does not account for on this worker, as of its last report, and whether the
+	// engine knows of them.
+	strays map[work.Attempt]bool
 	// suspendedUntil is until when a refused or undelivered start keeps new parts away.
 	suspendedUntil clock.Instant
 	// bar is why the worker gets no new parts.
@@ -231,6 +232,7 @@
 	if process.StartedMs > w.entry.StartedMs {
 		s.countCrash(w, reported)
 	}
+	s.endStrays(w)
 	kept := map[work.Attempt]*attemptState{}
 	for a, state := range w.attempts {
 		if state.startInFlight || state.processUnknown || state.startOpen || slices.Contains(reported, a) {
--- a/sard/sched/waits.go
+++ b/sard/sched/waits.go
@@ -143,7 +143,7 @@
 		return unreached
 	case w.lost:
 		return lostWorker
-	case w.unexpected > 0:
+	case len(w.strays) > 0:
 		return unexpectedParts
 	case w.silent():
 		return silentWorker
