--- a/sard/fakes/crash.go
+++ b/sard/fakes/crash.go
@@ -42,9 +42,7 @@
 	}
 	r.job().crashRecord(r.attempt.Part).crashes++
 	former := w.Entry.WorkerProcess
-	w.Crash()
-	w.downUntil = time.Now().Add(CrashDowntime)
-	w.startedAt, w.Entry.StartedMs = w.downUntil, w.downUntil.UnixMilli()
+	w.CrashFor(CrashDowntime)
 	if w.RenamedByCrashes {
 		w.fleet.former[former.Worker] = w
 		delete(w.fleet.workers, former.Worker)
--- a/sard/fakes/orders.go
+++ b/sard/fakes/orders.go
@@ -27,6 +27,17 @@
 	return w.stop(ctx, req)
 }
 
+// StartUnfenced executes a start request late, in a process that no scheduler could reach before. It may be a second run of its part,
+// or follow an acknowledged end; a scheduler must take it into account once it has been told of it.
+func (w *Worker) StartUnfenced(req sched.StartRequest) error {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if err := w.connect(req.Worker.Worker); err != nil {
+		return err
+	}
+	return w.runChecked(req.Worker, req.Epoch, func() error { return w.startAttempt(req, true) })
+}
+
 // ignoreOrder returns an error once ctx ends if the worker leaves orders unanswered now. It executes the order late if the
 // worker does so.
 func (w *Worker) ignoreOrder(ctx context.Context, process work.WorkerProcess, execute func(context.Context)) error {
--- a/sard/fakes/run.go
+++ b/sard/fakes/run.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/sardineline/sardineline/sard/ident"
 	"github.com/sardineline/sardineline/sard/sched"
 	"github.com/sardineline/sardineline/sard/work"
 )
@@ -21,6 +22,10 @@
 	ended     bool
 	// stalled makes the run make no progress.
 	stalled bool
+	// unfenced indicates that no scheduler could keep the worker from the run, and listedAt is when a report to the current lease
+	// holder first listed it.
+	unfenced bool
+	listedAt time.Time
 	// gangWasComplete is set once all parts of the gang were running at the same time.
 	gangWasComplete bool
 	// stopDue is when a requested stop takes effect; zero if no stop was requested.
@@ -34,6 +39,49 @@
 	return &run{attempt: req.Attempt, worker: w, startedAt: now, updatedAt: now, stalled: w.Stalled, workDone: workDone}
 }
 
+// reactionTime is how long a lease holder may take to act upon a report.
+const reactionTime = 300 * time.Millisecond
+
+// unknown reports whether the current lease holder can't be expected to know of an unfenced run yet.
+func (r *run) unknown() bool {
+	return r.unfenced && (r.listedAt.IsZero() || time.Since(r.listedAt) < reactionTime)
+}
+
+// unknownRuns returns the number of runs of a part that the current lease holder can't be expected to know of yet.
+func (f *Fleet) unknownRuns(part work.Part) int {
+	unknown := 0
+	for _, w := range f.workers {
+		if r := w.runs[part]; r != nil && r.unknown() {
+			unknown++
+		}
+	}
+	return unknown
+}
+
+// NextHolder records that another lease holder has this epoch, which has been told of no run yet.
+func (f *Fleet) NextHolder(epoch ident.Epoch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holderEpoch = epoch
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			r.listedAt = time.Time{}
+		}
+	}
+}
+
+// noteListed records that a report has listed the runs of the worker in response to a request with an epoch.
+func (w *Worker) noteListed(epoch ident.Epoch) {
+	if epoch < w.fleet.holderEpoch {
+		return
+	}
+	for _, r := range w.runs {
+		if r.listedAt.IsZero() {
+			r.listedAt = time.Now()
+		}
+	}
+}
+
 func (r *run) job() *Job {
 	return r.worker.fleet.jobs[r.attempt.Part.Job]
 }
--- a/sard/fakes/worker.go
+++ b/sard/fakes/worker.go
@@ -98,6 +98,13 @@
 	w.Entry.StartedMs = time.Now().UnixMilli()
 }
 
+// CrashFor simulates a crash after which the worker accepts no connections for a time. Its next process starts then.
+func (w *Worker) CrashFor(down time.Duration) {
+	w.Crash()
+	w.downUntil = time.Now().Add(down)
+	w.startedAt, w.Entry.StartedMs = w.downUntil, w.downUntil.UnixMilli()
+}
+
 // reset sets the worker's state to that of a newly started process.
 func (w *Worker) reset() {
 	w.runs, w.finished = map[work.Part]*run{}, map[work.Part]ident.Attempt{}
@@ -189,7 +196,7 @@
 	var reply sched.Reply
 	err := w.call(ctx, req.Worker, req.Epoch, func() error {
 		reply = w.reply()
-		return w.startAttempt(req)
+		return w.startAttempt(req, false)
 	})
 	if w.loseStartReply() {
 		return sched.Reply{}, waitForCancel(ctx, req.Worker)
@@ -208,8 +215,9 @@
 	return true
 }
 
-// startAttempt starts the attempt of a start request, or returns a refusal. A repeated request has no further effect.
-func (w *Worker) startAttempt(req sched.StartRequest) error {
+// startAttempt starts the attempt of a start request, or returns a refusal. A repeated request has no further effect. Unfenced
+// indicates that no scheduler could keep the worker from it.
+func (w *Worker) startAttempt(req sched.StartRequest, unfenced bool) error {
 	part := req.Attempt.Part
 	if w.RefuseStarts != nil {
 		return w.refusal(*w.RefuseStarts)
@@ -229,13 +237,18 @@
 	if j == nil {
 		return w.refusal(sched.Outdated)
 	}
-	w.fleet.checkStart(w, j, req)
+	if !unfenced {
+		w.fleet.checkStart(w, j, req)
+	}
 	j.started[part] = max(j.started[part], req.Attempt.Number)
 	w.fleet.startCount++
 	w.fleet.runCounts[part]++
 	w.runs[part] = newRun(w, req)
+	w.runs[part].unfenced = unfenced
 	w.crashSoon(w.runs[part])
-	w.checkCapacity()
+	if !unfenced {
+		w.checkCapacity()
+	}
 	w.notifyChange()
 	return nil
 }
@@ -250,7 +263,9 @@
 func (w *Worker) checkCapacity() {
 	var total work.Resources
 	for _, r := range w.runs {
-		total = total.Plus(r.step().Demand())
+		if !r.unknown() {
+			total = total.Plus(r.step().Demand())
+		}
 	}
 	if total.Fits(w.Entry.Capacity) {
 		return
@@ -300,6 +315,7 @@
 			w.extendLease(req.Deadline)
 			w.ackEnds(req.AckedEnd)
 			report = w.newReport()
+			w.noteListed(req.Epoch)
 			changed = w.changed
 			return nil
 		})
--- a/sard/sched/lateorders_test.go
+++ b/sard/sched/lateorders_test.go
@@ -392,3 +392,42 @@
 		r.waitForState("j1", ident.Succeeded, time.Minute)
 	})
 }
+
+// TestLateStartWhereNobodyFences guards against parts that run again after they are done, because their first start is executed late,
+// by a later process of the worker, where no process that knows of it can reach that: the worker is cut off, or the lease holder was
+// just killed.
+func TestLateStartWhereNobodyFences(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(late lateStart, d *disturbances, kill context.CancelFunc)
+	}{
+		{"the worker is cut off", func(_ lateStart, d *disturbances, _ context.CancelFunc) { d.cutOff.Store(true) }},
+		{"the holder is killed", func(late lateStart, _ *disturbances, kill context.CancelFunc) {
+			late.sleepUntilBefore(upBeforeLateStart + 200*time.Millisecond)
+			kill()
+		}},
+		{"the holder is killed while the store is down", func(late lateStart, _ *disturbances, kill context.CancelFunc) {
+			late.storeDown.Store(true)
+			kill()
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runTest(t, 1, func(r *harness) {
+				d := r.disturb()
+				kill := r.startInstance("i1")
+				r.sleep(2 * time.Second)
+				late := r.completeWithLateStart()
+				r.startInstance("i2")
+				late.sleepUntilBefore(upBeforeLateStart + workerDown)
+				test.lose(late, d, kill)
+				late.crashWorker()
+				late.sleep(upBeforeLateStart + 100*time.Millisecond)
+				d.cutOff.Store(false)
+				r.storeDown.Store(false)
+				late.listLaterProcess()
+				assert.Check(t, is.Equal(r.fleet.StartCount(), 1))
+			})
+		})
+	}
+}
