--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -148,6 +148,13 @@
 	return failed, starts
 }
 
+// starts returns the number of starts of a work unit.
+func (w *world) starts(unit string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[unit]
+}
+
 // addExecutor adds an executor that is down.
 func (w *world) addExecutor(kind string) *executor {
 	n := len(w.executes)
@@ -423,3 +430,17 @@
 	w.awaitReady()
 	time.Sleep(3 * time.Second)
 }
+
+// leader returns the daemon whose name the lease of the scheduler names in the store.
+func (w *world) leader() *daemon {
+	w.store.mu.Lock()
+	value := string(w.store.rows[rowID{Table: "lease", Key: "owner"}].Value)
+	w.store.mu.Unlock()
+	for _, d := range w.daemons {
+		if strings.HasPrefix(value, d.name+"@") {
+			return d
+		}
+	}
+	check(fmt.Errorf("no daemon schedules"))
+	return nil
+}
